Set down the shape and one path from end to end

Cause: an empty repository. A first run hung at stop: pynng drops a cancellation that meets a finished exchange, so tasks also check a flag.

--- /dev/null
+++ b/kumquatridge/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Which calls an instance runs now, later, or not at all."""
--- /dev/null
+++ b/kumquatridge/admission/verdicts.py
@@ -0,0 +1,22 @@
+"""What admission decided about one call."""
+
+import dataclasses
+
+from kumquatridge.calls import refusals
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admitted:
+    """The call holds a slot; `queued_ms` is how long it waited for it."""
+
+    queued_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """The call holds nothing and must not be sent."""
+
+    refusal: refusals.Refusal
+
+
+Verdict = Admitted | Refused
--- /dev/null
+++ b/kumquatridge/callpath/retries.py
@@ -0,0 +1,49 @@
+"""Whether a call that came to nothing is sent to another instance."""
+
+import dataclasses
+
+from kumquatridge.calls import body as call_body
+from kumquatridge.calls import call as calls
+from kumquatridge.calls import outcomes
+from kumquatridge.calls import refusals
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accept:
+    """The outcome stands and goes back to the caller."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TryAnother:
+    """Another instance may still run the call; `reason` is for counters."""
+
+    reason: str
+
+
+RetryVerdict = Accept | TryAnother
+
+
+def judge(call: calls.Call, outcome: outcomes.Outcome) -> RetryVerdict:
+    """Decides whether to try another instance, the allowance aside."""
+    match outcome:
+        case outcomes.Completed():
+            return Accept()
+        case outcomes.NotRun(refusal):
+            return _judge_refusal(refusal)
+        case outcomes.Failed() | outcomes.Unknown():
+            if call.policy.idempotent and call_body.is_resendable(call.body):
+                return TryAnother("unanswered")
+            return Accept()
+
+
+def _judge_refusal(refusal: refusals.Refusal) -> RetryVerdict:
+    match refusal:
+        case (
+            refusals.Overloaded()
+            | refusals.Draining()
+            | refusals.Unreachable()
+            | refusals.NoInstance()
+        ):
+            return TryAnother(refusal.code)
+        case _:
+            return Accept()
--- /dev/null
+++ b/kumquatridge/calls/__init__.py
@@ -0,0 +1,1 @@
+"""The vocabulary every other aggregate shares: calls, outcomes, refusals."""
--- /dev/null
+++ b/kumquatridge/calls/body.py
@@ -0,0 +1,45 @@
+"""Bodies of requests and answers, held in memory or read once."""
+
+from collections.abc import AsyncIterator
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BufferedBody:
+    """A short body held whole, so that it can be sent more than once."""
+
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamedBody:
+    """A body read chunk by chunk from its sender; it can be sent only once.
+
+    `length_bytes` is None when the sender announced no length.
+    """
+
+    length_bytes: int | None
+    chunks: AsyncIterator[bytes]
+
+
+Body = BufferedBody | StreamedBody
+
+EMPTY = BufferedBody(b"")
+
+
+def get_length_bytes(body: Body) -> int | None:
+    """Returns the announced length of a body, or None when unknown."""
+    match body:
+        case BufferedBody(data):
+            return len(data)
+        case StreamedBody(length_bytes, _):
+            return length_bytes
+
+
+def is_resendable(body: Body) -> bool:
+    """Tells whether the body can be sent again after a first attempt."""
+    match body:
+        case BufferedBody():
+            return True
+        case StreamedBody():
+            return False
--- /dev/null
+++ b/kumquatridge/calls/call.py
@@ -0,0 +1,28 @@
+"""One call on its way to a worker."""
+
+import dataclasses
+
+from kumquatridge.calls import body as call_body
+from kumquatridge.calls import outcomes
+from kumquatridge.chain import context
+from kumquatridge.settings import policy as settings_policy
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """A call with everything that decisions about it need.
+
+    `request_key` is the caller's idempotency key, the same on every resend.
+    `path` is the path at the worker, with its query. `long_running` calls
+    are the policy's business.
+    """
+
+    service: str
+    method: str
+    path: str
+    headers: outcomes.Headers
+    body: call_body.Body
+    caller: str
+    request_key: str | None
+    policy: settings_policy.RoutePolicy
+    chain: context.ChainContext
--- /dev/null
+++ b/kumquatridge/calls/importance.py
@@ -0,0 +1,12 @@
+"""How much a call matters when not every call can be served."""
+
+import enum
+
+
+class Importance(enum.IntEnum):
+    """Order in which calls are refused; lower members are refused first."""
+
+    BACKGROUND = 0
+    SHEDDABLE = 1
+    NORMAL = 2
+    CRITICAL = 3
--- /dev/null
+++ b/kumquatridge/calls/refusals.py
@@ -0,0 +1,141 @@
+"""Reasons for which a call was not run.
+
+Every class here is proof that no byte of the call reached a worker. `code`
+names the reason in headers, counters and logs.
+"""
+
+import dataclasses
+from typing import ClassVar
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Overloaded:
+    """The instance admits only more important calls for now."""
+
+    code: ClassVar[str] = "overloaded"
+    level: int
+    limit: int
+    retry_after_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueueTimeout:
+    """The call waited in the queue for as long as the queue allows."""
+
+    code: ClassVar[str] = "queue_timeout"
+    waited_ms: int
+    retry_after_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DeadlineExceeded:
+    """The deadline passed, or can't be met, before the call was sent."""
+
+    code: ClassVar[str] = "deadline_exceeded"
+    remaining_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Draining:
+    """The instance is leaving and takes no new calls."""
+
+    code: ClassVar[str] = "draining"
+    instance: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoInstance:
+    """No instance of the service is known that may take the call."""
+
+    code: ClassVar[str] = "no_instance"
+    service: str
+    retry_after_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnknownService:
+    """The settings tree has no such service."""
+
+    code: ClassVar[str] = "unknown_service"
+    service: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unreachable:
+    """No connection to the instance could be opened."""
+
+    code: ClassVar[str] = "unreachable"
+    instance: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Quarantined:
+    """Calls with this fingerprint crashed workers before."""
+
+    code: ClassVar[str] = "quarantined"
+    fingerprint: str
+    retry_after_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DuplicateInProgress:
+    """A call with the same request key is running now."""
+
+    code: ClassVar[str] = "duplicate_in_progress"
+    retry_after_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BodyTooLarge:
+    """The announced body is larger than the settings allow."""
+
+    code: ClassVar[str] = "body_too_large"
+    length_bytes: int
+    limit_bytes: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetriesExhausted:
+    """Another attempt would exceed the retry allowance of the whole chain."""
+
+    code: ClassVar[str] = "retries_exhausted"
+    last_reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InvalidRequest:
+    """The request can't be understood; `detail` says what to mend."""
+
+    code: ClassVar[str] = "invalid_request"
+    detail: str
+
+
+Refusal = (
+    Overloaded
+    | QueueTimeout
+    | DeadlineExceeded
+    | Draining
+    | NoInstance
+    | UnknownService
+    | Unreachable
+    | Quarantined
+    | DuplicateInProgress
+    | BodyTooLarge
+    | RetriesExhausted
+    | InvalidRequest
+)
+
+
+def get_retry_after_ms(refusal: Refusal) -> int | None:
+    """Returns when another attempt may succeed, or None when unknown."""
+    match refusal:
+        case (
+            Overloaded(retry_after_ms=wait_ms)
+            | QueueTimeout(retry_after_ms=wait_ms)
+            | NoInstance(retry_after_ms=wait_ms)
+            | Quarantined(retry_after_ms=wait_ms)
+            | DuplicateInProgress(retry_after_ms=wait_ms)
+        ):
+            return wait_ms
+        case _:
+            return None
--- /dev/null
+++ b/kumquatridge/chain/__init__.py
@@ -0,0 +1,1 @@
+"""What all calls that serve one root request share."""
--- /dev/null
+++ b/kumquatridge/chain/context.py
@@ -0,0 +1,35 @@
+"""The context handed down a chain of calls."""
+
+import dataclasses
+import secrets
+
+from kumquatridge import clock
+from kumquatridge.calls import importance as call_importance
+
+ROOT_ID_BYTES = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChainContext:
+    """What a call inherits from the root request it serves.
+
+    `expires_at_ms` is on this process's event loop clock; between processes
+    only the remaining time travels. `retries` is the part of the root's
+    retry allowance that this call may spend or hand down. `depth` is 0 for
+    a root.
+    """
+
+    root_id: str
+    importance: call_importance.Importance
+    expires_at_ms: float
+    retries: int
+    depth: int
+
+    def get_remaining_ms(self) -> float:
+        """Returns the time left before the deadline, negative when passed."""
+        return self.expires_at_ms - clock.get_now_ms()
+
+
+def make_root_id() -> str:
+    """Returns a new random root id in hexadecimal digits."""
+    return secrets.token_hex(ROOT_ID_BYTES)
--- /dev/null
+++ b/kumquatridge/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: one process beside each upstream instance."""
--- /dev/null
+++ b/kumquatridge/daemon/runtime.py
@@ -0,0 +1,163 @@
+"""Puts a daemon together and runs it until it is asked to stop."""
+
+import asyncio
+import contextlib
+import pathlib
+import random
+import signal
+import time
+import types
+from typing import Self
+
+from opentelemetry.exporter import prometheus
+from opentelemetry.sdk import metrics as sdk_metrics
+
+from kumquatridge.admission import guard as admission_guard
+from kumquatridge.callpath import inbound
+from kumquatridge.callpath import intake as call_intake
+from kumquatridge.callpath import outbound
+from kumquatridge.chain import ledger as chain_ledger
+from kumquatridge.daemon import settings as daemon_settings
+from kumquatridge.encoding import settings_text
+from kumquatridge.http import caller_server
+from kumquatridge.http import client
+from kumquatridge.http import peer_client
+from kumquatridge.http import peer_server
+from kumquatridge.http import server
+from kumquatridge.http import worker_client
+from kumquatridge.membership import member as members
+from kumquatridge.membership import table
+from kumquatridge.operators import app as operators_app
+from kumquatridge.operators import server as operators_server
+from kumquatridge.operators import worker_registry
+from kumquatridge.peers import exchange
+from kumquatridge.routing import chooser as routing
+from kumquatridge.telemetry import events
+from kumquatridge.telemetry import metrics
+
+
+class Daemon:
+    """One daemon, serving while its context is open."""
+
+    def __init__(self, settings: daemon_settings.DaemonSettings) -> None:
+        self._settings = settings
+        tree = settings_text.read_tree(pathlib.Path(settings.tree_file))
+        self._members = table.MemberTable(_make_own_member(settings))
+        self._guard = admission_guard.AdmissionGuard(slots=0)
+        self._ledger = chain_ledger.Ledger()
+        self._intake = call_intake.Intake(tree.compile(), self._ledger)
+        self._stack = contextlib.AsyncExitStack()
+        self._registry: worker_registry.WorkerRegistry | None = None
+
+    async def __aenter__(self) -> Self:
+        """Opens the connections and listeners."""
+        settings = self._settings
+        enter = self._stack.enter_async_context
+        recorder = metrics.MetricRecorder(
+            sdk_metrics.MeterProvider([prometheus.PrometheusMetricReader()])
+        )
+        session = await enter(client.make_session())
+        own_path = inbound.InboundPath(
+            self._members,
+            self._guard,
+            self._ledger,
+            worker_client.HttpWorkerLink(session),
+            recorder,
+        )
+        path = outbound.OutboundPath(
+            self._members,
+            routing.InstanceChooser(self._members, random.getrandbits(64)),
+            own_path,
+            peer_client.HttpPeerLink(session, settings.peer_key),
+            recorder,
+        )
+        peers = await enter(
+            exchange.HeartbeatExchange(
+                settings.control_address,
+                settings.seeds,
+                settings.peer_key,
+                self._members,
+            )
+        )
+        self._registry = worker_registry.WorkerRegistry(
+            self._members, self._guard, peers.announce_now
+        )
+        peer_handler = peer_server.PeerHandler(
+            self._intake, own_path, settings.peer_key
+        )
+        await enter(
+            server.HttpServer(settings.call_address, peer_handler.handle)
+        )
+        caller_handler = caller_server.CallerHandler(self._intake, path)
+        await enter(
+            server.HttpServer(settings.caller_address, caller_handler.handle)
+        )
+        await enter(
+            operators_server.OperatorServer(
+                settings.operator_address,
+                operators_app.make_app(
+                    self._registry, self._guard, self._members
+                ),
+            )
+        )
+        events.log(
+            events.DaemonStarted(
+                settings.instance,
+                settings.data_centre,
+                settings.caller_address,
+            )
+        )
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        """Closes listeners and connections."""
+        await self._stack.aclose()
+        events.log(
+            events.DaemonStopped(
+                self._settings.instance, self._guard.in_progress
+            )
+        )
+
+    async def drain(self) -> None:
+        """Says that the instance leaves and waits for calls in progress."""
+        events.log(
+            events.DrainStarted(
+                self._settings.instance, self._guard.in_progress
+            )
+        )
+        assert self._registry is not None
+        self._registry.leave()
+        await asyncio.sleep(self._settings.drain_ms / 1000.0)
+        self._guard.drain()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._settings.stop_timeout_ms / 1000.0):
+                await self._guard.wait_until_idle()
+
+
+def _make_own_member(
+    settings: daemon_settings.DaemonSettings,
+) -> members.Member:
+    return members.Member(
+        instance=settings.instance,
+        incarnation=time.time_ns() // 1_000_000,
+        data_centre=settings.data_centre,
+        call_address=settings.call_address,
+        control_address=settings.control_address,
+        announcement=None,
+    )
+
+
+async def run(settings: daemon_settings.DaemonSettings) -> None:
+    """Runs a daemon until SIGTERM or SIGINT, then drains it."""
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    async with Daemon(settings) as daemon:
+        await stopping.wait()
+        await daemon.drain()
--- /dev/null
+++ b/kumquatridge/daemon/settings.py
@@ -0,0 +1,26 @@
+"""The settings of one daemon."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DaemonSettings:
+    """What a daemon is told when it starts.
+
+    Addresses are "host:port" by IP number. Callers and the own worker use
+    `caller_address`, other daemons `call_address` and `control_address`,
+    workers' announcements and operators `operator_address`. `tree_file` is
+    the settings tree served before any other is known.
+    """
+
+    instance: str
+    data_centre: str
+    caller_address: str
+    call_address: str
+    control_address: str
+    operator_address: str
+    peer_key: str
+    tree_file: str
+    seeds: tuple[str, ...] = ()
+    drain_ms: int = 3000
+    stop_timeout_ms: int = 60000
--- /dev/null
+++ b/kumquatridge/encoding/__init__.py
@@ -0,0 +1,1 @@
+"""Texts and bytes of settings and messages, through codec libraries."""
--- /dev/null
+++ b/kumquatridge/encoding/chain_codec.py
@@ -0,0 +1,47 @@
+"""The chain's context as it travels between daemons."""
+
+import msgspec
+
+from kumquatridge import clock
+from kumquatridge.calls import importance as call_importance
+from kumquatridge.chain import context
+
+
+class _ChainMessage(msgspec.Struct, frozen=True, array_like=True):
+    root_id: str
+    importance: int
+    remaining_ms: float
+    retries: int
+    depth: int
+
+
+_encoder = msgspec.json.Encoder()
+_decoder = msgspec.json.Decoder(_ChainMessage)
+
+
+def encode_chain(chain: context.ChainContext) -> str:
+    """Returns the context as JSON, with the time left as a duration."""
+    message = _ChainMessage(
+        chain.root_id,
+        int(chain.importance),
+        chain.get_remaining_ms(),
+        chain.retries,
+        chain.depth,
+    )
+    return _encoder.encode(message).decode()
+
+
+def decode_chain(text: str) -> context.ChainContext | None:
+    """Returns the context, or None when the text is not one."""
+    try:
+        message = _decoder.decode(text)
+        importance = call_importance.Importance(message.importance)
+    except (msgspec.DecodeError, ValueError):
+        return None
+    return context.ChainContext(
+        root_id=message.root_id,
+        importance=importance,
+        expires_at_ms=clock.get_now_ms() + message.remaining_ms,
+        retries=message.retries,
+        depth=message.depth,
+    )
--- /dev/null
+++ b/kumquatridge/encoding/daemon_text.py
@@ -0,0 +1,73 @@
+"""Reads a daemon's settings from JSON with comments."""
+
+import dataclasses
+import pathlib
+import re
+
+import msgspec
+
+from kumquatridge.daemon import settings as daemon_settings
+from kumquatridge.encoding import settings_text
+from kumquatridge.settings import errors
+
+_ADDRESS = re.compile(r"(\d{1,3}\.){3}\d{1,3}:\d{1,5}")
+
+
+def read_daemon_settings(
+    path: pathlib.Path,
+) -> daemon_settings.DaemonSettings:
+    """Reads a daemon's settings from a file.
+
+    Raises:
+      SettingsError: the file can't be read or a value is wrong.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.SettingsError(f"{path}: can't be read: {error}") from error
+    return decode_daemon_settings(str(path), text)
+
+
+def decode_daemon_settings(
+    source: str, text: str
+) -> daemon_settings.DaemonSettings:
+    """Decodes a daemon's settings.
+
+    Raises:
+      SettingsError: names the source, the key and what was expected.
+    """
+    value = settings_text.parse_text(source, text)
+    if not isinstance(value, dict):
+        raise errors.InvalidValueError(source, "/", value, "an object")
+    known = tuple(
+        field.name
+        for field in dataclasses.fields(daemon_settings.DaemonSettings)
+    )
+    settings_text.reject_unknown(source, "/", value, known)
+    try:
+        decoded = msgspec.convert(value, daemon_settings.DaemonSettings)
+    except msgspec.ValidationError as error:
+        raise errors.SettingsError(f"{source}: {error}") from error
+    _check_addresses(source, decoded)
+    return decoded
+
+
+def _check_addresses(
+    source: str, settings: daemon_settings.DaemonSettings
+) -> None:
+    named = {
+        name: getattr(settings, name)
+        for name in (
+            "caller_address",
+            "call_address",
+            "control_address",
+            "operator_address",
+        )
+    }
+    for index, seed in enumerate(settings.seeds):
+        named[f"seeds[{index}]"] = seed
+    for name, address in named.items():
+        if not _ADDRESS.fullmatch(address):
+            raise errors.InvalidValueError(
+                source, name, address, '"host:port" by IP number'
+            )
--- /dev/null
+++ b/kumquatridge/http/__init__.py
@@ -0,0 +1,1 @@
+"""Calls over HTTP: from callers, between daemons, and to workers."""
--- /dev/null
+++ b/kumquatridge/http/answers.py
@@ -0,0 +1,118 @@
+"""Writes outcomes as HTTP answers, with statuses from RFC 9110."""
+
+import math
+
+from aiohttp import web
+
+from kumquatridge.calls import body as call_body
+from kumquatridge.calls import outcomes
+from kumquatridge.calls import refusals
+from kumquatridge.encoding import refusal_codec
+from kumquatridge.http import headers
+
+STATUS_UNKNOWN = 502
+STATUS_FAILED = 502
+
+
+def get_status(refusal: refusals.Refusal) -> int:
+    """Returns the HTTP status of a refusal."""
+    match refusal:
+        case refusals.Overloaded() | refusals.QueueTimeout():
+            return 503
+        case refusals.Draining() | refusals.NoInstance():
+            return 503
+        case refusals.Unreachable() | refusals.RetriesExhausted():
+            return 503
+        case refusals.DeadlineExceeded():
+            return 504
+        case refusals.Quarantined():
+            return 429
+        case refusals.DuplicateInProgress():
+            return 409
+        case refusals.UnknownService():
+            return 404
+        case refusals.BodyTooLarge():
+            return 413
+        case refusals.InvalidRequest():
+            return 400
+
+
+async def write_outcome(
+    request: web.BaseRequest, outcome: outcomes.Outcome
+) -> web.StreamResponse:
+    """Writes an outcome as the answer to a request."""
+    match outcome:
+        case outcomes.Completed():
+            return await _write_completed(request, outcome)
+        case outcomes.NotRun(refusal):
+            return make_refusal_answer(refusal, outcome.unspent_retries)
+        case outcomes.Failed(detail):
+            return _make_plain(
+                STATUS_FAILED, headers.OUTCOME_FAILED, detail, outcome
+            )
+        case outcomes.Unknown(detail):
+            return _make_plain(
+                STATUS_UNKNOWN, headers.OUTCOME_UNKNOWN, detail, outcome
+            )
+
+
+def make_refusal_answer(
+    refusal: refusals.Refusal, unspent_retries: int
+) -> web.Response:
+    """Returns the answer to a call that was not run."""
+    marks = {
+        headers.OUTCOME: headers.OUTCOME_NOT_RUN,
+        headers.REASON: refusal.code,
+        headers.REFUSAL: refusal_codec.encode_refusal(refusal),
+        headers.UNSPENT_RETRIES: str(unspent_retries),
+    }
+    retry_after_ms = refusals.get_retry_after_ms(refusal)
+    if retry_after_ms is not None:
+        marks[headers.RETRY_AFTER] = str(math.ceil(retry_after_ms / 1000))
+    return web.Response(
+        status=get_status(refusal),
+        headers=marks,
+        text=f"not run: {refusal.code}\n",
+    )
+
+
+def _make_plain(
+    status: int, mark: str, detail: str, outcome: outcomes.Outcome
+) -> web.Response:
+    return web.Response(
+        status=status,
+        headers={
+            headers.OUTCOME: mark,
+            headers.DETAIL: detail,
+            headers.UNSPENT_RETRIES: str(outcome.unspent_retries),
+        },
+        text=f"{mark}: {detail}\n",
+    )
+
+
+async def _write_completed(
+    request: web.BaseRequest, outcome: outcomes.Completed
+) -> web.StreamResponse:
+    match outcome.body:
+        case call_body.BufferedBody(data):
+            response = web.Response(status=outcome.status, body=data)
+            _add_headers(response, outcome)
+            return response
+        case call_body.StreamedBody(length_bytes, chunks):
+            streamed = web.StreamResponse(status=outcome.status)
+            _add_headers(streamed, outcome)
+            streamed.content_length = length_bytes
+            await streamed.prepare(request)
+            async for chunk in chunks:
+                await streamed.write(chunk)
+            await streamed.write_eof()
+            return streamed
+
+
+def _add_headers(
+    response: web.StreamResponse, outcome: outcomes.Completed
+) -> None:
+    for name, value in outcome.headers:
+        response.headers.add(name, value)
+    response.headers[headers.OUTCOME] = headers.OUTCOME_COMPLETED
+    response.headers[headers.UNSPENT_RETRIES] = str(outcome.unspent_retries)
--- /dev/null
+++ b/kumquatridge/http/caller_server.py
@@ -0,0 +1,96 @@
+"""The front end for callers: requests to calls, outcomes to answers.
+
+A request's path is "/SERVICE/PATH"; the worker sees "/PATH".
+"""
+
+from aiohttp import web
+
+from kumquatridge.callpath import intake as call_intake
+from kumquatridge.callpath import outbound
+from kumquatridge.calls import call as calls
+from kumquatridge.calls import refusals
+from kumquatridge.http import answers
+from kumquatridge.http import bodies
+from kumquatridge.http import errors
+from kumquatridge.http import headers
+
+
+class CallerHandler:
+    """Serves callers from outside and the own worker's calls."""
+
+    def __init__(
+        self, intake: call_intake.Intake, path: outbound.OutboundPath
+    ) -> None:
+        self._intake = intake
+        self._path = path
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answers one request."""
+        try:
+            asked = await read_request(request)
+        except errors.MalformedRequestError as error:
+            return answers.make_refusal_answer(
+                refusals.InvalidRequest(str(error)), 0
+            )
+        with self._intake.open(asked) as opened:
+            match opened:
+                case calls.Call():
+                    return await self._dispatch(request, asked, opened)
+                case refusal:
+                    return answers.make_refusal_answer(refusal, 0)
+
+    async def _dispatch(
+        self,
+        request: web.BaseRequest,
+        asked: call_intake.Request,
+        call: calls.Call,
+    ) -> web.StreamResponse:
+        async with self._path.dispatch(call) as outcome:
+            self._intake.return_retries(asked, outcome)
+            return await answers.write_outcome(request, outcome)
+
+
+async def read_request(request: web.BaseRequest) -> call_intake.Request:
+    """Reads what a request asks for.
+
+    Raises:
+      MalformedRequestError: a path without a service or a bad timeout.
+    """
+    service, path = split_path(request.path_qs)
+    marks = request.headers
+    return call_intake.Request(
+        service=service,
+        method=request.method,
+        path=path,
+        headers=headers.keep_end_to_end(marks.items()),
+        body=await bodies.read_body(request),
+        caller=marks.get(headers.CALLER, ""),
+        request_key=marks.get(headers.REQUEST_KEY),
+        timeout_ms=_read_timeout_ms(marks.get(headers.TIMEOUT)),
+        token=marks.get(headers.CONTEXT),
+    )
+
+
+def split_path(path: str) -> tuple[str, str]:
+    """Splits "/SERVICE/PATH" into the service and "/PATH".
+
+    Raises:
+      MalformedRequestError: the path names no service.
+    """
+    service, slash, rest = path.lstrip("/").partition("/")
+    if not service or not slash:
+        raise errors.MalformedRequestError(
+            f"path {path!r} is not of the form /SERVICE/PATH"
+        )
+    return service, f"/{rest}"
+
+
+def _read_timeout_ms(text: str | None) -> int | None:
+    if text is None:
+        return None
+    if not text.isascii() or not text.isdigit() or int(text) == 0:
+        raise errors.MalformedRequestError(
+            f"{headers.TIMEOUT}: got {text!r}, expected a whole number of "
+            "milliseconds above 0"
+        )
+    return int(text)
--- /dev/null
+++ b/kumquatridge/http/client.py
@@ -0,0 +1,102 @@
+"""The HTTP client that both outgoing legs share."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+
+import aiohttp
+import multidict
+
+from kumquatridge.calls import body as call_body
+from kumquatridge.calls import call as calls
+from kumquatridge.calls import outcomes
+from kumquatridge.calls import refusals
+from kumquatridge.http import bodies
+
+KEEPALIVE_S = 30.0
+
+
+def make_session() -> aiohttp.ClientSession:
+    """Returns a session that sends each request at most once.
+
+    The library sends some methods again by itself when a kept connection
+    was closed meanwhile; a call must never be sent again unless a decision
+    says so.
+    """
+    session = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(
+            limit=0, keepalive_timeout=KEEPALIVE_S, use_dns_cache=False
+        ),
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=None),
+    )
+    session._retry_connection = False
+    return session
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """An answer whose status and headers are here."""
+
+    response: aiohttp.ClientResponse
+    body: call_body.Body
+
+
+Reply = Answer | outcomes.NotRun | outcomes.Unknown
+
+
+@contextlib.asynccontextmanager
+async def send(
+    session: aiohttp.ClientSession,
+    call: calls.Call,
+    url: str,
+    headers: outcomes.Headers,
+    instance: str,
+) -> AsyncIterator[Reply]:
+    """Sends a call once and waits for the answer until the deadline.
+
+    The connection is closed when the context is left before the answer was
+    read to its end, which cancels the call at the other side.
+    """
+    response: aiohttp.ClientResponse | None = None
+    try:
+        async with asyncio.timeout(call.chain.get_remaining_ms() / 1000.0):
+            response = await session.request(
+                call.method,
+                url,
+                headers=multidict.CIMultiDict(headers),
+                data=bodies.make_payload(call.body),
+                allow_redirects=False,
+            )
+            body = await _read_answer_body(response)
+    except aiohttp.ClientConnectorError:
+        reply: Reply = outcomes.NotRun(refusals.Unreachable(instance))
+    except TimeoutError:
+        reply = outcomes.Unknown("no answer before the deadline")
+    except (aiohttp.ClientError, OSError):
+        reply = outcomes.Unknown("connection lost after the call was sent")
+    else:
+        reply = Answer(response, body)
+    try:
+        yield reply
+    finally:
+        if response is not None:
+            _finish(response)
+
+
+async def _read_answer_body(
+    response: aiohttp.ClientResponse,
+) -> call_body.Body:
+    length_bytes = response.content_length
+    if length_bytes is not None and length_bytes <= bodies.BUFFERED_BODY_BYTES:
+        return call_body.BufferedBody(await response.read())
+    return call_body.StreamedBody(length_bytes, response.content.iter_any())
+
+
+def _finish(response: aiohttp.ClientResponse) -> None:
+    if response.content.at_eof():
+        response.release()
+    else:
+        response.close()
--- /dev/null
+++ b/kumquatridge/http/headers.py
@@ -0,0 +1,56 @@
+"""The names of the headers and which of them travel on.
+
+Hop-by-hop headers as in RFC 9110, section 7.6.1.
+"""
+
+from collections.abc import Iterable
+
+from kumquatridge.calls import outcomes
+
+OWN_PREFIX = "kumquatridge-"
+CALLER = "kumquatridge-caller"
+CONTEXT = "kumquatridge-context"
+TIMEOUT = "kumquatridge-timeout-ms"
+OUTCOME = "kumquatridge-outcome"
+REASON = "kumquatridge-reason"
+REFUSAL = "kumquatridge-refusal"
+DETAIL = "kumquatridge-detail"
+UNSPENT_RETRIES = "kumquatridge-unspent-retries"
+CHAIN = "kumquatridge-chain"
+PEER_KEY = "kumquatridge-peer-key"
+REQUEST_KEY = "idempotency-key"
+RETRY_AFTER = "retry-after"
+CONTENT_LENGTH = "content-length"
+
+OUTCOME_COMPLETED = "completed"
+OUTCOME_NOT_RUN = "not-run"
+OUTCOME_FAILED = "failed"
+OUTCOME_UNKNOWN = "unknown"
+
+_HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "host",
+        "content-length",
+        "expect",
+    )
+)
+
+
+def keep_end_to_end(
+    pairs: Iterable[tuple[str, str]],
+) -> outcomes.Headers:
+    """Returns the headers that travel on, without hop-by-hop and own ones."""
+    return tuple(
+        (name, value)
+        for name, value in pairs
+        if (lower := name.lower()) not in _HOP_BY_HOP
+        and not lower.startswith(OWN_PREFIX)
+    )
--- /dev/null
+++ b/kumquatridge/http/peer_client.py
@@ -0,0 +1,78 @@
+"""The leg from a daemon to the daemon of another instance."""
+
+from collections.abc import AsyncIterator
+import contextlib
+
+import aiohttp
+
+from kumquatridge.calls import call as calls
+from kumquatridge.calls import outcomes
+from kumquatridge.encoding import chain_codec
+from kumquatridge.encoding import refusal_codec
+from kumquatridge.http import client
+from kumquatridge.http import headers
+from kumquatridge.membership import member as members
+
+
+class HttpPeerLink:
+    """Carries calls to other daemons over HTTP."""
+
+    def __init__(self, session: aiohttp.ClientSession, peer_key: str) -> None:
+        self._session = session
+        self._peer_key = peer_key
+
+    @contextlib.asynccontextmanager
+    async def send(
+        self, call: calls.Call, member: members.Member
+    ) -> AsyncIterator[outcomes.Outcome]:
+        """Sends a call; see `callpath.links.PeerLink`."""
+        async with client.send(
+            self._session,
+            call,
+            f"http://{member.call_address}/{call.service}{call.path}",
+            (*call.headers, *self._make_marks(call)),
+            member.instance,
+        ) as reply:
+            match reply:
+                case client.Answer():
+                    yield read_outcome(reply)
+                case outcomes.NotRun(refusal):
+                    yield outcomes.NotRun(refusal, call.chain.retries)
+                case outcomes.Unknown():
+                    yield reply
+
+    def _make_marks(self, call: calls.Call) -> outcomes.Headers:
+        return (
+            (headers.PEER_KEY, self._peer_key),
+            (headers.CHAIN, chain_codec.encode_chain(call.chain)),
+            (headers.CALLER, call.caller),
+        )
+
+
+def read_outcome(answer: client.Answer) -> outcomes.Outcome:
+    """Returns the outcome that a daemon marked on its answer."""
+    marks = answer.response.headers
+    unspent_retries = _read_count(marks.get(headers.UNSPENT_RETRIES, "0"))
+    match marks.get(headers.OUTCOME):
+        case headers.OUTCOME_COMPLETED:
+            return outcomes.Completed(
+                answer.response.status,
+                headers.keep_end_to_end(marks.items()),
+                answer.body,
+                unspent_retries,
+            )
+        case headers.OUTCOME_NOT_RUN:
+            refusal = refusal_codec.decode_refusal(
+                marks.get(headers.REASON, ""), marks.get(headers.REFUSAL, "")
+            )
+            if refusal is not None:
+                return outcomes.NotRun(refusal, unspent_retries)
+        case headers.OUTCOME_FAILED:
+            return outcomes.Failed(
+                marks.get(headers.DETAIL, ""), unspent_retries
+            )
+    return outcomes.Unknown(marks.get(headers.DETAIL, "no outcome marked"))
+
+
+def _read_count(text: str) -> int:
+    return int(text) if text.isascii() and text.isdigit() else 0
--- /dev/null
+++ b/kumquatridge/http/peer_server.py
@@ -0,0 +1,77 @@
+"""The front end for calls that other daemons send to the own worker."""
+
+import hmac
+
+from aiohttp import web
+
+from kumquatridge.callpath import inbound
+from kumquatridge.callpath import intake as call_intake
+from kumquatridge.calls import call as calls
+from kumquatridge.calls import refusals
+from kumquatridge.encoding import chain_codec
+from kumquatridge.http import answers
+from kumquatridge.http import bodies
+from kumquatridge.http import caller_server
+from kumquatridge.http import errors
+from kumquatridge.http import headers
+
+STATUS_FORBIDDEN = 403
+
+
+class PeerHandler:
+    """Serves the calls of other daemons."""
+
+    def __init__(
+        self,
+        intake: call_intake.Intake,
+        path: inbound.InboundPath,
+        peer_key: str,
+    ) -> None:
+        self._intake = intake
+        self._path = path
+        self._peer_key = peer_key
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answers one request of a daemon."""
+        shown = request.headers.get(headers.PEER_KEY, "")
+        if not hmac.compare_digest(shown.encode(), self._peer_key.encode()):
+            return web.Response(
+                status=STATUS_FORBIDDEN, text="wrong or missing peer key\n"
+            )
+        try:
+            call = await self._read_call(request)
+        except errors.MalformedRequestError as error:
+            return answers.make_refusal_answer(
+                refusals.InvalidRequest(str(error)), 0
+            )
+        match call:
+            case calls.Call():
+                async with self._path.serve(call) as outcome:
+                    return await answers.write_outcome(request, outcome)
+            case refusal:
+                return answers.make_refusal_answer(refusal, 0)
+
+    async def _read_call(
+        self, request: web.BaseRequest
+    ) -> calls.Call | refusals.Refusal:
+        marks = request.headers
+        chain = chain_codec.decode_chain(marks.get(headers.CHAIN, ""))
+        if chain is None:
+            raise errors.MalformedRequestError(
+                f"{headers.CHAIN}: missing or not a chain's context"
+            )
+        service, path = caller_server.split_path(request.path_qs)
+        policy = self._intake.find_policy(service, request.method, path)
+        if policy is None:
+            return refusals.UnknownService(service)
+        return calls.Call(
+            service=service,
+            method=request.method,
+            path=path,
+            headers=headers.keep_end_to_end(marks.items()),
+            body=await bodies.read_body(request),
+            caller=marks.get(headers.CALLER, ""),
+            request_key=marks.get(headers.REQUEST_KEY),
+            policy=policy,
+            chain=chain,
+        )
--- /dev/null
+++ b/kumquatridge/http/server.py
@@ -0,0 +1,49 @@
+"""A listening HTTP server with one task for each connection."""
+
+from collections.abc import Awaitable, Callable
+import types
+from typing import Self
+
+from aiohttp import web
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+LINGER_S = 2.0
+MAX_HEADER_BYTES = 16 * 1024
+
+
+class HttpServer:
+    """Listens on an address while its context is open.
+
+    A handler is cancelled when its connection is lost.
+    """
+
+    def __init__(self, address: str, handler: Handler) -> None:
+        host, port = address.rsplit(":", 1)
+        self._host = host
+        self._port = int(port)
+        self._runner = web.ServerRunner(
+            web.Server(
+                handler,
+                handler_cancellation=True,
+                access_log=None,
+                lingering_time=LINGER_S,
+                max_field_size=MAX_HEADER_BYTES,
+            )
+        )
+
+    async def __aenter__(self) -> Self:
+        """Starts to listen."""
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, self._host, self._port)
+        await site.start()
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        """Stops listening and closes what connections are left."""
+        await self._runner.cleanup()
--- /dev/null
+++ b/kumquatridge/membership/__init__.py
@@ -0,0 +1,1 @@
+"""The instances of a data centre and what is known of each."""
--- /dev/null
+++ b/kumquatridge/membership/member.py
@@ -0,0 +1,62 @@
+"""One member: a daemon with the worker beside it."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Alive:
+    """The member was heard of in time."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Suspected:
+    """The member was not heard of; `since_ms` is on the local clock."""
+
+    since_ms: float
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leaving:
+    """The member said that it takes no new calls."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Dead:
+    """The member was suspected for too long, or has left."""
+
+    since_ms: float
+
+
+State = Alive | Suspected | Leaving | Dead
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Announcement:
+    """What a worker tells its daemon about itself.
+
+    `address` is the worker's HTTP address as "host:port" by IP number.
+    """
+
+    service: str
+    address: str
+    slots: int
+    connections: int
+    warm_up_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """A daemon of a data centre, with its worker's announcement if any.
+
+    `incarnation` grows at every restart and whenever the member refutes a
+    suspicion; the higher incarnation is the newer news.
+    """
+
+    instance: str
+    incarnation: int
+    data_centre: str
+    call_address: str
+    control_address: str
+    announcement: Announcement | None
+    state: State = Alive()
--- /dev/null
+++ b/kumquatridge/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The API for announcements of workers and for operators."""
--- /dev/null
+++ b/kumquatridge/operators/server.py
@@ -0,0 +1,71 @@
+"""Runs the operators' API under uvicorn inside the daemon's event loop."""
+
+import asyncio
+from collections.abc import Iterator
+import contextlib
+import socket
+import types
+from typing import Self
+
+import litestar
+import uvicorn
+
+STOP_TIMEOUT_S = 1
+
+
+class _Server(uvicorn.Server):
+    """A uvicorn server that leaves signals to the daemon."""
+
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self.listening = asyncio.Event()
+
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        await super().startup(sockets)
+        self.listening.set()
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        yield
+
+
+class OperatorServer:
+    """Serves the operators' API while its context is open."""
+
+    def __init__(self, address: str, app: litestar.Litestar) -> None:
+        host, port = address.rsplit(":", 1)
+        self._server = _Server(
+            uvicorn.Config(
+                app,
+                host=host,
+                port=int(port),
+                lifespan="off",
+                access_log=False,
+                log_level="warning",
+                timeout_graceful_shutdown=STOP_TIMEOUT_S,
+            )
+        )
+        self._task: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> Self:
+        """Starts to serve."""
+        self._task = asyncio.create_task(self._server.serve())
+        listening = asyncio.create_task(self._server.listening.wait())
+        await asyncio.wait(
+            (listening, self._task), return_when=asyncio.FIRST_COMPLETED
+        )
+        listening.cancel()
+        if self._task.done():
+            self._task.result()
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        """Stops serving."""
+        self._server.should_exit = True
+        if self._task is not None:
+            await self._task
--- /dev/null
+++ b/kumquatridge/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Control messages between daemons, over pynng."""
--- /dev/null
+++ b/kumquatridge/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which instance of a service takes a call."""
--- /dev/null
+++ b/kumquatridge/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The tree of settings by which operators drive the system."""
--- /dev/null
+++ b/kumquatridge/settings/policy.py
@@ -0,0 +1,65 @@
+"""The tree compiled into what a call needs to know, one object per route."""
+
+import dataclasses
+
+from kumquatridge.calls import importance as call_importance
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoutePolicy:
+    """The effective settings of one route of one service."""
+
+    service: str
+    route: str
+    importance: call_importance.Importance
+    idempotent: bool
+    deadline_ms: int
+    retry_allowance: int
+    long_running: bool
+    max_body_bytes: int
+    queue_wait_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteMatcher:
+    """A route's conditions on a request and the policy it leads to."""
+
+    path_prefix: str
+    methods: tuple[str, ...]
+    policy: RoutePolicy
+
+    def matches(self, method: str, path: str) -> bool:
+        """Tells whether a request belongs to this route."""
+        if self.methods and method not in self.methods:
+            return False
+        return path.startswith(self.path_prefix)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServicePolicies:
+    """A service's routes, longest prefix first, and its own policy."""
+
+    routes: tuple[RouteMatcher, ...]
+    fallback: RoutePolicy
+
+
+class PolicyLookup:
+    """Finds the policy of a request; built anew for each settings version."""
+
+    def __init__(self, services: dict[str, ServicePolicies]) -> None:
+        self._services = services
+
+    @property
+    def services(self) -> tuple[str, ...]:
+        """The names of all services in the tree."""
+        return tuple(self._services)
+
+    def find(self, service: str, method: str, path: str) -> RoutePolicy | None:
+        """Returns the policy of a request, or None for an unknown service."""
+        policies = self._services.get(service)
+        if policies is None:
+            return None
+        for matcher in policies.routes:
+            if matcher.matches(method, path):
+                return matcher.policy
+        return policies.fallback
--- /dev/null
+++ b/kumquatridge/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for what lies outside the system: workers, platform."""
--- /dev/null
+++ b/kumquatridge/standins/worker.py
@@ -0,0 +1,68 @@
+"""A sample worker: answers with the digest of what it was sent."""
+
+import asyncio
+import collections
+import dataclasses
+import hashlib
+import types
+from typing import Self
+
+from aiohttp import web
+
+from kumquatridge.http import headers
+from kumquatridge.http import server
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerSettings:
+    """Where the worker listens and how it behaves.
+
+    `service_ms` is how long each call takes; the query parameter
+    `service_ms` of a request overrides it.
+    """
+
+    address: str
+    service_ms: float = 0.0
+
+
+class SampleWorker:
+    """Serves while its context is open and counts the runs of each key."""
+
+    def __init__(self, settings: WorkerSettings) -> None:
+        self._settings = settings
+        self._server = server.HttpServer(settings.address, self._handle)
+        self.runs_by_key: collections.Counter[str] = collections.Counter()
+        self.started = 0
+        self.finished = 0
+
+    async def __aenter__(self) -> Self:
+        """Starts to listen."""
+        await self._server.__aenter__()
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        """Stops listening."""
+        await self._server.__aexit__(error_type, error, traceback)
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.started += 1
+        key = request.headers.get(headers.REQUEST_KEY)
+        if key is not None:
+            self.runs_by_key[key] += 1
+        digest = hashlib.sha256(request.path_qs.encode())
+        length_bytes = 0
+        async for chunk in request.content.iter_any():
+            length_bytes += len(chunk)
+            digest.update(chunk)
+        service_ms = float(
+            request.query.get("service_ms", self._settings.service_ms)
+        )
+        if service_ms:
+            await asyncio.sleep(service_ms / 1000.0)
+        self.finished += 1
+        return web.Response(text=f"{length_bytes} {digest.hexdigest()}")
--- /dev/null
+++ b/kumquatridge/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Counters, gauges and numbered log events."""
--- /dev/null
+++ b/kumquatridge/telemetry/events.py
@@ -0,0 +1,80 @@
+"""Numbered log events; docs/EVENTS.md is their catalogue."""
+
+import dataclasses
+from typing import ClassVar, Protocol
+
+import eliot
+
+
+class Event(Protocol):
+    """A frozen data class with a number of its own."""
+
+    number: ClassVar[int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DaemonStarted:
+    """The daemon serves calls from now on."""
+
+    number: ClassVar[int] = 1001
+    instance: str
+    data_centre: str
+    caller_address: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DrainStarted:
+    """The daemon was asked to stop and takes no new calls."""
+
+    number: ClassVar[int] = 1002
+    instance: str
+    in_progress: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DaemonStopped:
+    """The daemon has finished; `unfinished` calls were cut off."""
+
+    number: ClassVar[int] = 1003
+    instance: str
+    unfinished: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerAnnounced:
+    """A worker announced itself to its daemon."""
+
+    number: ClassVar[int] = 1101
+    service: str
+    address: str
+    slots: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerLeft:
+    """A worker said that it leaves."""
+
+    number: ClassVar[int] = 1102
+    service: str
+    address: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemberChanged:
+    """News of a member was taken in."""
+
+    number: ClassVar[int] = 2001
+    instance: str
+    incarnation: int
+    state: str
+
+
+def log(event: Event) -> None:
+    """Writes an event to the log."""
+    fields = {
+        field.name: getattr(event, field.name)
+        for field in dataclasses.fields(event)  # type: ignore[arg-type]
+    }
+    eliot.log_message(
+        message_type=f"KQ{event.number}", event=type(event).__name__, **fields
+    )
--- /dev/null
+++ b/kumquatridge/telemetry/recorder.py
@@ -0,0 +1,20 @@
+"""Where decisions are counted."""
+
+from typing import Protocol
+
+from kumquatridge.calls import call as calls
+from kumquatridge.calls import refusals
+
+
+class Recorder(Protocol):
+    """Counts refusals and retries by reason."""
+
+    def record_refusal(
+        self, call: calls.Call, refusal: refusals.Refusal
+    ) -> None:
+        """Counts a call that was not run and why."""
+        ...
+
+    def record_retry(self, call: calls.Call, reason: str) -> None:
+        """Counts another attempt at a call and why."""
+        ...
--- /dev/null
+++ b/kumquatridge/ui/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool; the library works without it."""
--- /dev/null
+++ b/kumquatridge/ui/check.py
@@ -0,0 +1,26 @@
+"""`kumquatridge check`: validates settings without applying them."""
+
+import pathlib
+import sys
+
+import click
+
+from kumquatridge import errors
+from kumquatridge.encoding import daemon_text
+from kumquatridge.encoding import settings_text
+
+
+@click.command()
+@click.option("--daemon", is_flag=True, help="FILE is a daemon's settings.")
+@click.argument("file", type=click.Path(path_type=pathlib.Path))
+def check(daemon: bool, file: pathlib.Path) -> None:
+    """Checks FILE, a settings tree or a daemon's settings."""
+    try:
+        if daemon:
+            daemon_text.read_daemon_settings(file)
+        else:
+            settings_text.read_tree(file).compile()
+    except errors.KumquatridgeError as error:
+        click.echo(f"kumquatridge: {error}", err=True)
+        sys.exit(1)
+    click.echo(f"{file}: valid")
--- /dev/null
+++ b/kumquatridge/ui/main.py
@@ -0,0 +1,15 @@
+"""The program `kumquatridge`."""
+
+import click
+
+import kumquatridge
+from kumquatridge.ui import check
+
+
+@click.group()
+@click.version_option(kumquatridge.__version__, prog_name="kumquatridge")
+def main() -> None:
+    """Operates and explains an overload control layer."""
+
+
+main.add_command(check.check)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; they mirror the modules of the package."""
