--- a/kumquatridge/callpath/inbound.py
+++ b/kumquatridge/callpath/inbound.py
@@ -1,5 +1,6 @@
 """The inbound side: guards the worker beside this daemon."""
 
+import asyncio
 from collections.abc import AsyncIterator
 import contextlib
 import dataclasses
@@ -13,8 +14,12 @@
 from kumquatridge.calls import refusals
 from kumquatridge.chain import ledger as chain_ledger
 from kumquatridge.membership import table
+from kumquatridge.quarantine import register as crash_register
 from kumquatridge.telemetry import recorder as telemetry
 
+RETRY_AFTER_MS = 1000
+SHED_STATUSES = frozenset((429, 503))
+
 
 class InboundPath:
     """Takes calls for the own worker and answers with an outcome."""
@@ -26,12 +31,15 @@
         ledger: chain_ledger.Ledger,
         worker: links.WorkerLink,
         recorder: telemetry.Recorder,
+        crashes: crash_register.CrashRegister,
     ) -> None:
         self._members = members
         self._guard = guard
         self._ledger = ledger
         self._worker = worker
         self._recorder = recorder
+        self._crashes = crashes
+        self._suspect_runs = asyncio.Lock()
 
     @contextlib.asynccontextmanager
     async def serve(self, call: calls.Call) -> AsyncIterator[outcomes.Outcome]:
@@ -40,6 +48,41 @@
         if refusal is not None:
             yield self._refuse(call, refusal)
             return
+        match self._crashes.judge(call):
+            case crash_register.Clear():
+                async with self._admit(call) as outcome:
+                    yield outcome
+            case crash_register.Refuse(refusal):
+                yield self._refuse(call, refusal)
+            case crash_register.Suspect(fingerprint):
+                async with self._run_alone(call, fingerprint) as outcome:
+                    yield outcome
+
+    @contextlib.asynccontextmanager
+    async def _run_alone(
+        self, call: calls.Call, fingerprint: str
+    ) -> AsyncIterator[outcomes.Outcome]:
+        """Runs a suspect with no other suspect beside it."""
+        async with contextlib.AsyncExitStack() as stack:
+            remaining_s = call.chain.get_remaining_ms() / 1000.0
+            try:
+                async with asyncio.timeout(remaining_s):
+                    await stack.enter_async_context(self._suspect_runs)
+            except TimeoutError:
+                yield self._refuse(call, refusals.DeadlineExceeded(0))
+                return
+            match self._crashes.judge(call):
+                case crash_register.Refuse(refusal):
+                    yield self._refuse(call, refusal)
+                    return
+            outcome = await stack.enter_async_context(self._admit(call))
+            match outcome:
+                case outcomes.Completed():
+                    self._crashes.record_answer(fingerprint)
+            yield outcome
+
+    @contextlib.asynccontextmanager
+    async def _admit(self, call: calls.Call) -> AsyncIterator[outcomes.Outcome]:
         async with self._guard.admit(call) as verdict:
             match verdict:
                 case verdicts.Refused(refusal):
@@ -51,7 +94,7 @@
     def _check(self, call: calls.Call) -> refusals.Refusal | None:
         announcement = self._members.own.announcement
         if announcement is None or announcement.service != call.service:
-            return refusals.NoInstance(call.service, retry_after_ms=1000)
+            return refusals.NoInstance(call.service, RETRY_AFTER_MS)
         length_bytes = call_body.get_length_bytes(call.body)
         limit_bytes = call.policy.max_body_bytes
         if length_bytes is not None and length_bytes > limit_bytes:
@@ -65,13 +108,35 @@
     async def _run(self, call: calls.Call) -> AsyncIterator[outcomes.Outcome]:
         announcement = self._members.own.announcement
         assert announcement is not None
-        with self._ledger.record(call.chain) as record:
+        with self._ledger.record(call.chain, call.caller) as record:
             async with self._worker.send(
                 call, announcement.address, record.token
             ) as outcome:
-                yield dataclasses.replace(
-                    outcome, unspent_retries=record.retries.left
+                yield await self._conclude(call, record, outcome)
+
+    async def _conclude(
+        self,
+        call: calls.Call,
+        record: chain_ledger.InboundRecord,
+        outcome: outcomes.Outcome,
+    ) -> outcomes.Outcome:
+        """Settles the record once the answer's head is here, or is lost."""
+        match outcome:
+            case outcomes.Completed(status) if status in SHED_STATUSES:
+                outcome = dataclasses.replace(
+                    outcome, shed=not record.child_was_refused
                 )
+            case outcomes.Completed():
+                pass
+            case outcomes.Unknown(worker_lost=True):
+                record.cut_off()
+                self._crashes.record_crash(call)
+                await asyncio.sleep(self._crashes.share_ms / 1000.0)
+            case _:
+                record.cut_off()
+        return dataclasses.replace(
+            outcome, unspent_retries=record.retries.settle()
+        )
 
     def _refuse(
         self, call: calls.Call, refusal: refusals.Refusal
--- a/kumquatridge/callpath/intake.py
+++ b/kumquatridge/callpath/intake.py
@@ -12,6 +12,10 @@
 from kumquatridge.chain import context
 from kumquatridge.chain import ledger as chain_ledger
 from kumquatridge.settings import policy as settings_policy
+from kumquatridge.telemetry import recorder as telemetry
+
+REPEATED_BY_WORKER = "repeated_by_worker"
+FIRST_ERROR_STATUS = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -19,6 +23,7 @@
     """What a caller asked for, whatever protocol brought it here.
 
     `token` is the context header that a worker forwarded, if any.
+    `key_age_ms` is how long ago the caller made its request key, if it says.
     """
 
     service: str
@@ -30,6 +35,12 @@
     request_key: str | None = None
     timeout_ms: int | None = None
     token: str | None = None
+    key_age_ms: int | None = None
+
+    @property
+    def target(self) -> chain_ledger.ChildTarget:
+        """What makes a later request a repetition of this one."""
+        return (self.service, self.method, self.path)
 
 
 class Intake:
@@ -39,9 +50,11 @@
         self,
         policies: settings_policy.PolicyLookup,
         ledger: chain_ledger.Ledger,
+        recorder: telemetry.Recorder,
     ) -> None:
         self._policies = policies
         self._ledger = ledger
+        self._recorder = recorder
 
     def set_policies(self, policies: settings_policy.PolicyLookup) -> None:
         """Puts another version of the settings in force."""
@@ -55,39 +68,90 @@
 
     @contextlib.contextmanager
     def open(self, request: Request) -> Iterator[calls.Call | refusals.Refusal]:
-        """Opens a call, lending it retries of the inbound call it serves."""
+        """Opens a call, lending it retries of the inbound call it serves.
+
+        A token that is forged, or whose inbound call has ended, gets a
+        refusal: it must not make the call a root with an allowance of its
+        own, and nobody waits for the answer any more.
+        """
         policy = self.find_policy(request.service, request.method, request.path)
         if policy is None:
             yield refusals.UnknownService(request.service)
             return
+        if request.token is None:
+            yield _make_call(request, policy, _make_root(request, policy))
+            return
+        record = self._ledger.find(request.token)
+        if record is None:
+            yield self._refuse(request, policy, refusals.ParentEnded())
+            return
+        if record.is_repeat(request.target) and not record.retries.spend():
+            yield self._refuse(
+                request, policy, refusals.RetriesExhausted(REPEATED_BY_WORKER)
+            )
+            return
+        with record.track_child():
+            yield self._make_child_call(request, policy, record)
+
+    def settle(self, request: Request, outcome: outcomes.Outcome) -> None:
+        """Books what a call came to on the inbound call that it served."""
         record = self._ledger.find(request.token) if request.token else None
         if record is None:
-            yield _make_call(request, policy, _make_root(request, policy))
             return
-        lent = record.retries.lend(policy.retry_allowance)
-        yield _make_call(
-            request, policy, _make_child(request, policy, record, lent)
+        record.retries.give_back(outcome.unspent_retries)
+        match outcome:
+            case outcomes.NotRun():
+                record.record_refusal()
+                record.record_failure(request.target)
+            case outcomes.Failed() | outcomes.Unknown():
+                record.record_failure(request.target)
+            case outcomes.Completed(status, shed=shed):
+                if shed:
+                    record.record_refusal()
+                if status >= FIRST_ERROR_STATUS or shed:
+                    record.record_failure(request.target)
+
+    def _make_child_call(
+        self,
+        request: Request,
+        policy: settings_policy.RoutePolicy,
+        record: chain_ledger.InboundRecord,
+    ) -> calls.Call:
+        lent = record.retries.lend_half(policy.retry_allowance)
+        chain = _make_child(request, policy, record, lent)
+        call = dataclasses.replace(
+            _make_call(request, policy, chain), caller=record.caller
         )
+        if record.is_repeat(request.target):
+            self._recorder.record_retry(call, REPEATED_BY_WORKER)
+        return call
 
-    def return_retries(
-        self, request: Request, outcome: outcomes.Outcome
-    ) -> None:
-        """Gives the unspent retries of a call back to its inbound call."""
-        record = self._ledger.find(request.token) if request.token else None
-        if record is not None:
-            record.retries.give_back(outcome.unspent_retries)
+    def _refuse(
+        self,
+        request: Request,
+        policy: settings_policy.RoutePolicy,
+        refusal: refusals.Refusal,
+    ) -> refusals.Refusal:
+        root = dataclasses.replace(_make_root(request, policy), retries=0)
+        self._recorder.record_refusal(
+            _make_call(request, policy, root), refusal
+        )
+        return refusal
+
+
+def _get_timeout_ms(
+    request: Request, policy: settings_policy.RoutePolicy
+) -> int:
+    return min(policy.deadline_ms, request.timeout_ms or policy.deadline_ms)
 
 
 def _make_root(
     request: Request, policy: settings_policy.RoutePolicy
 ) -> context.ChainContext:
-    timeout_ms = min(
-        policy.deadline_ms, request.timeout_ms or policy.deadline_ms
-    )
     return context.ChainContext(
         root_id=context.make_root_id(),
         importance=policy.importance,
-        expires_at_ms=clock.get_now_ms() + timeout_ms,
+        expires_at_ms=clock.get_now_ms() + _get_timeout_ms(request, policy),
         retries=policy.retry_allowance,
         depth=0,
     )
@@ -99,14 +163,12 @@
     record: chain_ledger.InboundRecord,
     lent: int,
 ) -> context.ChainContext:
-    timeout_ms = min(
-        policy.deadline_ms, request.timeout_ms or policy.deadline_ms
-    )
     return context.ChainContext(
         root_id=record.chain.root_id,
         importance=record.chain.importance,
         expires_at_ms=min(
-            record.chain.expires_at_ms, clock.get_now_ms() + timeout_ms
+            record.chain.expires_at_ms,
+            clock.get_now_ms() + _get_timeout_ms(request, policy),
         ),
         retries=lent,
         depth=record.chain.depth + 1,
@@ -128,4 +190,5 @@
         request_key=request.request_key,
         policy=policy,
         chain=chain,
+        key_age_ms=request.key_age_ms,
     )
--- a/kumquatridge/callpath/outbound.py
+++ b/kumquatridge/callpath/outbound.py
@@ -9,13 +9,17 @@
 from kumquatridge.callpath import retries
 from kumquatridge.calls import call as calls
 from kumquatridge.calls import outcomes
-from kumquatridge.chain import ledger as chain_ledger
+from kumquatridge.chain import account as chain_account
+from kumquatridge.chain import ratio as retry_ratio
 from kumquatridge.membership import member as members
 from kumquatridge.membership import table
 from kumquatridge.routing import choices
 from kumquatridge.routing import chooser as routing
 from kumquatridge.telemetry import recorder as telemetry
 
+ALLOWANCE_SPENT = "allowance_spent"
+RATIO_EXCEEDED = "ratio_exceeded"
+
 
 class OutboundPath:
     """Sends calls of outside callers and of the own worker."""
@@ -27,53 +31,92 @@
         own: inbound.InboundPath,
         peers: links.PeerLink,
         recorder: telemetry.Recorder,
+        ratio: retry_ratio.RetryRatio,
     ) -> None:
         self._members = members_table
         self._chooser = chooser
         self._own = own
         self._peers = peers
         self._recorder = recorder
+        self._ratio = ratio
 
     @contextlib.asynccontextmanager
     async def dispatch(
         self, call: calls.Call
     ) -> AsyncIterator[outcomes.Outcome]:
         """Sends a call until an outcome stands or the allowance is spent."""
-        account = chain_ledger.RetryAccount(call.chain.retries)
+        account = chain_account.RetryAccount(call.chain.retries)
+        self._ratio.record_first_try()
         tried: set[str] = set()
-        last: outcomes.Outcome | None = None
-        while True:
-            choice = self._chooser.choose(call, tried)
+        choice: choices.Choice | None = self._chooser.choose(call, tried)
+        while choice is not None:
             match choice:
                 case choices.NoneLeft(refusal):
-                    yield last or outcomes.NotRun(refusal, account.left)
+                    yield outcomes.NotRun(refusal, account.settle())
                     return
                 case choices.Chosen(member):
                     tried.add(member.instance)
-            granted = account.lend(account.left)
-            async with self._send(call, member, granted) as outcome:
-                account.give_back(outcome.unspent_retries)
-                match retries.judge(call, outcome):
-                    case retries.TryAnother(reason) if account.lend(1) == 1:
-                        self._recorder.record_retry(call, reason)
-                        last = dataclasses.replace(
-                            outcome, unspent_retries=account.left
-                        )
-                    case _:
-                        yield outcome
-                        return
+            async with self._send(call, member, account) as outcome:
+                choice = self._choose_next(call, outcome, tried, account)
+                if choice is None:
+                    yield dataclasses.replace(
+                        outcome, unspent_retries=account.settle()
+                    )
+
+    def _choose_next(
+        self,
+        call: calls.Call,
+        outcome: outcomes.Outcome,
+        tried: set[str],
+        account: chain_account.RetryAccount,
+    ) -> choices.Chosen | None:
+        """Returns where to try again, having paid for it, or None."""
+        match retries.judge(call, outcome):
+            case retries.Accept():
+                return None
+            case retries.TryAnother(reason):
+                pass
+        if call.chain.get_remaining_ms() <= 0:
+            return None
+        match self._chooser.choose(call, tried):
+            case choices.NoneLeft():
+                return None
+            case choices.Chosen() as chosen:
+                pass
+        if account.left == 0:
+            self._recorder.record_retry_denied(call, ALLOWANCE_SPENT)
+            return None
+        if not self._ratio.take_retry():
+            self._recorder.record_retry_denied(call, RATIO_EXCEEDED)
+            return None
+        account.spend()
+        self._recorder.record_retry(call, reason)
+        return chosen
 
     @contextlib.asynccontextmanager
     async def _send(
-        self, call: calls.Call, member: members.Member, granted: int
+        self,
+        call: calls.Call,
+        member: members.Member,
+        account: chain_account.RetryAccount,
     ) -> AsyncIterator[outcomes.Outcome]:
+        """Sends one attempt with half of the allowance.
+
+        The other half stays here: the share of an attempt whose answer is
+        lost can't come back.
+        """
+        granted = account.lend(account.left // 2)
         sent = dataclasses.replace(
             call, chain=dataclasses.replace(call.chain, retries=granted)
         )
         with self._chooser.track(member.instance):
-            if member.instance == self._members.own.instance:
-                async with self._own.serve(sent) as outcome:
-                    yield outcome
-            else:
-                async with self._peers.send(sent, member) as outcome:
-                    yield outcome
+            async with self._open(sent, member) as outcome:
+                account.give_back(min(granted, outcome.unspent_retries))
+                yield outcome
+
+    def _open(
+        self, call: calls.Call, member: members.Member
+    ) -> contextlib.AbstractAsyncContextManager[outcomes.Outcome]:
+        if member.instance == self._members.own.instance:
+            return self._own.serve(call)
+        return self._peers.send(call, member)
--- a/kumquatridge/callpath/retries.py
+++ b/kumquatridge/callpath/retries.py
@@ -22,17 +22,26 @@
 
 RetryVerdict = Accept | TryAnother
 
+WORKER_SHED = "worker_shed"
+UNANSWERED = "unanswered"
+
 
 def judge(call: calls.Call, outcome: outcomes.Outcome) -> RetryVerdict:
-    """Decides whether to try another instance, the allowance aside."""
+    """Decides whether to try another instance, the allowance aside.
+
+    A call that may have run is tried again only when it is idempotent. A
+    body that was read in part can't be sent whole and is never sent again.
+    """
+    if not call_body.is_resendable(call.body):
+        return Accept()
     match outcome:
-        case outcomes.Completed():
-            return Accept()
         case outcomes.NotRun(refusal):
             return _judge_refusal(refusal)
-        case outcomes.Failed() | outcomes.Unknown():
-            if call.policy.idempotent and call_body.is_resendable(call.body):
-                return TryAnother("unanswered")
+        case outcomes.Completed(shed=True) if call.policy.idempotent:
+            return TryAnother(WORKER_SHED)
+        case outcomes.Failed() | outcomes.Unknown() if call.policy.idempotent:
+            return TryAnother(UNANSWERED)
+        case _:
             return Accept()
 
 
--- a/kumquatridge/calls/body.py
+++ b/kumquatridge/calls/body.py
@@ -11,6 +11,23 @@
     data: bytes
 
 
+class OnceReadable:
+    """Chunks that can be read once, and whether reading has begun."""
+
+    def __init__(self, chunks: AsyncIterator[bytes]) -> None:
+        self._chunks = chunks
+        self.started = False
+
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        """Returns itself."""
+        return self
+
+    async def __anext__(self) -> bytes:
+        """Reads the next chunk."""
+        self.started = True
+        return await anext(self._chunks)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StreamedBody:
     """A body read chunk by chunk from its sender; it can be sent only once.
@@ -37,9 +54,11 @@
 
 
 def is_resendable(body: Body) -> bool:
-    """Tells whether the body can be sent again after a first attempt."""
+    """Tells whether the body can still be sent whole after an attempt."""
     match body:
         case BufferedBody():
             return True
+        case StreamedBody(_, OnceReadable() as chunks):
+            return not chunks.started
         case StreamedBody():
             return False
--- a/kumquatridge/calls/call.py
+++ b/kumquatridge/calls/call.py
@@ -13,6 +13,7 @@
     """A call with everything that decisions about it need.
 
     `request_key` is the caller's idempotency key, the same on every resend.
+    `key_age_ms` is how long ago the caller made it, when the caller says so.
     `path` is the path at the worker, with its query. `long_running` calls
     are the policy's business.
     """
@@ -26,3 +27,4 @@
     request_key: str | None
     policy: settings_policy.RoutePolicy
     chain: context.ChainContext
+    key_age_ms: int | None = None
--- a/kumquatridge/calls/outcomes.py
+++ b/kumquatridge/calls/outcomes.py
@@ -14,12 +14,14 @@
 
     The answer is the worker's own, whatever its status; a status of 503 by
     the worker is a completed call too, because the worker saw the call.
+    `shed` tells that the worker itself refused for overload.
     """
 
     status: int
     headers: Headers
     body: call_body.Body
     unspent_retries: int = 0
+    shed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,10 +42,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unknown:
-    """The call may or may not have run; `detail` says what was lost."""
+    """The call may or may not have run; `detail` says what was lost.
+
+    `worker_lost` tells that the connection to the worker broke.
+    """
 
     detail: str
     unspent_retries: int = 0
+    worker_lost: bool = False
 
 
 Outcome = Completed | NotRun | Failed | Unknown
--- a/kumquatridge/calls/refusals.py
+++ b/kumquatridge/calls/refusals.py
@@ -102,6 +102,41 @@
     last_reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ParentEnded:
+    """The inbound call that this call was to serve has ended."""
+
+    code: ClassVar[str] = "parent_ended"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyReused:
+    """The request key was used before with another request."""
+
+    code: ClassVar[str] = "key_reused"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyMemoryFull:
+    """The home of the request key can't remember another key for now."""
+
+    code: ClassVar[str] = "key_memory_full"
+    retry_after_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotHome:
+    """This daemon must not run the key; another may have run it before.
+
+    It is said between daemons only; callers are told that it is unknown
+    whether the call ran. `home` is the instance to ask, if any is known.
+    """
+
+    code: ClassVar[str] = "not_home"
+    home: str
+    detail: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class InvalidRequest:
     """The request can't be understood; `detail` says what to mend."""
@@ -122,6 +157,10 @@
     | DuplicateInProgress
     | BodyTooLarge
     | RetriesExhausted
+    | ParentEnded
+    | KeyReused
+    | KeyMemoryFull
+    | NotHome
     | InvalidRequest
 )
 
@@ -135,6 +174,7 @@
             | NoInstance(retry_after_ms=wait_ms)
             | Quarantined(retry_after_ms=wait_ms)
             | DuplicateInProgress(retry_after_ms=wait_ms)
+            | KeyMemoryFull(retry_after_ms=wait_ms)
         ):
             return wait_ms
         case _:
--- a/kumquatridge/chain/ledger.py
+++ b/kumquatridge/chain/ledger.py
@@ -5,49 +5,63 @@
 allowance are inherited and can't be raised by the application.
 """
 
+import asyncio
 from collections.abc import Iterator
 import contextlib
-import dataclasses
 import secrets
 
+from kumquatridge.chain import account
 from kumquatridge.chain import context
 
 TOKEN_BYTES = 16
+MAX_FAILED_CHILDREN = 256
 
+ChildTarget = tuple[str, str, str]
 
-class RetryAccount:
-    """The retry allowance that one inbound call holds.
 
-    Retries are moved, never copied: what a child call gets is taken out here
-    and what the child did not spend is put back.
-    """
+class InboundRecord:
+    """An inbound call in progress at this daemon's worker.
 
-    def __init__(self, granted: int) -> None:
-        self._left = granted
+    `caller` names who asked at the root, for the scope of request keys.
+    """
 
-    @property
-    def left(self) -> int:
-        """Retries that are neither spent nor lent to a child."""
-        return self._left
+    def __init__(self, chain: context.ChainContext, caller: str) -> None:
+        self.token = secrets.token_hex(TOKEN_BYTES)
+        self.chain = chain
+        self.caller = caller
+        self.retries = account.RetryAccount(chain.retries)
+        self.child_was_refused = False
+        self._failed: set[ChildTarget] = set()
+        self._children: set[asyncio.Task[object]] = set()
 
-    def lend(self, wanted: int) -> int:
-        """Takes up to `wanted` retries out and returns how many."""
-        lent = max(0, min(wanted, self._left))
-        self._left -= lent
-        return lent
+    @contextlib.contextmanager
+    def track_child(self) -> Iterator[None]:
+        """Has the running task cancelled if this call is cut off."""
+        task = asyncio.current_task()
+        assert task is not None
+        self._children.add(task)
+        try:
+            yield
+        finally:
+            self._children.discard(task)
 
-    def give_back(self, unspent: int) -> None:
-        """Puts back what a child call did not spend."""
-        self._left += unspent
+    def is_repeat(self, target: ChildTarget) -> bool:
+        """Tells whether a child call to the same target failed before."""
+        return target in self._failed
 
+    def record_failure(self, target: ChildTarget) -> None:
+        """Remembers a failed child, whose repetition is a retry."""
+        if len(self._failed) < MAX_FAILED_CHILDREN:
+            self._failed.add(target)
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class InboundRecord:
-    """An inbound call in progress at this daemon's worker."""
+    def record_refusal(self) -> None:
+        """Remembers that a child was refused, which the worker may pass up."""
+        self.child_was_refused = True
 
-    token: str
-    chain: context.ChainContext
-    retries: RetryAccount
+    def cut_off(self) -> None:
+        """Cancels the child calls, whose answers nobody can use any more."""
+        for task in tuple(self._children):
+            task.cancel()
 
 
 class Ledger:
@@ -57,14 +71,20 @@
         self._records: dict[str, InboundRecord] = {}
 
     @contextlib.contextmanager
-    def record(self, chain: context.ChainContext) -> Iterator[InboundRecord]:
-        """Keeps a record of an inbound call for as long as it runs."""
-        record = InboundRecord(
-            secrets.token_hex(TOKEN_BYTES), chain, RetryAccount(chain.retries)
-        )
+    def record(
+        self, chain: context.ChainContext, caller: str = ""
+    ) -> Iterator[InboundRecord]:
+        """Keeps a record of an inbound call for as long as it runs.
+
+        Leaving by an error or a cancellation cuts off the child calls.
+        """
+        record = InboundRecord(chain, caller)
         self._records[record.token] = record
         try:
             yield record
+        except BaseException:
+            record.cut_off()
+            raise
         finally:
             del self._records[record.token]
 
--- /dev/null
+++ b/kumquatridge/chain/ratio.py
@@ -0,0 +1,65 @@
+"""A limit on one daemon's retries in relation to its first tries.
+
+The allowance of a chain bounds the retries of one root; this bounds what many
+roots together add when everything fails at once.
+"""
+
+import collections
+import dataclasses
+
+from kumquatridge import clock
+
+BUCKET_MS = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RatioSettings:
+    """The ratio over a window; `floor` retries in it are always allowed."""
+
+    ratio: float = 0.1
+    window_ms: int = 10_000
+    floor: int = 20
+
+
+@dataclasses.dataclass(slots=True)
+class _Bucket:
+    number: int
+    first_tries: int = 0
+    retries: int = 0
+
+
+class RetryRatio:
+    """Counts first tries and retries over a sliding window."""
+
+    def __init__(self, settings: RatioSettings) -> None:
+        self._settings = settings
+        self._buckets: collections.deque[_Bucket] = collections.deque()
+        self._first_tries = 0
+        self._retries = 0
+
+    def record_first_try(self) -> None:
+        """Counts the first attempt at a call."""
+        self._get_bucket().first_tries += 1
+        self._first_tries += 1
+
+    def take_retry(self) -> bool:
+        """Counts a retry if the ratio allows it; returns whether it does."""
+        bucket = self._get_bucket()
+        settings = self._settings
+        limit = settings.floor + settings.ratio * self._first_tries
+        if self._retries + 1 > limit:
+            return False
+        bucket.retries += 1
+        self._retries += 1
+        return True
+
+    def _get_bucket(self) -> _Bucket:
+        number = int(clock.get_now_ms()) // BUCKET_MS
+        oldest = number - self._settings.window_ms // BUCKET_MS
+        while self._buckets and self._buckets[0].number <= oldest:
+            expired = self._buckets.popleft()
+            self._first_tries -= expired.first_tries
+            self._retries -= expired.retries
+        if not self._buckets or self._buckets[-1].number != number:
+            self._buckets.append(_Bucket(number))
+        return self._buckets[-1]
--- a/kumquatridge/http/answers.py
+++ b/kumquatridge/http/answers.py
@@ -27,8 +27,12 @@
             return 504
         case refusals.Quarantined():
             return 429
-        case refusals.DuplicateInProgress():
+        case refusals.KeyMemoryFull() | refusals.NotHome():
+            return 503
+        case refusals.DuplicateInProgress() | refusals.ParentEnded():
             return 409
+        case refusals.KeyReused():
+            return 422
         case refusals.UnknownService():
             return 404
         case refusals.BodyTooLarge():
@@ -51,9 +55,12 @@
                 STATUS_FAILED, headers.OUTCOME_FAILED, detail, outcome
             )
         case outcomes.Unknown(detail):
-            return _make_plain(
+            answer = _make_plain(
                 STATUS_UNKNOWN, headers.OUTCOME_UNKNOWN, detail, outcome
             )
+            if outcome.worker_lost:
+                answer.headers[headers.WORKER_LOST] = headers.TRUE
+            return answer
 
 
 def make_refusal_answer(
@@ -116,3 +123,5 @@
         response.headers.add(name, value)
     response.headers[headers.OUTCOME] = headers.OUTCOME_COMPLETED
     response.headers[headers.UNSPENT_RETRIES] = str(outcome.unspent_retries)
+    if outcome.shed:
+        response.headers[headers.WORKER_SHED] = headers.TRUE
--- a/kumquatridge/http/bodies.py
+++ b/kumquatridge/http/bodies.py
@@ -24,7 +24,9 @@
     is_short = length_bytes is not None and length_bytes <= BUFFERED_BODY_BYTES
     if is_short and not waits:
         return call_body.BufferedBody(await request.read())
-    return call_body.StreamedBody(length_bytes, _iter_body(request, waits))
+    return call_body.StreamedBody(
+        length_bytes, call_body.OnceReadable(_iter_body(request, waits))
+    )
 
 
 async def _iter_body(
--- a/kumquatridge/http/caller_server.py
+++ b/kumquatridge/http/caller_server.py
@@ -46,7 +46,7 @@
         call: calls.Call,
     ) -> web.StreamResponse:
         async with self._path.dispatch(call) as outcome:
-            self._intake.return_retries(asked, outcome)
+            self._intake.settle(asked, outcome)
             return await answers.write_outcome(request, outcome)
 
 
--- a/kumquatridge/http/client.py
+++ b/kumquatridge/http/client.py
@@ -76,7 +76,9 @@
     except TimeoutError:
         reply = outcomes.Unknown("no answer before the deadline")
     except (aiohttp.ClientError, OSError):
-        reply = outcomes.Unknown("connection lost after the call was sent")
+        reply = outcomes.Unknown(
+            "connection lost after the call was sent", worker_lost=True
+        )
     else:
         reply = Answer(response, body)
     try:
--- a/kumquatridge/http/peer_client.py
+++ b/kumquatridge/http/peer_client.py
@@ -38,8 +38,8 @@
                     yield read_outcome(reply)
                 case outcomes.NotRun(refusal):
                     yield outcomes.NotRun(refusal, call.chain.retries)
-                case outcomes.Unknown():
-                    yield reply
+                case outcomes.Unknown(detail):
+                    yield outcomes.Unknown(detail)
 
     def _make_marks(self, call: calls.Call) -> outcomes.Headers:
         return (
@@ -60,6 +60,7 @@
                 headers.keep_end_to_end(marks.items()),
                 answer.body,
                 unspent_retries,
+                shed=headers.WORKER_SHED in marks,
             )
         case headers.OUTCOME_NOT_RUN:
             refusal = refusal_codec.decode_refusal(
@@ -71,7 +72,11 @@
             return outcomes.Failed(
                 marks.get(headers.DETAIL, ""), unspent_retries
             )
-    return outcomes.Unknown(marks.get(headers.DETAIL, "no outcome marked"))
+    return outcomes.Unknown(
+        marks.get(headers.DETAIL, "no outcome marked"),
+        unspent_retries,
+        worker_lost=headers.WORKER_LOST in marks,
+    )
 
 
 def _read_count(text: str) -> int:
--- /dev/null
+++ b/kumquatridge/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""Non-idempotent calls with a request key run at most once."""
--- /dev/null
+++ b/kumquatridge/idempotency/roster.py
@@ -0,0 +1,195 @@
+"""Which daemon is the home of a bare key, and the proof that it is.
+
+The roster holds the daemons of one service in one data centre. Silence never
+removes a daemon from it: a paused or unreachable one may still run a key.
+Only proof does: the daemon said that it leaves, another process of the same
+instance took its place, or an operator said that the instance is destroyed.
+
+A daemon runs a bare key only when it has been the key's home, beyond doubt of
+any other daemon, for longer than the key can be old. Otherwise another daemon
+may have run it, and nobody runs it again.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+
+from kumquatridge import clock
+from kumquatridge.idempotency import keys
+from kumquatridge.idempotency import settings as key_settings
+
+
+NEVER_MET_NUMBER = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Seat:
+    """One daemon of the roster, as daemons tell each other.
+
+    The higher `number` of an instance is the newer process, and `left` is
+    final for a number.
+    """
+
+    instance: str
+    number: int
+    left: bool = False
+
+    @property
+    def age(self) -> tuple[int, bool]:
+        """Orders the news of one instance."""
+        return (self.number, self.left)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Home:
+    """This daemon is the home, with proof, and may run the key."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Elsewhere:
+    """Another daemon is the home."""
+
+    instance: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unproved:
+    """No daemon can prove that the key was not run before."""
+
+    detail: str
+
+
+Judgement = Home | Elsewhere | Unproved
+
+
+class HomeRoster:
+    """The roster of one daemon's own service."""
+
+    def __init__(
+        self, settings: key_settings.KeySettings, instance: str, number: int
+    ) -> None:
+        self._settings = settings
+        self._own = Seat(instance, number)
+        self._joined = False
+        self._seats: dict[str, Seat] = {}
+        self._left_ms: dict[str, float] = {}
+        self._unmet: set[str] = set()
+        self._acknowledged: dict[str, int] = {}
+        self._established_ms: float | None = None
+
+    @property
+    def own(self) -> Seat:
+        """This daemon's own seat."""
+        return self._own
+
+    @property
+    def seats(self) -> tuple[Seat, ...]:
+        """All seats for the peers, the own included."""
+        return tuple(self._seats.values())
+
+    @property
+    def pending(self) -> frozenset[str]:
+        """Instances that have not yet acknowledged this daemon."""
+        waiting = {
+            seat.instance
+            for seat in self._seats.values()
+            if not seat.left
+            and seat.instance != self._own.instance
+            and self._acknowledged.get(seat.instance) != seat.number
+        }
+        return frozenset(waiting | self._unmet)
+
+    def join(self) -> None:
+        """Takes the own seat when the worker first announces itself."""
+        if not self._joined:
+            self._joined = True
+            self._seats[self._own.instance] = self._own
+            self._check_established()
+
+    def leave(self) -> None:
+        """Gives the own seat up for good; no bare key runs here any more."""
+        if self._joined:
+            self._learn_seat(dataclasses.replace(self._own, left=True))
+
+    def meet(self, instances: Iterable[str]) -> None:
+        """Takes the instances that membership knows of this service."""
+        for instance in instances:
+            if instance not in self._seats:
+                self._unmet.add(instance)
+
+    def learn(self, seats: Iterable[Seat]) -> bool:
+        """Takes seats that a peer tells; returns whether any was news."""
+        changed = [seat for seat in seats if self._learn_seat(seat)]
+        return bool(changed)
+
+    def acknowledge(self, seat: Seat) -> None:
+        """Takes the word of a daemon that it knows this daemon's seat."""
+        self._learn_seat(seat)
+        self._acknowledged[seat.instance] = seat.number
+        self._check_established()
+
+    def retire(self, instance: str) -> bool:
+        """Takes an operator's word that an instance is destroyed."""
+        if instance == self._own.instance:
+            return False
+        if instance in self._unmet:
+            return self._learn_seat(Seat(instance, NEVER_MET_NUMBER, True))
+        seat = self._seats.get(instance)
+        if seat is None or seat.left:
+            return False
+        return self._learn_seat(dataclasses.replace(seat, left=True))
+
+    def judge(self, scope: str, key_age_ms: float | None) -> Judgement:
+        """Decides whether this daemon may run a bare key.
+
+        `key_age_ms` is how long ago the caller made the key; without it the
+        key may be as old as callers may ever resend it.
+        """
+        present = [s.instance for s in self._seats.values() if not s.left]
+        present.extend(self._unmet)
+        if not present:
+            return Unproved("this daemon is not a home of the service")
+        home = max(present, key=lambda name: keys.rank(name, scope))
+        if home != self._own.instance:
+            return Elsewhere(home)
+        if self._seats[home] != self._own:
+            return Unproved("another process took this daemon's place")
+        if self._established_ms is None:
+            return Unproved("daemons of the service have yet to agree")
+        tenure_ms = clock.get_now_ms() - max(
+            self._established_ms, self._get_last_left_ms(scope)
+        )
+        max_age_ms = self._settings.bare_key_max_age_ms
+        if key_age_ms is None or key_age_ms > max_age_ms:
+            key_age_ms = max_age_ms
+        if tenure_ms < key_age_ms:
+            return Unproved("the key may be older than its home's tenure")
+        return Home()
+
+    def _get_last_left_ms(self, scope: str) -> float:
+        """Returns when the last daemon that was the home before left."""
+        own_rank = keys.rank(self._own.instance, scope)
+        return max(
+            (
+                left_ms
+                for instance, left_ms in self._left_ms.items()
+                if keys.rank(instance, scope) > own_rank
+            ),
+            default=float("-inf"),
+        )
+
+    def _learn_seat(self, seat: Seat) -> bool:
+        known = self._seats.get(seat.instance)
+        if known is not None and known.age >= seat.age:
+            return False
+        if seat.instance == self._own.instance and not self._joined:
+            return False
+        self._seats[seat.instance] = seat
+        self._unmet.discard(seat.instance)
+        if seat.left:
+            self._left_ms[seat.instance] = clock.get_now_ms()
+        self._check_established()
+        return True
+
+    def _check_established(self) -> None:
+        if self._established_ms is None and self._joined and not self.pending:
+            self._established_ms = clock.get_now_ms()
--- /dev/null
+++ b/kumquatridge/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Calls that crash the worker which runs them."""
--- /dev/null
+++ b/kumquatridge/quarantine/fingerprint.py
@@ -0,0 +1,29 @@
+"""What makes two calls the same call to the worker that runs them."""
+
+import xxhash
+
+from kumquatridge.calls import body as call_body
+from kumquatridge.calls import call as calls
+
+
+def make_fingerprint(call: calls.Call) -> str:
+    """Returns a digest of service, route, target and body.
+
+    A streamed body counts by its announced length, because its bytes are
+    not held.
+    """
+    digest = xxhash.xxh3_64()
+    for part in (
+        call.service,
+        call.policy.route,
+        call.method,
+        call.path,
+    ):
+        digest.update(part.encode())
+        digest.update(b"\0")
+    match call.body:
+        case call_body.BufferedBody(data):
+            digest.update(data)
+        case call_body.StreamedBody(length_bytes, _):
+            digest.update(str(length_bytes).encode())
+    return digest.hexdigest()
--- a/kumquatridge/telemetry/metrics.py
+++ b/kumquatridge/telemetry/metrics.py
@@ -21,6 +21,10 @@
             "kumquatridge_retries",
             description="Further attempts at calls, by reason.",
         )
+        self._retries_denied = meter.create_counter(
+            "kumquatridge_retries_denied",
+            description="Further attempts that were not allowed, by reason.",
+        )
 
     def record_refusal(
         self, call: calls.Call, refusal: refusals.Refusal
@@ -38,3 +42,9 @@
     def record_retry(self, call: calls.Call, reason: str) -> None:
         """Counts another attempt at a call and why."""
         self._retries.add(1, {"reason": reason, "service": call.service})
+
+    def record_retry_denied(self, call: calls.Call, reason: str) -> None:
+        """Counts an attempt that would have helped but wasn't allowed."""
+        self._retries_denied.add(
+            1, {"reason": reason, "service": call.service}
+        )
--- a/kumquatridge/telemetry/recorder.py
+++ b/kumquatridge/telemetry/recorder.py
@@ -18,3 +18,7 @@
     def record_retry(self, call: calls.Call, reason: str) -> None:
         """Counts another attempt at a call and why."""
         ...
+
+    def record_retry_denied(self, call: calls.Call, reason: str) -> None:
+        """Counts an attempt that would have helped but wasn't allowed."""
+        ...
