Count, remember and explain decisions; catalogue events and metrics

Cause: refusals went through an OpenTelemetry counter each, could not be explained afterwards, and two daemons could not share a process. Conclusion: one process can run many daemons.

--- a/kumquatridge/daemon/runtime.py
+++ b/kumquatridge/daemon/runtime.py
@@ -9,9 +9,6 @@
 import types
 from typing import Self
 
-from opentelemetry.exporter import prometheus
-from opentelemetry.sdk import metrics as sdk_metrics
-
 from kumquatridge.admission import guard as admission_guard
 from kumquatridge.callpath import inbound
 from kumquatridge.callpath import intake as call_intake
@@ -32,7 +29,9 @@
 from kumquatridge.operators import worker_registry
 from kumquatridge.peers import exchange
 from kumquatridge.routing import chooser as routing
+from kumquatridge.telemetry import decisions
 from kumquatridge.telemetry import events
+from kumquatridge.telemetry import gauges
 from kumquatridge.telemetry import metrics
 
 
@@ -46,6 +45,7 @@
         self._guard = admission_guard.AdmissionGuard(slots=0)
         self._ledger = chain_ledger.Ledger()
         self._intake = call_intake.Intake(tree.compile(), self._ledger)
+        self._decisions = decisions.DecisionLog()
         self._stack = contextlib.AsyncExitStack()
         self._registry: worker_registry.WorkerRegistry | None = None
 
@@ -53,9 +53,9 @@
         """Opens the connections and listeners."""
         settings = self._settings
         enter = self._stack.enter_async_context
-        recorder = metrics.MetricRecorder(
-            sdk_metrics.MeterProvider([prometheus.PrometheusMetricReader()])
-        )
+        recorder = metrics.MetricRecorder(self._decisions)
+        exporter = self._stack.enter_context(metrics.MetricExporter(recorder))
+        self._add_gauges(exporter)
         session = await enter(client.make_session())
         own_path = inbound.InboundPath(
             self._members,
@@ -83,12 +83,14 @@
             self._members, self._guard, peers.announce_now
         )
         peer_handler = peer_server.PeerHandler(
-            self._intake, own_path, settings.peer_key
+            self._intake, own_path, settings.peer_key, recorder
         )
         await enter(
             server.HttpServer(settings.call_address, peer_handler.handle)
         )
-        caller_handler = caller_server.CallerHandler(self._intake, path)
+        caller_handler = caller_server.CallerHandler(
+            self._intake, path, recorder
+        )
         await enter(
             server.HttpServer(settings.caller_address, caller_handler.handle)
         )
@@ -96,7 +98,13 @@
             operators_server.OperatorServer(
                 settings.operator_address,
                 operators_app.make_app(
-                    self._registry, self._guard, self._members
+                    operators_app.OperatorState(
+                        self._registry,
+                        self._guard,
+                        self._members,
+                        self._decisions,
+                        exporter,
+                    )
                 ),
             )
         )
@@ -123,6 +131,15 @@
             )
         )
 
+    def _add_gauges(self, exporter: metrics.MetricExporter) -> None:
+        guard = self._guard
+        exporter.add_gauge(gauges.IN_PROGRESS, lambda: guard.in_progress)
+        exporter.add_gauge(gauges.QUEUED, lambda: guard.queued)
+        exporter.add_gauge(gauges.LIMIT, lambda: guard.limit)
+        exporter.add_gauge(
+            gauges.MEMBERS, lambda: sum(1 for _ in self._members)
+        )
+
     async def drain(self) -> None:
         """Says that the instance leaves and waits for calls in progress."""
         events.log(
--- a/kumquatridge/http/answers.py
+++ b/kumquatridge/http/answers.py
@@ -38,22 +38,28 @@
 
 
 async def write_outcome(
-    request: web.BaseRequest, outcome: outcomes.Outcome
+    request: web.BaseRequest, outcome: outcomes.Outcome, root_id: str
 ) -> web.StreamResponse:
-    """Writes an outcome as the answer to a request."""
+    """Writes an outcome as the answer to a request.
+
+    An answer that is not the worker's names the root id, by which operators
+    find out what was decided.
+    """
     match outcome:
         case outcomes.Completed():
             return await _write_completed(request, outcome)
         case outcomes.NotRun(refusal):
-            return make_refusal_answer(refusal, outcome.unspent_retries)
+            answer = make_refusal_answer(refusal, outcome.unspent_retries)
         case outcomes.Failed(detail):
-            return _make_plain(
+            answer = _make_plain(
                 STATUS_FAILED, headers.OUTCOME_FAILED, detail, outcome
             )
         case outcomes.Unknown(detail):
-            return _make_plain(
+            answer = _make_plain(
                 STATUS_UNKNOWN, headers.OUTCOME_UNKNOWN, detail, outcome
             )
+    answer.headers[headers.ROOT_ID] = root_id
+    return answer
 
 
 def make_refusal_answer(
--- a/kumquatridge/http/caller_server.py
+++ b/kumquatridge/http/caller_server.py
@@ -13,31 +13,38 @@
 from kumquatridge.http import bodies
 from kumquatridge.http import errors
 from kumquatridge.http import headers
+from kumquatridge.telemetry import recorder as telemetry
 
 
 class CallerHandler:
     """Serves callers from outside and the own worker's calls."""
 
     def __init__(
-        self, intake: call_intake.Intake, path: outbound.OutboundPath
+        self,
+        intake: call_intake.Intake,
+        path: outbound.OutboundPath,
+        recorder: telemetry.RejectionRecorder,
     ) -> None:
         self._intake = intake
         self._path = path
+        self._recorder = recorder
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answers one request."""
         try:
             asked = await read_request(request)
         except errors.MalformedRequestError as error:
-            return answers.make_refusal_answer(
-                refusals.InvalidRequest(str(error)), 0
-            )
+            return self._reject(refusals.InvalidRequest(str(error)))
         with self._intake.open(asked) as opened:
             match opened:
                 case calls.Call():
                     return await self._dispatch(request, asked, opened)
                 case refusal:
-                    return answers.make_refusal_answer(refusal, 0)
+                    return self._reject(refusal)
+
+    def _reject(self, refusal: refusals.Refusal) -> web.StreamResponse:
+        self._recorder.record_rejection(refusal)
+        return answers.make_refusal_answer(refusal, 0)
 
     async def _dispatch(
         self,
@@ -47,7 +54,9 @@
     ) -> web.StreamResponse:
         async with self._path.dispatch(call) as outcome:
             self._intake.return_retries(asked, outcome)
-            return await answers.write_outcome(request, outcome)
+            return await answers.write_outcome(
+                request, outcome, call.chain.root_id
+            )
 
 
 async def read_request(request: web.BaseRequest) -> call_intake.Request:
--- a/kumquatridge/http/peer_server.py
+++ b/kumquatridge/http/peer_server.py
@@ -14,6 +14,7 @@
 from kumquatridge.http import caller_server
 from kumquatridge.http import errors
 from kumquatridge.http import headers
+from kumquatridge.telemetry import recorder as telemetry
 
 STATUS_FORBIDDEN = 403
 
@@ -26,9 +27,11 @@
         intake: call_intake.Intake,
         path: inbound.InboundPath,
         peer_key: str,
+        recorder: telemetry.RejectionRecorder,
     ) -> None:
         self._intake = intake
         self._path = path
+        self._recorder = recorder
         self._peer_key = peer_key
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -41,15 +44,19 @@
         try:
             call = await self._read_call(request)
         except errors.MalformedRequestError as error:
-            return answers.make_refusal_answer(
-                refusals.InvalidRequest(str(error)), 0
-            )
+            return self._reject(refusals.InvalidRequest(str(error)))
         match call:
             case calls.Call():
                 async with self._path.serve(call) as outcome:
-                    return await answers.write_outcome(request, outcome)
+                    return await answers.write_outcome(
+                        request, outcome, call.chain.root_id
+                    )
             case refusal:
-                return answers.make_refusal_answer(refusal, 0)
+                return self._reject(refusal)
+
+    def _reject(self, refusal: refusals.Refusal) -> web.StreamResponse:
+        self._recorder.record_rejection(refusal)
+        return answers.make_refusal_answer(refusal, 0)
 
     async def _read_call(
         self, request: web.BaseRequest
--- a/kumquatridge/operators/app.py
+++ b/kumquatridge/operators/app.py
@@ -1,17 +1,18 @@
 """Routes of the operators' API, carried by litestar."""
 
 import dataclasses
-from typing import Any
 
 import litestar
 from litestar import datastructures
 from litestar import exceptions
-import prometheus_client
 
 from kumquatridge.admission import guard as admission_guard
 from kumquatridge.membership import member as members
 from kumquatridge.membership import table
+from kumquatridge.operators import explanations
 from kumquatridge.operators import worker_registry
+from kumquatridge.telemetry import decisions
+from kumquatridge.telemetry import metrics
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,46 +37,72 @@
     members: tuple[MemberStatus, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OperatorState:
+    """What the routes need of the daemon."""
+
+    registry: worker_registry.WorkerRegistry
+    guard: admission_guard.AdmissionGuard
+    members: table.MemberTable
+    decisions: decisions.DecisionLog
+    exporter: metrics.MetricExporter
+
+
 @litestar.post("/v1/announcement", status_code=204)
 async def announce(
     data: members.Announcement, state: datastructures.State
 ) -> None:
     """Takes the announcement of the worker beside this daemon."""
-    registry: worker_registry.WorkerRegistry = state.registry
+    daemon: OperatorState = state.daemon
     if data.slots < 1:
         raise exceptions.ValidationException(
             f"slots: got {data.slots}, expected a whole number above 0"
         )
-    registry.announce(data)
+    daemon.registry.announce(data)
 
 
 @litestar.delete("/v1/announcement")
 async def leave(state: datastructures.State) -> None:
     """Takes the word of the worker that it leaves."""
-    registry: worker_registry.WorkerRegistry = state.registry
-    registry.withdraw()
+    daemon: OperatorState = state.daemon
+    daemon.registry.withdraw()
 
 
 @litestar.get("/v1/status")
 async def get_status(state: datastructures.State) -> DaemonStatus:
     """Returns what this daemon does and whom it knows."""
-    guard: admission_guard.AdmissionGuard = state.guard
-    members_table: table.MemberTable = state.members
-    own = members_table.own
+    daemon: OperatorState = state.daemon
+    guard = daemon.guard
+    own = daemon.members.own
     return DaemonStatus(
         own.instance,
         own.data_centre,
         guard.in_progress,
         guard.queued,
         guard.limit,
-        tuple(_describe(member) for member in members_table),
+        tuple(_describe(member) for member in daemon.members),
     )
 
 
 @litestar.get("/metrics", media_type="text/plain; version=0.0.4")
-async def get_metrics() -> bytes:
+async def get_metrics(state: datastructures.State) -> bytes:
     """Returns the metrics in the Prometheus text format."""
-    return prometheus_client.generate_latest()
+    daemon: OperatorState = state.daemon
+    return daemon.exporter.render()
+
+
+@litestar.get("/v1/decisions")
+async def get_decisions(
+    state: datastructures.State, root_id: str = "", count: int = 20
+) -> list[explanations.Explanation]:
+    """Explains the decisions about a root request, or the latest ones."""
+    daemon: OperatorState = state.daemon
+    if root_id:
+        found = daemon.decisions.find(root_id)
+    else:
+        found = daemon.decisions.get_latest(count)
+    instance = daemon.members.own.instance
+    return [explanations.explain(instance, one) for one in found]
 
 
 def _describe(member: members.Member) -> MemberStatus:
@@ -88,19 +115,16 @@
     )
 
 
-def make_app(
-    registry: worker_registry.WorkerRegistry,
-    guard: admission_guard.AdmissionGuard,
-    members_table: table.MemberTable,
-) -> litestar.Litestar:
+def make_app(daemon: OperatorState) -> litestar.Litestar:
     """Returns the application with what its routes need."""
-    state: dict[str, Any] = {
-        "registry": registry,
-        "guard": guard,
-        "members": members_table,
-    }
     return litestar.Litestar(
-        route_handlers=[announce, leave, get_status, get_metrics],
-        state=datastructures.State(state),
+        route_handlers=[
+            announce,
+            leave,
+            get_status,
+            get_metrics,
+            get_decisions,
+        ],
+        state=datastructures.State({"daemon": daemon}),
         openapi_config=None,
     )
--- /dev/null
+++ b/kumquatridge/telemetry/catalogue.py
@@ -0,0 +1,69 @@
+"""Prints the catalogues of events and metrics as Markdown tables.
+
+python -m kumquatridge.telemetry.catalogue events
+python -m kumquatridge.telemetry.catalogue metrics
+"""
+
+from collections.abc import Iterator
+import dataclasses
+import inspect
+from typing import cast
+
+import click
+
+from kumquatridge.telemetry import events
+from kumquatridge.telemetry import gauges
+
+
+def iter_events() -> Iterator[type[events.Event]]:
+    """Iterates over all event classes by number."""
+    found = [
+        cast(type[events.Event], event_class)
+        for _, event_class in inspect.getmembers(events, inspect.isclass)
+        if dataclasses.is_dataclass(event_class)
+    ]
+    yield from sorted(found, key=lambda event_class: event_class.number)
+
+
+def render_events() -> str:
+    """Returns the table of all events."""
+    rows = ["| number | event | fields | meaning |", "|---|---|---|---|"]
+    for event_class in iter_events():
+        fields = ", ".join(
+            field.name
+            for field in dataclasses.fields(event_class)  # type: ignore[arg-type]
+        )
+        meaning = (inspect.getdoc(event_class) or "").split("\n\n")[0]
+        rows.append(
+            f"| KQ{event_class.number} | {event_class.__name__} | {fields} | "
+            f"{' '.join(meaning.split())} |"
+        )
+    return "\n".join(rows) + "\n"
+
+
+def render_metrics() -> str:
+    """Returns the table of all metrics."""
+    rows = ["| metric | kind | meaning |", "|---|---|---|"]
+    for counter in gauges.COUNTERS:
+        rows.append(
+            f"| {counter.name} | counter by {', '.join(counter.labels)} | "
+            f"{counter.description} |"
+        )
+    for gauge in gauges.GAUGES:
+        rows.append(f"| {gauge.name} | gauge | {gauge.description} |")
+    return "\n".join(rows) + "\n"
+
+
+@click.command()
+@click.argument("kind", type=click.Choice(["events", "metrics"]))
+def main(kind: str) -> None:
+    """Prints the catalogue of KIND."""
+    match kind:
+        case "events":
+            click.echo(render_events(), nl=False)
+        case _:
+            click.echo(render_metrics(), nl=False)
+
+
+if __name__ == "__main__":
+    main()
--- a/kumquatridge/telemetry/metrics.py
+++ b/kumquatridge/telemetry/metrics.py
@@ -1,40 +1,138 @@
-"""OpenTelemetry instruments of the daemon."""
+"""OpenTelemetry instruments of the daemon; docs/METRICS.md lists them.
+
+Decisions only add to plain integers. OpenTelemetry reads them when somebody
+scrapes, so that a refusal costs next to nothing under overload.
+"""
+
+import collections
+from collections.abc import Callable, Iterable, Iterator
+import types
+from typing import NamedTuple, Self
 
 from opentelemetry import metrics as otel_metrics
+from opentelemetry.exporter import prometheus
+from opentelemetry.sdk import metrics as sdk_metrics
+import prometheus_client
 
 from kumquatridge.calls import call as calls
 from kumquatridge.calls import refusals
+from kumquatridge.telemetry import decisions
+from kumquatridge.telemetry import gauges
 
 METER_NAME = "kumquatridge"
 
+ReadGauge = Callable[[], float]
+
+
+class RefusalKey(NamedTuple):
+    """The labels of the refusal counter."""
+
+    reason: str
+    service: str
+    importance: str
+
+
+class RetryKey(NamedTuple):
+    """The labels of the retry counter."""
+
+    reason: str
+    service: str
+
 
 class MetricRecorder:
-    """Counts refusals and retries in OpenTelemetry counters."""
+    """Counts refusals and retries and keeps the latest decisions."""
 
-    def __init__(self, provider: otel_metrics.MeterProvider) -> None:
-        meter = provider.get_meter(METER_NAME)
-        self._refusals = meter.create_counter(
-            "kumquatridge_refusals",
-            description="Calls that were not run, by reason.",
-        )
-        self._retries = meter.create_counter(
-            "kumquatridge_retries",
-            description="Further attempts at calls, by reason.",
-        )
+    def __init__(self, log: decisions.DecisionLog) -> None:
+        self._log = log
+        self.refusals: collections.Counter[RefusalKey] = collections.Counter()
+        self.retries: collections.Counter[RetryKey] = collections.Counter()
+        self.rejections: collections.Counter[str] = collections.Counter()
 
     def record_refusal(
         self, call: calls.Call, refusal: refusals.Refusal
     ) -> None:
         """Counts a call that was not run and why."""
-        self._refusals.add(
-            1,
-            {
-                "reason": refusal.code,
-                "service": call.service,
-                "importance": call.chain.importance.name.lower(),
-            },
-        )
+        importance = call.chain.importance.name.lower()
+        self.refusals[RefusalKey(refusal.code, call.service, importance)] += 1
+        self._log.add_refusal(call, refusal)
 
     def record_retry(self, call: calls.Call, reason: str) -> None:
         """Counts another attempt at a call and why."""
-        self._retries.add(1, {"reason": reason, "service": call.service})
+        self.retries[RetryKey(reason, call.service)] += 1
+        self._log.add_retry(call, reason)
+
+    def record_rejection(self, refusal: refusals.Refusal) -> None:
+        """Counts a request that never became a call and why."""
+        self.rejections[refusal.code] += 1
+
+
+class MetricExporter:
+    """Exposes a recorder and gauges for scraping while its context is open."""
+
+    def __init__(self, recorder: MetricRecorder) -> None:
+        self._recorder = recorder
+        self._registry = prometheus_client.CollectorRegistry()
+        self._provider = sdk_metrics.MeterProvider(
+            [prometheus.PrometheusMetricReader(registry=self._registry)],
+            shutdown_on_exit=False,
+        )
+        self._meter = self._provider.get_meter(METER_NAME)
+        self._create_counters()
+
+    def __enter__(self) -> Self:
+        """Returns the exporter."""
+        return self
+
+    def __exit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        """Stops exporting."""
+        self._provider.shutdown()
+
+    def add_gauge(self, spec: gauges.GaugeSpec, read: ReadGauge) -> None:
+        """Exposes the number that `read` returns at each scrape."""
+
+        def observe(
+            options: otel_metrics.CallbackOptions,
+        ) -> Iterable[otel_metrics.Observation]:
+            yield otel_metrics.Observation(read())
+
+        self._meter.create_observable_gauge(
+            spec.name, callbacks=[observe], description=spec.description
+        )
+
+    def render(self) -> bytes:
+        """Returns all metrics in the Prometheus text format."""
+        return prometheus_client.generate_latest(self._registry)
+
+    def _create_counters(self) -> None:
+        observers = {
+            gauges.REFUSALS: self._observe_refusals,
+            gauges.RETRIES: self._observe_retries,
+            gauges.REJECTIONS: self._observe_rejections,
+        }
+        for spec, observe in observers.items():
+            self._meter.create_observable_counter(
+                spec.name, callbacks=[observe], description=spec.description
+            )
+
+    def _observe_refusals(
+        self, options: otel_metrics.CallbackOptions
+    ) -> Iterator[otel_metrics.Observation]:
+        for key, count in self._recorder.refusals.items():
+            yield otel_metrics.Observation(count, key._asdict())
+
+    def _observe_retries(
+        self, options: otel_metrics.CallbackOptions
+    ) -> Iterator[otel_metrics.Observation]:
+        for key, count in self._recorder.retries.items():
+            yield otel_metrics.Observation(count, key._asdict())
+
+    def _observe_rejections(
+        self, options: otel_metrics.CallbackOptions
+    ) -> Iterator[otel_metrics.Observation]:
+        for reason, count in self._recorder.rejections.items():
+            yield otel_metrics.Observation(count, {"reason": reason})
--- a/kumquatridge/telemetry/recorder.py
+++ b/kumquatridge/telemetry/recorder.py
@@ -1,4 +1,4 @@
-"""Where decisions are counted."""
+"""Where decisions are counted and remembered."""
 
 from typing import Protocol
 
@@ -18,3 +18,11 @@
     def record_retry(self, call: calls.Call, reason: str) -> None:
         """Counts another attempt at a call and why."""
         ...
+
+
+class RejectionRecorder(Protocol):
+    """Counts requests that never became calls."""
+
+    def record_rejection(self, refusal: refusals.Refusal) -> None:
+        """Counts a request that was refused before it was a call."""
+        ...
--- /dev/null
+++ b/tests/test_style.py
@@ -0,0 +1,54 @@
+"""House rules that no linter knows."""
+
+import ast
+from collections.abc import Iterator
+import importlib.util
+import pathlib
+
+import pytest
+
+ROOT = pathlib.Path(__file__).parents[1]
+FILES = sorted(
+    path
+    for folder in ("kumquatridge", "tests")
+    for path in (ROOT / folder).rglob("*.py")
+)
+PACKAGES = ("kumquatridge", "tests")
+
+
+def parse(path: pathlib.Path) -> ast.Module:
+    return ast.parse(path.read_text(encoding="utf-8"))
+
+
+def iter_nodes(path: pathlib.Path, kind: type[ast.AST]) -> Iterator[ast.AST]:
+    return (node for node in ast.walk(parse(path)) if isinstance(node, kind))
+
+
+def get_name(path: pathlib.Path) -> str:
+    return str(path.relative_to(ROOT))
+
+
+@pytest.mark.parametrize("path", FILES, ids=get_name)
+def test_modules_are_imported_not_names(path: pathlib.Path) -> None:
+    wrong = [
+        f"{node.module}.{alias.name}"
+        for node in iter_nodes(path, ast.ImportFrom)
+        if isinstance(node, ast.ImportFrom)
+        and (node.module or "").split(".")[0] in PACKAGES
+        for alias in node.names
+        if importlib.util.find_spec(f"{node.module}.{alias.name}") is None
+    ]
+    assert wrong == []
+
+
+@pytest.mark.parametrize("path", FILES, ids=get_name)
+def test_data_classes_are_frozen(path: pathlib.Path) -> None:
+    wrong = [
+        node.name
+        for node in iter_nodes(path, ast.ClassDef)
+        if isinstance(node, ast.ClassDef)
+        for decorator in node.decorator_list
+        if "dataclass" in ast.unparse(decorator)
+        and "frozen=True" not in ast.unparse(decorator)
+    ]
+    assert wrong == []
