--- /dev/null
+++ b/kumquatridge/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Commands that measure the figures given in docs."""
--- a/kumquatridge/daemon/main.py
+++ b/kumquatridge/daemon/main.py
@@ -31,3 +31,7 @@
     except (errors.KumquatridgeError, OSError) as error:
         click.echo(f"kumquatridged: {error}", err=True)
         sys.exit(1)
+
+
+if __name__ == "__main__":
+    main()
--- a/kumquatridge/standins/worker.py
+++ b/kumquatridge/standins/worker.py
@@ -1,4 +1,7 @@
-"""A sample worker: answers with the digest of what it was sent."""
+"""A sample worker: answers with the digest of what it was sent.
+
+python -m kumquatridge.standins.worker ADDRESS
+"""
 
 import asyncio
 import collections
@@ -8,6 +11,8 @@
 from typing import Self
 
 from aiohttp import web
+import click
+import uvloop
 
 from kumquatridge.http import headers
 from kumquatridge.http import server
@@ -66,3 +71,21 @@
             await asyncio.sleep(service_ms / 1000.0)
         self.finished += 1
         return web.Response(text=f"{length_bytes} {digest.hexdigest()}")
+
+
+async def run(settings: WorkerSettings) -> None:
+    """Runs a worker until the process is ended."""
+    async with SampleWorker(settings):
+        await asyncio.Event().wait()
+
+
+@click.command()
+@click.argument("address")
+@click.option("--service-ms", default=0.0, help="How long each call takes.")
+def main(address: str, service_ms: float) -> None:
+    """Runs a sample worker at ADDRESS."""
+    uvloop.run(run(WorkerSettings(address, service_ms)))
+
+
+if __name__ == "__main__":
+    main()
