--- a/kumquatridge/callpath/inbound.py
+++ b/kumquatridge/callpath/inbound.py
@@ -31,6 +31,7 @@
         ledger: chain_ledger.Ledger,
         worker: links.WorkerLink,
         recorder: telemetry.Recorder,
+        *,
         crashes: crash_register.CrashRegister,
     ) -> None:
         self._members = members
--- a/kumquatridge/callpath/intake.py
+++ b/kumquatridge/callpath/intake.py
@@ -83,12 +83,10 @@
             return
         record = self._ledger.find(request.token)
         if record is None:
-            yield self._refuse(request, policy, refusals.ParentEnded())
+            yield refusals.ParentEnded()
             return
         if record.is_repeat(request.target) and not record.retries.spend():
-            yield self._refuse(
-                request, policy, refusals.RetriesExhausted(REPEATED_BY_WORKER)
-            )
+            yield refusals.RetriesExhausted(REPEATED_BY_WORKER)
             return
         with record.track_child():
             yield self._make_child_call(request, policy, record)
@@ -126,18 +124,6 @@
             self._recorder.record_retry(call, REPEATED_BY_WORKER)
         return call
 
-    def _refuse(
-        self,
-        request: Request,
-        policy: settings_policy.RoutePolicy,
-        refusal: refusals.Refusal,
-    ) -> refusals.Refusal:
-        root = dataclasses.replace(_make_root(request, policy), retries=0)
-        self._recorder.record_refusal(
-            _make_call(request, policy, root), refusal
-        )
-        return refusal
-
 
 def _get_timeout_ms(
     request: Request, policy: settings_policy.RoutePolicy
--- a/kumquatridge/callpath/outbound.py
+++ b/kumquatridge/callpath/outbound.py
@@ -31,6 +31,7 @@
         own: inbound.InboundPath,
         peers: links.PeerLink,
         recorder: telemetry.Recorder,
+        *,
         ratio: retry_ratio.RetryRatio,
     ) -> None:
         self._members = members_table
--- a/kumquatridge/chain/ratio.py
+++ b/kumquatridge/chain/ratio.py
@@ -21,11 +21,11 @@
     floor: int = 20
 
 
-@dataclasses.dataclass(slots=True)
 class _Bucket:
-    number: int
-    first_tries: int = 0
-    retries: int = 0
+    def __init__(self, number: int) -> None:
+        self.number = number
+        self.first_tries = 0
+        self.retries = 0
 
 
 class RetryRatio:
--- a/kumquatridge/idempotency/keys.py
+++ b/kumquatridge/idempotency/keys.py
@@ -129,12 +129,10 @@
     Source: D. Thaler and C. Ravishankar, "Using Name-Based Mappings to
     Increase Hit Rates", 1998.
     """
-    return xxhash.xxh3_64_intdigest(f"{instance}\0{scope}")
+    return xxhash.xxh3_64_intdigest(f"{instance}\0{scope}".encode())
 
 
 def _get_credentials(call: calls.Call) -> tuple[str, ...]:
     return tuple(
-        value
-        for name, value in call.headers
-        if name.lower() == AUTHORIZATION
+        value for name, value in call.headers if name.lower() == AUTHORIZATION
     )
--- a/kumquatridge/idempotency/roster.py
+++ b/kumquatridge/idempotency/roster.py
@@ -17,7 +17,6 @@
 from kumquatridge.idempotency import keys
 from kumquatridge.idempotency import settings as key_settings
 
-
 NEVER_MET_NUMBER = 0
 
 
--- a/kumquatridge/quarantine/register.py
+++ b/kumquatridge/quarantine/register.py
@@ -15,7 +15,6 @@
 from kumquatridge.calls import refusals
 from kumquatridge.quarantine import fingerprint as fingerprints
 
-
 BOOT_BYTES = 4
 
 
--- a/kumquatridge/telemetry/recorder.py
+++ b/kumquatridge/telemetry/recorder.py
@@ -1,4 +1,4 @@
-"""Where decisions are counted."""
+"""Where decisions are counted and remembered."""
 
 from typing import Protocol
 
@@ -22,3 +22,11 @@
     def record_retry_denied(self, call: calls.Call, reason: str) -> None:
         """Counts an attempt that would have helped but wasn't allowed."""
         ...
+
+
+class RejectionRecorder(Protocol):
+    """Counts requests that never became calls."""
+
+    def record_rejection(self, refusal: refusals.Refusal) -> None:
+        """Counts a request that was refused before it was a call."""
+        ...
