Run keyed calls at one home only

Cause: a resend of a non-idempotent call to another daemon ran it again. Change: issued keys name the process that may run them; bare keys go to the highest ranked daemon of the service, which runs them only with proof that it has been the home for longer than the key can be old. News of homes and of crashes go straight between a service's daemons. Streams are sent on with their length.

--- a/kumquatridge/callpath/links.py
+++ b/kumquatridge/callpath/links.py
@@ -30,3 +30,9 @@
     ) -> AbstractAsyncContextManager[outcomes.Outcome]:
         """Sends a call; the outcome's body is readable while it is open."""
         ...
+
+    def send_home(
+        self, call: calls.Call, member: members.Member
+    ) -> AbstractAsyncContextManager[outcomes.Outcome]:
+        """Sends a call to the home of its request key, which may run it."""
+        ...
--- a/kumquatridge/callpath/outbound.py
+++ b/kumquatridge/callpath/outbound.py
@@ -1,6 +1,6 @@
 """The outbound side: finds an instance for a call and sends it there."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Set
 import contextlib
 import dataclasses
 
@@ -43,12 +43,15 @@
 
     @contextlib.asynccontextmanager
     async def dispatch(
-        self, call: calls.Call
+        self, call: calls.Call, excluded: Set[str] = frozenset()
     ) -> AsyncIterator[outcomes.Outcome]:
-        """Sends a call until an outcome stands or the allowance is spent."""
+        """Sends a call until an outcome stands or the allowance is spent.
+
+        Instances in `excluded` have refused the call already.
+        """
         account = chain_account.RetryAccount(call.chain.retries)
         self._ratio.record_first_try()
-        tried: set[str] = set()
+        tried = set(excluded)
         choice: choices.Choice | None = self._chooser.choose(call, tried)
         while choice is not None:
             match choice:
--- /dev/null
+++ b/kumquatridge/daemon/home_parts.py
@@ -0,0 +1,35 @@
+"""Puts together what a daemon needs to be the home of request keys."""
+
+import secrets
+
+from kumquatridge.callpath import homes
+from kumquatridge.daemon import settings as daemon_settings
+from kumquatridge.idempotency import keys
+from kumquatridge.idempotency import memory as key_memory
+from kumquatridge.idempotency import roster as home_roster
+from kumquatridge.idempotency import settings as key_settings
+from kumquatridge.membership import table
+
+BOOT_BYTES = 8
+
+
+class HomeParts:
+    """The issuer, the roster and the memory of one daemon process."""
+
+    def __init__(
+        self,
+        settings: daemon_settings.DaemonSettings,
+        members_table: table.MemberTable,
+    ) -> None:
+        kept = key_settings.KeySettings(
+            bare_key_max_age_ms=settings.bare_key_max_age_ms
+        )
+        own = keys.HomeId(settings.instance, secrets.token_hex(BOOT_BYTES))
+        self.issuer = keys.KeyIssuer(own, settings.peer_key)
+        self.roster = home_roster.HomeRoster(
+            kept, settings.instance, members_table.own.incarnation
+        )
+        self.memory = key_memory.KeyMemory(kept)
+        self.finder = homes.Homes(
+            kept, own, self.issuer, self.roster, members_table
+        )
--- a/kumquatridge/daemon/runtime.py
+++ b/kumquatridge/daemon/runtime.py
@@ -12,9 +12,11 @@
 from kumquatridge.admission import guard as admission_guard
 from kumquatridge.callpath import inbound
 from kumquatridge.callpath import intake as call_intake
+from kumquatridge.callpath import keyed
 from kumquatridge.callpath import outbound
 from kumquatridge.chain import ledger as chain_ledger
 from kumquatridge.chain import ratio as retry_ratio
+from kumquatridge.daemon import home_parts
 from kumquatridge.daemon import settings as daemon_settings
 from kumquatridge.encoding import settings_text
 from kumquatridge.http import caller_server
@@ -22,6 +24,7 @@
 from kumquatridge.http import peer_client
 from kumquatridge.http import peer_server
 from kumquatridge.http import server
+from kumquatridge.http import service_news
 from kumquatridge.http import worker_client
 from kumquatridge.membership import member as members
 from kumquatridge.membership import table
@@ -51,6 +54,9 @@
         self._intake = call_intake.Intake(
             tree.compile(), self._ledger, self._recorder
         )
+        self._homes = home_parts.HomeParts(settings, self._members)
+        self._news: service_news.ServiceNewsExchange | None = None
+        self._peers: exchange.HeartbeatExchange | None = None
         self._stack = contextlib.AsyncExitStack()
         self._registry: worker_registry.WorkerRegistry | None = None
 
@@ -65,8 +71,19 @@
         crashes = crash_register.CrashRegister(
             crash_register.QuarantineSettings(),
             settings.instance,
-            lambda: None,
+            self._announce_news,
         )
+        news = await enter(
+            service_news.ServiceNewsExchange(
+                self._members,
+                self._homes.roster,
+                crashes,
+                session,
+                settings.peer_key,
+                needs_contact=bool(settings.seeds),
+            )
+        )
+        self._news = news
         own_path = inbound.InboundPath(
             self._members,
             self._guard,
@@ -75,14 +92,26 @@
             recorder,
             crashes=crashes,
         )
+        peer_link = peer_client.HttpPeerLink(session, settings.peer_key)
         path = outbound.OutboundPath(
             self._members,
             routing.InstanceChooser(self._members, random.getrandbits(64)),
             own_path,
-            peer_client.HttpPeerLink(session, settings.peer_key),
+            peer_link,
             recorder,
             ratio=retry_ratio.RetryRatio(retry_ratio.RatioSettings()),
         )
+        keyed_path = await enter(
+            keyed.KeyedPath(
+                self._members,
+                own_path,
+                path,
+                peer_link,
+                recorder,
+                home_finder=self._homes.finder,
+                memory=self._homes.memory,
+            )
+        )
         peers = await enter(
             exchange.HeartbeatExchange(
                 settings.control_address,
@@ -92,16 +121,22 @@
             )
         )
         self._registry = worker_registry.WorkerRegistry(
-            self._members, self._guard, peers.announce_now
+            self._members, self._guard, self._announce_member
         )
+        self._peers = peers
         peer_handler = peer_server.PeerHandler(
-            self._intake, own_path, settings.peer_key, recorder
+            self._intake,
+            own_path,
+            settings.peer_key,
+            recorder,
+            home=keyed_path,
+            news=news,
         )
         await enter(
             server.HttpServer(settings.call_address, peer_handler.handle)
         )
         caller_handler = caller_server.CallerHandler(
-            self._intake, path, recorder
+            self._intake, keyed_path, recorder, self._homes.issuer
         )
         await enter(
             server.HttpServer(settings.caller_address, caller_handler.handle)
@@ -143,6 +178,17 @@
             )
         )
 
+    def _announce_member(self) -> None:
+        """Tells what changed about the own member."""
+        if self._peers is not None:
+            self._peers.announce_now()
+        self._announce_news()
+
+    def _announce_news(self) -> None:
+        """Tells the service's daemons what changed about homes or crashes."""
+        if self._news is not None:
+            self._news.announce()
+
     def _add_gauges(self, exporter: metrics.MetricExporter) -> None:
         guard = self._guard
         exporter.add_gauge(gauges.IN_PROGRESS, lambda: guard.in_progress)
--- a/kumquatridge/daemon/settings.py
+++ b/kumquatridge/daemon/settings.py
@@ -10,7 +10,8 @@
     Addresses are "host:port" by IP number. Callers and the own worker use
     `caller_address`, other daemons `call_address` and `control_address`,
     workers' announcements and operators `operator_address`. `tree_file` is
-    the settings tree served before any other is known.
+    the settings tree served before any other is known. Callers may resend a
+    request key of their own making for at most `bare_key_max_age_ms`.
     """
 
     instance: str
@@ -24,3 +25,4 @@
     seeds: tuple[str, ...] = ()
     drain_ms: int = 3000
     stop_timeout_ms: int = 60000
+    bare_key_max_age_ms: int = 60000
--- a/kumquatridge/http/caller_server.py
+++ b/kumquatridge/http/caller_server.py
@@ -1,20 +1,27 @@
 """The front end for callers: requests to calls, outcomes to answers.
 
-A request's path is "/SERVICE/PATH"; the worker sees "/PATH".
+A request's path is "/SERVICE/PATH"; the worker sees "/PATH". A request for
+"/-/keys" is answered with a new request key.
 """
 
+from collections.abc import Mapping
+
 from aiohttp import web
 
 from kumquatridge.callpath import intake as call_intake
-from kumquatridge.callpath import outbound
+from kumquatridge.callpath import keyed
 from kumquatridge.calls import call as calls
 from kumquatridge.calls import refusals
 from kumquatridge.http import answers
 from kumquatridge.http import bodies
 from kumquatridge.http import errors
 from kumquatridge.http import headers
+from kumquatridge.idempotency import keys
 from kumquatridge.telemetry import recorder as telemetry
 
+KEYS_PATH = "/-/keys"
+STATUS_CREATED = 201
+
 
 class CallerHandler:
     """Serves callers from outside and the own worker's calls."""
@@ -22,15 +29,21 @@
     def __init__(
         self,
         intake: call_intake.Intake,
-        path: outbound.OutboundPath,
+        path: keyed.KeyedPath,
         recorder: telemetry.RejectionRecorder,
+        issuer: keys.KeyIssuer,
     ) -> None:
+        self._issuer = issuer
         self._intake = intake
         self._path = path
         self._recorder = recorder
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answers one request."""
+        if request.path == KEYS_PATH:
+            return web.Response(
+                status=STATUS_CREATED, text=f"{self._issuer.issue()}\n"
+            )
         try:
             asked = await read_request(request)
         except errors.MalformedRequestError as error:
@@ -75,7 +88,8 @@
         body=await bodies.read_body(request),
         caller=marks.get(headers.CALLER, ""),
         request_key=marks.get(headers.REQUEST_KEY),
-        timeout_ms=_read_timeout_ms(marks.get(headers.TIMEOUT)),
+        timeout_ms=read_ms(marks, headers.TIMEOUT, least_ms=1),
+        key_age_ms=read_ms(marks, headers.KEY_AGE, least_ms=0),
         token=marks.get(headers.CONTEXT),
     )
 
@@ -94,12 +108,18 @@
     return service, f"/{rest}"
 
 
-def _read_timeout_ms(text: str | None) -> int | None:
+def read_ms(marks: Mapping[str, str], name: str, least_ms: int) -> int | None:
+    """Reads a header with a duration, or returns None when it is absent.
+
+    Raises:
+      MalformedRequestError: not a whole number, or below `least_ms`.
+    """
+    text = marks.get(name)
     if text is None:
         return None
-    if not text.isascii() or not text.isdigit() or int(text) == 0:
+    if not text.isascii() or not text.isdigit() or int(text) < least_ms:
         raise errors.MalformedRequestError(
-            f"{headers.TIMEOUT}: got {text!r}, expected a whole number of "
-            "milliseconds above 0"
+            f"{name}: got {text!r}, expected a whole number of milliseconds "
+            f"of at least {least_ms}"
         )
     return int(text)
--- a/kumquatridge/http/client.py
+++ b/kumquatridge/http/client.py
@@ -13,6 +13,7 @@
 from kumquatridge.calls import outcomes
 from kumquatridge.calls import refusals
 from kumquatridge.http import bodies
+from kumquatridge.http import headers as names
 
 KEEPALIVE_S = 30.0
 
@@ -66,7 +67,9 @@
             response = await session.request(
                 call.method,
                 url,
-                headers=multidict.CIMultiDict(headers),
+                headers=multidict.CIMultiDict(
+                    (*headers, *_make_length(call.body))
+                ),
                 data=bodies.make_payload(call.body),
                 allow_redirects=False,
             )
@@ -97,6 +100,15 @@
     return call_body.StreamedBody(length_bytes, response.content.iter_any())
 
 
+def _make_length(body: call_body.Body) -> outcomes.Headers:
+    """Returns the length header of a stream, so that a cut one is noticed."""
+    match body:
+        case call_body.StreamedBody(int(length_bytes), _):
+            return ((names.CONTENT_LENGTH, str(length_bytes)),)
+        case _:
+            return ()
+
+
 def _finish(response: aiohttp.ClientResponse) -> None:
     if response.content.at_eof():
         response.release()
--- a/kumquatridge/http/peer_client.py
+++ b/kumquatridge/http/peer_client.py
@@ -21,16 +21,30 @@
         self._session = session
         self._peer_key = peer_key
 
-    @contextlib.asynccontextmanager
-    async def send(
+    def send(
         self, call: calls.Call, member: members.Member
-    ) -> AsyncIterator[outcomes.Outcome]:
+    ) -> contextlib.AbstractAsyncContextManager[outcomes.Outcome]:
         """Sends a call; see `callpath.links.PeerLink`."""
+        return self._send(call, member, self._make_marks(call))
+
+    def send_home(
+        self, call: calls.Call, member: members.Member
+    ) -> contextlib.AbstractAsyncContextManager[outcomes.Outcome]:
+        """Sends a call to its home; see `callpath.links.PeerLink`."""
+        marks = (*self._make_marks(call), (headers.HOME, headers.TRUE))
+        if call.key_age_ms is not None:
+            marks = (*marks, (headers.KEY_AGE, str(call.key_age_ms)))
+        return self._send(call, member, marks)
+
+    @contextlib.asynccontextmanager
+    async def _send(
+        self, call: calls.Call, member: members.Member, marks: outcomes.Headers
+    ) -> AsyncIterator[outcomes.Outcome]:
         async with client.send(
             self._session,
             call,
             f"http://{member.call_address}/{call.service}{call.path}",
-            (*call.headers, *self._make_marks(call)),
+            (*call.headers, *marks),
             member.instance,
         ) as reply:
             match reply:
--- a/kumquatridge/http/peer_server.py
+++ b/kumquatridge/http/peer_server.py
@@ -6,6 +6,7 @@
 
 from kumquatridge.callpath import inbound
 from kumquatridge.callpath import intake as call_intake
+from kumquatridge.callpath import keyed
 from kumquatridge.calls import call as calls
 from kumquatridge.calls import refusals
 from kumquatridge.encoding import chain_codec
@@ -14,9 +15,11 @@
 from kumquatridge.http import caller_server
 from kumquatridge.http import errors
 from kumquatridge.http import headers
+from kumquatridge.http import service_news
 from kumquatridge.telemetry import recorder as telemetry
 
 STATUS_FORBIDDEN = 403
+STATUS_CONFLICT = 409
 
 
 class PeerHandler:
@@ -28,7 +31,12 @@
         path: inbound.InboundPath,
         peer_key: str,
         recorder: telemetry.RejectionRecorder,
+        *,
+        home: keyed.KeyedPath,
+        news: service_news.ServiceNewsExchange,
     ) -> None:
+        self._home = home
+        self._news = news
         self._intake = intake
         self._path = path
         self._recorder = recorder
@@ -41,19 +49,29 @@
             return web.Response(
                 status=STATUS_FORBIDDEN, text="wrong or missing peer key\n"
             )
+        if request.path == service_news.NEWS_PATH:
+            return await self._take_news(request)
         try:
             call = await self._read_call(request)
         except errors.MalformedRequestError as error:
             return self._reject(refusals.InvalidRequest(str(error)))
         match call:
             case calls.Call():
-                async with self._path.serve(call) as outcome:
+                is_home = headers.HOME in request.headers
+                path = self._home if is_home else self._path
+                async with path.serve(call) as outcome:
                     return await answers.write_outcome(
                         request, outcome, call.chain.root_id
                     )
             case refusal:
                 return self._reject(refusal)
 
+    async def _take_news(self, request: web.BaseRequest) -> web.Response:
+        answer = self._news.take(await request.read())
+        if answer is None:
+            return web.Response(status=STATUS_CONFLICT)
+        return web.Response(body=answer)
+
     def _reject(self, refusal: refusals.Refusal) -> web.StreamResponse:
         self._recorder.record_rejection(refusal)
         return answers.make_refusal_answer(refusal, 0)
@@ -81,4 +99,7 @@
             request_key=marks.get(headers.REQUEST_KEY),
             policy=policy,
             chain=chain,
+            key_age_ms=caller_server.read_ms(
+                marks, headers.KEY_AGE, least_ms=0
+            ),
         )
--- /dev/null
+++ b/kumquatridge/http/service_news.py
@@ -0,0 +1,209 @@
+"""News between the daemons of one service: homes of keys, and crashes.
+
+Sent over HTTP to the address for calls, because whoever can't be reached
+there can't be asked for a key either. Nothing is sent while nothing changes
+but for a rare repetition.
+"""
+
+import asyncio
+import types
+from typing import Self
+
+import aiohttp
+import msgspec
+
+from kumquatridge.http import headers
+from kumquatridge.idempotency import roster as home_roster
+from kumquatridge.membership import member as members
+from kumquatridge.membership import table
+from kumquatridge.quarantine import register as crash_register
+
+NEWS_PATH = "/-/news"
+CHECK_S = 1.0
+REPEAT_S = 30.0
+RETRY_S = 0.5
+TIMEOUT_S = 2.0
+
+
+class ServiceNews(msgspec.Struct, frozen=True, array_like=True):
+    """What a daemon tells the others of its service."""
+
+    service: str
+    own: home_roster.Seat
+    seats: tuple[home_roster.Seat, ...]
+    crashes: tuple[crash_register.CrashEntry, ...]
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(ServiceNews)
+
+
+class ServiceNewsExchange:
+    """Tells the daemons of the own service while its context is open.
+
+    One task follows the members, and one for each peer sends what changed
+    until the peer has answered.
+    """
+
+    def __init__(
+        self,
+        members_table: table.MemberTable,
+        roster: home_roster.HomeRoster,
+        crashes: crash_register.CrashRegister,
+        session: aiohttp.ClientSession,
+        peer_key: str,
+        *,
+        needs_contact: bool,
+    ) -> None:
+        self._members = members_table
+        self._roster = roster
+        self._crashes = crashes
+        self._session = session
+        self._peer_key = peer_key
+        self._needs_contact = needs_contact
+        self._changed = asyncio.Event()
+        self._peers: dict[str, asyncio.Task[None]] = {}
+        self._following: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> Self:
+        """Starts to follow the members."""
+        self._following = asyncio.create_task(self._follow())
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        """Stops all tasks."""
+        tasks = list(self._peers.values())
+        if self._following is not None:
+            tasks.append(self._following)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def announce(self) -> None:
+        """Makes every task look at what changed and send it at once."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def take(self, data: bytes) -> bytes | None:
+        """Takes a peer's news; returns the own, or None for other bytes."""
+        try:
+            news = _decoder.decode(data)
+        except msgspec.DecodeError:
+            return None
+        if news.service == self._get_service():
+            self._learn(news)
+        return self._encode()
+
+    async def _follow(self) -> None:
+        while True:
+            changed = self._changed
+            self._synchronise()
+            await _wait(changed, CHECK_S)
+
+    def _synchronise(self) -> None:
+        """Brings the roster in step with the members."""
+        service = self._get_service()
+        if service is None:
+            return
+        peers = self._find_peers(service)
+        self._roster.meet(member.instance for member in peers)
+        match self._members.own.state:
+            case members.Leaving():
+                self._roster.leave()
+            case _ if self._has_contact():
+                self._roster.join()
+            case _:
+                pass
+        for member in peers:
+            task = self._peers.get(member.instance)
+            if task is None or task.done():
+                self._peers[member.instance] = asyncio.create_task(
+                    self._tell(member.instance)
+                )
+
+    def _has_contact(self) -> bool:
+        return not self._needs_contact or len(tuple(self._members)) > 1
+
+    def _find_peers(self, service: str) -> tuple[members.Member, ...]:
+        own = self._members.own
+        return tuple(
+            member
+            for member in self._members
+            if member.instance != own.instance
+            and member.data_centre == own.data_centre
+            and member.announcement is not None
+            and member.announcement.service == service
+            and member.state != members.Leaving()
+        )
+
+    async def _tell(self, instance: str) -> None:
+        while True:
+            changed = self._changed
+            address = self._find_address(instance)
+            if address is None:
+                return
+            told = await self._exchange(address)
+            is_done = told and instance not in self._roster.pending
+            await _wait(changed, REPEAT_S if is_done else RETRY_S)
+
+    def _find_address(self, instance: str) -> str | None:
+        for member in self._members:
+            if member.instance == instance:
+                return member.call_address
+        return None
+
+    async def _exchange(self, address: str) -> bool:
+        data = self._encode()
+        if data is None:
+            return False
+        try:
+            async with self._session.post(
+                f"http://{address}{NEWS_PATH}",
+                data=data,
+                headers={headers.PEER_KEY: self._peer_key},
+                timeout=aiohttp.ClientTimeout(total=TIMEOUT_S),
+            ) as response:
+                news = _decoder.decode(await response.read())
+        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError):
+            return False
+        if news.service != self._get_service():
+            return False
+        self._learn(news)
+        if self._roster.own in news.seats:
+            self._roster.acknowledge(news.own)
+        return True
+
+    def _learn(self, news: ServiceNews) -> None:
+        self._crashes.merge(news.crashes)
+        if self._roster.learn(news.seats):
+            self.announce()
+
+    def _encode(self) -> bytes | None:
+        service = self._get_service()
+        if service is None:
+            return None
+        return _encoder.encode(
+            ServiceNews(
+                service,
+                self._roster.own,
+                self._roster.seats,
+                self._crashes.export(),
+            )
+        )
+
+    def _get_service(self) -> str | None:
+        announcement = self._members.own.announcement
+        return None if announcement is None else announcement.service
+
+
+async def _wait(changed: asyncio.Event, at_most_s: float) -> None:
+    try:
+        async with asyncio.timeout(at_most_s):
+            await changed.wait()
+    except TimeoutError:
+        pass
--- a/kumquatridge/idempotency/memory.py
+++ b/kumquatridge/idempotency/memory.py
@@ -43,6 +43,11 @@
     """The key was seen with another request."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Missing:
+    """The key was never seen here, and this daemon must not run it."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Full:
     """Too many keys are remembered; `retry_after_ms` frees the oldest."""
@@ -50,7 +55,7 @@
     retry_after_ms: int
 
 
-Claim = Fresh | Known | Reused | Full
+Claim = Fresh | Known | Reused | Missing | Full
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,12 +85,14 @@
         """Bytes of the answers kept for resends."""
         return self._kept_bytes
 
-    def claim(self, scope: str, digest: str) -> Claim:
-        """Looks a key up and enters it when it was never seen."""
+    def claim(self, scope: str, digest: str, *, may_run: bool) -> Claim:
+        """Looks a key up and enters it when it was never seen and may run."""
         self._expire()
         known = self._entries.get(scope)
         if known is not None:
             return Known(known) if known.digest == digest else Reused()
+        if not may_run:
+            return Missing()
         if len(self._entries) >= self._settings.max_keys:
             return Full(self._get_retry_after_ms())
         entry = Entry(scope, digest)
--- /dev/null
+++ b/tests/idempotency/test_real_daemons.py
@@ -0,0 +1,101 @@
+"""Resends of one key to two real daemons run once."""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import pathlib
+
+import aiohttp
+import pytest
+
+from kumquatridge.daemon import settings as daemon_settings
+from kumquatridge.http import headers
+from kumquatridge.standins import worker as worker_standin
+from tests import processes
+
+MAX_AGE_MS = 1500
+RESENDS = 6
+SERVICE_MS = 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Case:
+    """How the key is made and what its resends are told."""
+
+    is_issued: bool
+    body_bytes: int
+    statuses: frozenset[int]
+
+
+@pytest.mark.parametrize(
+    "case",
+    [
+        pytest.param(Case(False, 20, frozenset((200,))), id="bare key"),
+        pytest.param(Case(True, 20, frozenset((200,))), id="issued key"),
+        pytest.param(
+            Case(True, 300_000, frozenset((200,))), id="streamed upload"
+        ),
+    ],
+)
+async def test_resends_to_two_daemons_run_once(
+    tmp_path: pathlib.Path, case: Case
+) -> None:
+    first = make_settings("ordering-1")
+    second = make_settings("ordering-2", first.control_address)
+    async with contextlib.AsyncExitStack() as stack:
+        workers = []
+        for settings in (first, second):
+            await stack.enter_async_context(
+                processes.run_daemon(settings, tmp_path)
+            )
+            sample = worker_standin.WorkerSettings(
+                processes.get_free_address(), SERVICE_MS
+            )
+            workers.append(
+                await stack.enter_async_context(
+                    worker_standin.SampleWorker(sample)
+                )
+            )
+            await processes.announce(settings, "ordering", sample.address, 50)
+        for settings in (first, second):
+            await processes.wait_for_instances(settings, "ordering", 2)
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        addresses = (first.caller_address, second.caller_address)
+        if case.is_issued:
+            async with session.post(f"http://{addresses[0]}/-/keys") as answer:
+                key = (await answer.text()).strip()
+        else:
+            key = "booking-1"
+            await asyncio.sleep(2 * MAX_AGE_MS / 1000.0)
+        answers = await asyncio.gather(
+            *(
+                book(session, addresses[number % 2], key, case.body_bytes)
+                for number in range(RESENDS)
+            )
+        )
+        counts = collections.Counter[str]()
+        for worker in workers:
+            counts += worker.runs_by_key
+        assert counts == {key: 1}
+        assert {status for status, _ in answers} == case.statuses
+        assert len({text for _, text in answers}) == 1
+
+
+async def book(
+    session: aiohttp.ClientSession, address: str, key: str, body_bytes: int
+) -> tuple[int, str]:
+    """Sends one booking and returns the answer's status and text."""
+    async with session.post(
+        f"http://{address}/ordering/bookings",
+        data=b"x" * body_bytes,
+        headers={headers.REQUEST_KEY: key},
+    ) as answer:
+        return answer.status, await answer.text()
+
+
+def make_settings(instance: str, *seeds: str) -> daemon_settings.DaemonSettings:
+    return dataclasses.replace(
+        processes.make_settings(instance, *seeds),
+        bare_key_max_age_ms=MAX_AGE_MS,
+    )
