Count a key's age over pauses and transit

Change: a key's age grows while a daemon holds it, by the length of a pause that ended just now, and by an allowance for the way.

--- /dev/null
+++ b/kumquatridge/benchmarks/at_most_once.py
@@ -0,0 +1,183 @@
+"""Drives the key world with random steps and counts broken promises.
+
+python -m kumquatridge.benchmarks.at_most_once --steps 200000 --seed 1
+
+With --naive every daemon runs what it is sent, as a check that the faults
+would break the promise without the decisions.
+"""
+
+import asyncio
+import dataclasses
+import sys
+
+import click
+import looptime
+
+from kumquatridge import clock
+from kumquatridge.benchmarks import key_world
+
+INSTANCES = 4
+STEP_S = 0.01
+STEP_WEIGHTS = (300, 400, 250, 60, 3, 3, 10, 10, 20)
+KEYS_KEPT = 40
+HEAL_RATIO = 0.5
+RETIRE_RATIO = 0.2
+ISSUED_RATIO = 0.3
+SAYS_AGE_RATIO = 0.5
+SETTLE_S = 30.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SentKey:
+    """A key of some caller and when it was first sent."""
+
+    text: str
+    made_ms: float
+    is_issued: bool
+    says_age: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """What a run came to."""
+
+    steps: int
+    keys: int
+    ran: int
+    outcomes: dict[str, int]
+    reasons: dict[str, int]
+    violations: tuple[str, ...]
+
+
+class Driver:
+    """Chooses steps at random from a seed."""
+
+    def __init__(self, world: key_world.World) -> None:
+        self.world = world
+        self.sent: list[SentKey] = []
+        self.made = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self, steps: int) -> None:
+        """Takes that many steps and waits until all callers are answered."""
+        for name in self.world.names:
+            self.world.start(name)
+        for _ in range(steps):
+            await self.step()
+            await asyncio.sleep(self.world.random.random() * STEP_S)
+        self.world.heal()
+        await asyncio.sleep(SETTLE_S)
+        await self.world.close()
+
+    async def step(self) -> None:
+        """Takes one step: mostly callers, sometimes news, rarely a fault."""
+        world = self.world
+        one = world.random.choice(world.names)
+        other = world.random.choice(world.names)
+        match world.random.choices(
+            range(9), (300, 400, 250, 60, 4, 2, 8, 8, 3)
+        )[0]:
+            case 0:
+                self.send_new(one)
+            case 1:
+                self.resend(one)
+            case 2:
+                await world.exchange(one, other)
+            case 3:
+                world.meet(one, other)
+            case 4:
+                await world.stop(one, says_so=True)
+            case 5:
+                await world.stop(one, says_so=False)
+            case 6:
+                world.pause(one)
+            case 7:
+                world.cut(one, other)
+            case _:
+                self.repair(one)
+
+    def repair(self, name: str) -> None:
+        """Mends links, starts what is missing, or retires it for good."""
+        world = self.world
+        if world.random.random() < HEAL_RATIO:
+            world.heal()
+        elif world.random.random() < RETIRE_RATIO:
+            world.retire(name)
+        for vacant in world.names:
+            world.start(vacant)
+
+    def send_new(self, name: str) -> None:
+        """Makes a key and sends it for the first time."""
+        world = self.world
+        process = world.processes.get(name)
+        if process is None:
+            return
+        self.made += 1
+        is_issued = world.random.random() < ISSUED_RATIO
+        text = process.issuer.issue() if is_issued else f"key-{self.made}"
+        says_age = world.random.random() < SAYS_AGE_RATIO
+        sent = SentKey(text, clock.get_now_ms(), is_issued, says_age)
+        self.sent.append(sent)
+        if len(self.sent) > KEYS_KEPT:
+            self.sent.pop(0)
+        self._start(name, sent)
+
+    def resend(self, name: str) -> None:
+        """Sends an older key again, to any daemon."""
+        if not self.sent:
+            return
+        sent = self.world.random.choice(self.sent)
+        age_ms = clock.get_now_ms() - sent.made_ms
+        max_age_ms = key_world.SETTINGS.bare_key_max_age_ms
+        if sent.is_issued or age_ms < max_age_ms:
+            self._start(name, sent)
+
+    def _start(self, name: str, sent: SentKey) -> None:
+        age_ms = int(clock.get_now_ms() - sent.made_ms) + 1
+        told_ms = age_ms if sent.says_age else None
+        task = asyncio.create_task(self.world.contact(name, sent.text, told_ms))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def run(steps: int, seed: int, *, is_naive: bool = False) -> Report:
+    """Runs a world in virtual time."""
+    loop: asyncio.AbstractEventLoop = looptime.new_event_loop(start=0.0)
+    try:
+        return loop.run_until_complete(_run(steps, seed, is_naive))
+    finally:
+        loop.close()
+
+
+async def _run(steps: int, seed: int, is_naive: bool) -> Report:
+    world = key_world.World(seed, INSTANCES, is_naive=is_naive)
+    driver = Driver(world)
+    await driver.run(steps)
+    return Report(
+        steps,
+        driver.made,
+        len(world.runs),
+        world.outcomes,
+        world.recorder.reasons,
+        tuple(world.violations),
+    )
+
+
+@click.command()
+@click.option("--steps", default=200_000, show_default=True)
+@click.option("--seed", default=1, show_default=True)
+@click.option("--naive", is_flag=True, help="Run without the decisions.")
+def main(steps: int, seed: int, naive: bool) -> None:
+    """Runs STEPS random steps; exits with 1 when a promise was broken."""
+    report = run(steps, seed, is_naive=naive)
+    click.echo(f"steps {report.steps}, keys {report.keys}, ran {report.ran}")
+    click.echo(f"outcomes {report.outcomes}")
+    click.echo(f"refusals {report.reasons}")
+    click.echo(f"violations {len(report.violations)}")
+    for violation in report.violations[:10]:
+        click.echo(violation)
+    sys.exit(1 if report.violations else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/kumquatridge/callpath/homes.py
+++ b/kumquatridge/callpath/homes.py
@@ -1,12 +1,14 @@
 """Decides whether this daemon may run a request key, and who else may."""
 
 import dataclasses
+import math
 
 from kumquatridge import clock
 from kumquatridge.calls import call as calls
 from kumquatridge.idempotency import keys
 from kumquatridge.idempotency import roster as home_roster
 from kumquatridge.idempotency import settings as key_settings
+from kumquatridge.idempotency import stalls as key_stalls
 from kumquatridge.membership import member as members
 from kumquatridge.membership import table
 
@@ -52,7 +54,10 @@
         issuer: keys.KeyIssuer,
         roster: home_roster.HomeRoster,
         members_table: table.MemberTable,
+        *,
+        stalls: key_stalls.StallSource,
     ) -> None:
+        self._stalls = stalls
         self._settings = settings
         self._own = own
         self._issuer = issuer
@@ -66,6 +71,14 @@
                 return member
         return None
 
+    def measure_age_ms(self, call: calls.Call) -> int:
+        """Returns how old a call's key may be by now."""
+        told_ms = call.key_age_ms
+        if told_ms is None:
+            told_ms = self._settings.bare_key_max_age_ms
+        held_ms = clock.get_now_ms() - call.received_ms
+        return math.ceil(told_ms + held_ms + self._stalls.get_lost_ms())
+
     def judge(self, call: calls.Call, scope: str) -> Place:
         """Decides whether this daemon may run a call by its key."""
         match self._issuer.read(call.request_key or ""):
@@ -98,7 +111,8 @@
     def _judge_bare(self, call: calls.Call, scope: str) -> Place:
         if not self._serves(call.service):
             return Nowhere("this daemon is not a home of the service")
-        match self._roster.judge(scope, call.key_age_ms):
+        age_ms = self.measure_age_ms(call) + self._settings.transit_ms
+        match self._roster.judge(scope, age_ms):
             case home_roster.Home():
                 return Here()
             case home_roster.Elsewhere(instance):
--- a/kumquatridge/callpath/intake.py
+++ b/kumquatridge/callpath/intake.py
@@ -177,4 +177,5 @@
         policy=policy,
         chain=chain,
         key_age_ms=request.key_age_ms,
+        received_ms=clock.get_now_ms(),
     )
--- a/kumquatridge/callpath/keyed.py
+++ b/kumquatridge/callpath/keyed.py
@@ -7,16 +7,15 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 import contextlib
 import dataclasses
 import types
 from typing import Self
 
+from kumquatridge import clock
 from kumquatridge.callpath import homes
-from kumquatridge.callpath import inbound
 from kumquatridge.callpath import links
-from kumquatridge.callpath import outbound
 from kumquatridge.callpath import retries
 from kumquatridge.calls import body as call_body
 from kumquatridge.calls import call as calls
@@ -32,6 +31,10 @@
 HOME_UNREACHABLE = "the home of the request key can't be reached"
 MAX_ASKED = 2
 
+Opener = Callable[
+    [calls.Call], contextlib.AbstractAsyncContextManager[outcomes.Outcome]
+]
+
 
 class _Run:
     """One run of a key; `head` is its outcome with a readable body."""
@@ -49,8 +52,8 @@
     def __init__(
         self,
         members_table: table.MemberTable,
-        own: inbound.InboundPath,
-        others: outbound.OutboundPath,
+        own: links.Server,
+        others: links.Dispatcher,
         peers: links.PeerLink,
         recorder: telemetry.Recorder,
         *,
@@ -122,6 +125,11 @@
         self, call: calls.Call
     ) -> AsyncIterator[outcomes.Outcome]:
         place = self._homes.choose(call, keys.make_scope(call))
+        call = dataclasses.replace(
+            call,
+            key_age_ms=self._homes.measure_age_ms(call),
+            received_ms=clock.get_now_ms(),
+        )
         for _ in range(MAX_ASKED):
             async with self._open(call, place) as outcome:
                 match outcome:
--- a/kumquatridge/callpath/links.py
+++ b/kumquatridge/callpath/links.py
@@ -1,5 +1,6 @@
 """What the call path needs from whatever carries calls."""
 
+from collections.abc import Set
 from contextlib import AbstractAsyncContextManager
 from typing import Protocol
 
@@ -22,6 +23,26 @@
         ...
 
 
+class Server(Protocol):
+    """Runs calls at the own worker, or refuses them."""
+
+    def serve(
+        self, call: calls.Call
+    ) -> AbstractAsyncContextManager[outcomes.Outcome]:
+        """Runs a call; the outcome's body is readable while it is open."""
+        ...
+
+
+class Dispatcher(Protocol):
+    """Sends calls to an instance of its choice."""
+
+    def dispatch(
+        self, call: calls.Call, excluded: Set[str] = frozenset()
+    ) -> AbstractAsyncContextManager[outcomes.Outcome]:
+        """Sends a call to an instance that is not in `excluded`."""
+        ...
+
+
 class PeerLink(Protocol):
     """Carries calls to the daemons of other instances."""
 
--- a/kumquatridge/calls/call.py
+++ b/kumquatridge/calls/call.py
@@ -13,7 +13,8 @@
     """A call with everything that decisions about it need.
 
     `request_key` is the caller's idempotency key, the same on every resend.
-    `key_age_ms` is how long ago the caller made it, when the caller says so.
+    `key_age_ms` is how long ago the caller made it, when the caller says so,
+    counted to `received_ms` on this process's event loop clock.
     `path` is the path at the worker, with its query. `long_running` calls
     are the policy's business.
     """
@@ -28,3 +29,4 @@
     policy: settings_policy.RoutePolicy
     chain: context.ChainContext
     key_age_ms: int | None = None
+    received_ms: float = 0.0
--- a/kumquatridge/chain/ledger.py
+++ b/kumquatridge/chain/ledger.py
@@ -70,6 +70,10 @@
     def __init__(self) -> None:
         self._records: dict[str, InboundRecord] = {}
 
+    def __len__(self) -> int:
+        """Returns how many inbound calls are in progress."""
+        return len(self._records)
+
     @contextlib.contextmanager
     def record(
         self, chain: context.ChainContext, caller: str = ""
--- a/kumquatridge/daemon/home_parts.py
+++ b/kumquatridge/daemon/home_parts.py
@@ -8,6 +8,7 @@
 from kumquatridge.idempotency import memory as key_memory
 from kumquatridge.idempotency import roster as home_roster
 from kumquatridge.idempotency import settings as key_settings
+from kumquatridge.idempotency import stalls
 from kumquatridge.membership import table
 
 BOOT_BYTES = 8
@@ -22,14 +23,21 @@
         members_table: table.MemberTable,
     ) -> None:
         kept = key_settings.KeySettings(
-            bare_key_max_age_ms=settings.bare_key_max_age_ms
+            bare_key_max_age_ms=settings.bare_key_max_age_ms,
+            transit_ms=settings.bare_key_transit_ms,
         )
         own = keys.HomeId(settings.instance, secrets.token_hex(BOOT_BYTES))
         self.issuer = keys.KeyIssuer(own, settings.peer_key)
         self.roster = home_roster.HomeRoster(
             kept, settings.instance, members_table.own.incarnation
         )
+        self.stalls = stalls.StallWatch()
         self.memory = key_memory.KeyMemory(kept)
         self.finder = homes.Homes(
-            kept, own, self.issuer, self.roster, members_table
+            kept,
+            own,
+            self.issuer,
+            self.roster,
+            members_table,
+            stalls=self.stalls,
         )
--- a/kumquatridge/daemon/runtime.py
+++ b/kumquatridge/daemon/runtime.py
@@ -80,7 +80,7 @@
                 crashes,
                 session,
                 settings.peer_key,
-                needs_contact=bool(settings.seeds),
+                seeds=settings.seeds,
             )
         )
         self._news = news
@@ -101,6 +101,7 @@
             recorder,
             ratio=retry_ratio.RetryRatio(retry_ratio.RatioSettings()),
         )
+        await enter(self._homes.stalls)
         keyed_path = await enter(
             keyed.KeyedPath(
                 self._members,
--- a/kumquatridge/daemon/settings.py
+++ b/kumquatridge/daemon/settings.py
@@ -10,8 +10,11 @@
     Addresses are "host:port" by IP number. Callers and the own worker use
     `caller_address`, other daemons `call_address` and `control_address`,
     workers' announcements and operators `operator_address`. `tree_file` is
-    the settings tree served before any other is known. Callers may resend a
-    request key of their own making for at most `bare_key_max_age_ms`.
+    the settings tree served before any other is known.
+
+    Callers may resend a request key of their own making for at most
+    `bare_key_max_age_ms`; `bare_key_transit_ms` more is allowed for requests
+    that are held up on their way.
     """
 
     instance: str
@@ -26,3 +29,4 @@
     drain_ms: int = 3000
     stop_timeout_ms: int = 60000
     bare_key_max_age_ms: int = 60000
+    bare_key_transit_ms: int = 10000
--- a/kumquatridge/http/peer_client.py
+++ b/kumquatridge/http/peer_client.py
@@ -2,9 +2,11 @@
 
 from collections.abc import AsyncIterator
 import contextlib
+import math
 
 import aiohttp
 
+from kumquatridge import clock
 from kumquatridge.calls import call as calls
 from kumquatridge.calls import outcomes
 from kumquatridge.encoding import chain_codec
@@ -33,7 +35,9 @@
         """Sends a call to its home; see `callpath.links.PeerLink`."""
         marks = (*self._make_marks(call), (headers.HOME, headers.TRUE))
         if call.key_age_ms is not None:
-            marks = (*marks, (headers.KEY_AGE, str(call.key_age_ms)))
+            held_ms = math.ceil(clock.get_now_ms() - call.received_ms)
+            age_ms = call.key_age_ms + held_ms
+            marks = (*marks, (headers.KEY_AGE, str(age_ms)))
         return self._send(call, member, marks)
 
     @contextlib.asynccontextmanager
--- a/kumquatridge/http/peer_server.py
+++ b/kumquatridge/http/peer_server.py
@@ -4,6 +4,7 @@
 
 from aiohttp import web
 
+from kumquatridge import clock
 from kumquatridge.callpath import inbound
 from kumquatridge.callpath import intake as call_intake
 from kumquatridge.callpath import keyed
@@ -102,4 +103,5 @@
             key_age_ms=caller_server.read_ms(
                 marks, headers.KEY_AGE, least_ms=0
             ),
+            received_ms=clock.get_now_ms(),
         )
--- a/kumquatridge/http/service_news.py
+++ b/kumquatridge/http/service_news.py
@@ -30,6 +30,7 @@
 
     service: str
     own: home_roster.Seat
+    is_established: bool
     seats: tuple[home_roster.Seat, ...]
     crashes: tuple[crash_register.CrashEntry, ...]
 
@@ -53,14 +54,14 @@
         session: aiohttp.ClientSession,
         peer_key: str,
         *,
-        needs_contact: bool,
+        seeds: tuple[str, ...],
     ) -> None:
         self._members = members_table
         self._roster = roster
         self._crashes = crashes
         self._session = session
         self._peer_key = peer_key
-        self._needs_contact = needs_contact
+        self._seeds = frozenset(seeds)
         self._changed = asyncio.Event()
         self._peers: dict[str, asyncio.Task[None]] = {}
         self._following: asyncio.Task[None] | None = None
@@ -115,10 +116,8 @@
         match self._members.own.state:
             case members.Leaving():
                 self._roster.leave()
-            case _ if self._has_contact():
-                self._roster.join()
             case _:
-                pass
+                self._roster.join(may_found=self._knows_seeds())
         for member in peers:
             task = self._peers.get(member.instance)
             if task is None or task.done():
@@ -126,8 +125,9 @@
                     self._tell(member.instance)
                 )
 
-    def _has_contact(self) -> bool:
-        return not self._needs_contact or len(tuple(self._members)) > 1
+    def _knows_seeds(self) -> bool:
+        known = {member.control_address for member in self._members}
+        return self._seeds <= known
 
     def _find_peers(self, service: str) -> tuple[members.Member, ...]:
         own = self._members.own
@@ -175,7 +175,9 @@
             return False
         self._learn(news)
         if self._roster.own in news.seats:
-            self._roster.acknowledge(news.own)
+            self._roster.acknowledge(
+                news.own, is_established=news.is_established
+            )
         return True
 
     def _learn(self, news: ServiceNews) -> None:
@@ -191,6 +193,7 @@
             ServiceNews(
                 service,
                 self._roster.own,
+                self._roster.is_established,
                 self._roster.seats,
                 self._crashes.export(),
             )
--- a/kumquatridge/idempotency/roster.py
+++ b/kumquatridge/idempotency/roster.py
@@ -73,8 +73,15 @@
         self._left_ms: dict[str, float] = {}
         self._unmet: set[str] = set()
         self._acknowledged: dict[str, int] = {}
+        self._may_found = False
+        self._knows_established = False
         self._established_ms: float | None = None
 
+    @property
+    def is_established(self) -> bool:
+        """Whether every other daemon of the roster knows this one."""
+        return self._established_ms is not None
+
     @property
     def own(self) -> Seat:
         """This daemon's own seat."""
@@ -97,12 +104,18 @@
         }
         return frozenset(waiting | self._unmet)
 
-    def join(self) -> None:
-        """Takes the own seat when the worker first announces itself."""
+    def join(self, *, may_found: bool) -> None:
+        """Takes the own seat when the worker first announces itself.
+
+        Only with `may_found` can a daemon be established before it has heard
+        of one that is; otherwise two that restart while cut off from a third
+        would each take the other for the whole service.
+        """
         if not self._joined:
             self._joined = True
             self._seats[self._own.instance] = self._own
-            self._check_established()
+        self._may_found = may_found
+        self._check_established()
 
     def leave(self) -> None:
         """Gives the own seat up for good; no bare key runs here any more."""
@@ -120,9 +133,10 @@
         changed = [seat for seat in seats if self._learn_seat(seat)]
         return bool(changed)
 
-    def acknowledge(self, seat: Seat) -> None:
+    def acknowledge(self, seat: Seat, *, is_established: bool) -> None:
         """Takes the word of a daemon that it knows this daemon's seat."""
         self._learn_seat(seat)
+        self._knows_established |= is_established
         self._acknowledged[seat.instance] = seat.number
         self._check_established()
 
@@ -137,11 +151,10 @@
             return False
         return self._learn_seat(dataclasses.replace(seat, left=True))
 
-    def judge(self, scope: str, key_age_ms: float | None) -> Judgement:
+    def judge(self, scope: str, key_age_ms: float) -> Judgement:
         """Decides whether this daemon may run a bare key.
 
-        `key_age_ms` is how long ago the caller made the key; without it the
-        key may be as old as callers may ever resend it.
+        `key_age_ms` is how long ago the caller may have made the key.
         """
         present = [s.instance for s in self._seats.values() if not s.left]
         present.extend(self._unmet)
@@ -157,11 +170,10 @@
         tenure_ms = clock.get_now_ms() - max(
             self._established_ms, self._get_last_left_ms(scope)
         )
-        max_age_ms = self._settings.bare_key_max_age_ms
-        if key_age_ms is None or key_age_ms > max_age_ms:
-            key_age_ms = max_age_ms
         if tenure_ms < key_age_ms:
             return Unproved("the key may be older than its home's tenure")
+        if key_age_ms > self._settings.retention_ms:
+            return Unproved("the key may be older than its home's memory")
         return Home()
 
     def _get_last_left_ms(self, scope: str) -> float:
@@ -190,5 +202,7 @@
         return True
 
     def _check_established(self) -> None:
-        if self._established_ms is None and self._joined and not self.pending:
+        if self._established_ms is not None or not self._joined:
+            return
+        if (self._may_found or self._knows_established) and not self.pending:
             self._established_ms = clock.get_now_ms()
--- /dev/null
+++ b/tests/callpath/graph.py
@@ -0,0 +1,246 @@
+"""Random call graphs over real call paths, with faults, in virtual time."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+import random
+
+from kumquatridge.admission import guard as admission_guard
+from kumquatridge.callpath import inbound
+from kumquatridge.callpath import intake as call_intake
+from kumquatridge.callpath import outbound
+from kumquatridge.calls import body as call_body
+from kumquatridge.calls import call as calls
+from kumquatridge.calls import importance
+from kumquatridge.calls import outcomes
+from kumquatridge.calls import refusals
+from kumquatridge.chain import ledger as chain_ledger
+from kumquatridge.chain import ratio as retry_ratio
+from kumquatridge.membership import member as members
+from kumquatridge.membership import table
+from kumquatridge.quarantine import register as crash_register
+from kumquatridge.routing import chooser as routing
+from kumquatridge.settings import policy as settings_policy
+
+INSTANCES = 2
+SLOTS = 1000
+MAX_DELAY_S = 0.05
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Graph:
+    """Which services each service calls, and how often things go wrong."""
+
+    children: tuple[tuple[int, ...], ...]
+    allowance: int
+    fault_ratio: float
+    application_tries: int
+    seed: int
+    idempotent: bool = True
+
+
+class CountingRecorder:
+    """Counts what the paths report."""
+
+    def __init__(self) -> None:
+        self.retries = 0
+        self.denied: list[str] = []
+        self.refusals: list[str] = []
+
+    def record_refusal(
+        self, call: calls.Call, refusal: refusals.Refusal
+    ) -> None:
+        self.refusals.append(refusal.code)
+
+    def record_retry(self, call: calls.Call, reason: str) -> None:
+        self.retries += 1
+
+    def record_retry_denied(self, call: calls.Call, reason: str) -> None:
+        self.denied.append(reason)
+
+
+class Node:
+    """A daemon and its worker."""
+
+    def __init__(self, world: "GraphWorld", service: int, number: int) -> None:
+        self.world = world
+        self.service = service
+        self.number = number
+        self.member = make_member(service, number)
+        self.members = table.MemberTable(self.member)
+        self.ledger = chain_ledger.Ledger()
+        self.intake = call_intake.Intake(
+            world.policies, self.ledger, world.recorder
+        )
+        self.inbound = inbound.InboundPath(
+            self.members,
+            admission_guard.AdmissionGuard(slots=SLOTS),
+            self.ledger,
+            self,
+            world.recorder,
+            crashes=crash_register.CrashRegister(
+                crash_register.QuarantineSettings(quarantined_crashes=10**6),
+                self.member.instance,
+                lambda: None,
+            ),
+        )
+        self.outbound = outbound.OutboundPath(
+            self.members,
+            routing.InstanceChooser(self.members, world.random.getrandbits(32)),
+            self.inbound,
+            PeerFake(world),
+            world.recorder,
+            ratio=retry_ratio.RetryRatio(
+                retry_ratio.RatioSettings(floor=10**6)
+            ),
+        )
+
+    @contextlib.asynccontextmanager
+    async def send(
+        self, call: calls.Call, address: str, token: str
+    ) -> AsyncIterator[outcomes.Outcome]:
+        """Runs a call as the worker would, with its child calls."""
+        world = self.world
+        world.runs += 1
+        await world.delay()
+        failed = await world.call_children(self, token)
+        if world.fails():
+            yield outcomes.Unknown("lost", worker_lost=world.fails())
+            return
+        status = 503 if failed or world.fails() else 200
+        yield outcomes.Completed(status, (), call_body.EMPTY)
+
+
+class PeerFake:
+    """Carries calls between nodes, losing some."""
+
+    def __init__(self, world: "GraphWorld") -> None:
+        self._world = world
+
+    @contextlib.asynccontextmanager
+    async def send(
+        self, call: calls.Call, member: members.Member
+    ) -> AsyncIterator[outcomes.Outcome]:
+        world = self._world
+        await world.delay()
+        if world.fails():
+            yield outcomes.NotRun(
+                refusals.Unreachable(member.instance), call.chain.retries
+            )
+            return
+        async with world.nodes[member.instance].inbound.serve(call) as outcome:
+            yield outcomes.Unknown("lost") if world.fails() else outcome
+
+    def send_home(
+        self, call: calls.Call, member: members.Member
+    ) -> contextlib.AbstractAsyncContextManager[outcomes.Outcome]:
+        return self.send(call, member)
+
+
+class GraphWorld:
+    """All nodes of a graph; counts runs of workers and their reasons."""
+
+    def __init__(self, graph: Graph) -> None:
+        self.graph = graph
+        self.random = random.Random(graph.seed)
+        self.recorder = CountingRecorder()
+        self.runs = 0
+        self.asked = 0
+        self.policies = make_policies(graph)
+        self.nodes: dict[str, Node] = {}
+        for service in range(len(graph.children)):
+            for number in range(INSTANCES):
+                node = Node(self, service, number)
+                self.nodes[node.member.instance] = node
+        for node in self.nodes.values():
+            for other in self.nodes.values():
+                node.members.learn(other.member)
+
+    def fails(self) -> bool:
+        return self.random.random() < self.graph.fault_ratio
+
+    async def delay(self) -> None:
+        await asyncio.sleep(self.random.random() * MAX_DELAY_S)
+
+    async def call_root(self) -> outcomes.Outcome:
+        return await self.ask(self.nodes["s0-0"], 0, None)
+
+    async def call_children(self, node: Node, token: str) -> bool:
+        """Calls all children at once; returns whether one failed."""
+        results = await asyncio.gather(
+            *(
+                self.insist(node, child, token)
+                for child in self.graph.children[node.service]
+            )
+        )
+        return not all(results)
+
+    async def insist(self, node: Node, child: int, token: str) -> bool:
+        """Calls a child as an application that tries again by itself."""
+        for _ in range(self.graph.application_tries):
+            match await self.ask(node, child, token):
+                case outcomes.Completed(200):
+                    return True
+                case _:
+                    pass
+        return False
+
+    async def ask(
+        self, node: Node, service: int, token: str | None
+    ) -> outcomes.Outcome:
+        """Sends one request to a node, as its front end does."""
+        request = call_intake.Request(
+            service=f"s{service}",
+            method="GET",
+            path="/",
+            headers=(),
+            body=call_body.EMPTY,
+            token=token,
+        )
+        with node.intake.open(request) as opened:
+            match opened:
+                case calls.Call():
+                    self.asked += 1
+                    async with node.outbound.dispatch(opened) as outcome:
+                        node.intake.settle(request, outcome)
+                        return outcome
+                case refusal:
+                    self.recorder.refusals.append(refusal.code)
+                    return outcomes.NotRun(refusal)
+
+
+def make_member(service: int, number: int) -> members.Member:
+    """Returns the member of a node."""
+    name = f"s{service}-{number}"
+    return members.Member(
+        instance=name,
+        incarnation=1,
+        data_centre="landshut",
+        call_address=name,
+        control_address=name,
+        announcement=members.Announcement(f"s{service}", name, SLOTS, SLOTS),
+    )
+
+
+def make_policies(graph: Graph) -> settings_policy.PolicyLookup:
+    """Returns one route for each service of a graph."""
+    return settings_policy.PolicyLookup(
+        {
+            f"s{service}": settings_policy.ServicePolicies(
+                (),
+                settings_policy.RoutePolicy(
+                    service=f"s{service}",
+                    route="all",
+                    importance=importance.Importance.NORMAL,
+                    idempotent=graph.idempotent,
+                    deadline_ms=60_000,
+                    retry_allowance=graph.allowance,
+                    long_running=False,
+                    max_body_bytes=1000,
+                    queue_wait_ms=1000,
+                ),
+            )
+            for service in range(len(graph.children))
+        }
+    )
