Run suspects of one crash in groups; prove chain, quarantine and client

Cause: a hundred innocent suspects run one at a time at 0.25 s each outlast their deadline of 10 s and were refused.

--- a/kumquatridge/benchmarks/key_world.py
+++ b/kumquatridge/benchmarks/key_world.py
@@ -163,13 +163,13 @@
         world = self._world
         await world.delay()
         await self._process.running.wait()
-        if world.random.random() < REFUSAL_RATIO:
+        if world.random.random() < world.refusal_ratio:
             yield outcomes.NotRun(refusals.Overloaded(3, 1, 0))
             return
         world.record_run(call, self._process.instance)
         await asyncio.sleep(world.random.random() * MAX_SERVICE_S)
         await self._process.running.wait()
-        if world.random.random() < LOSS_RATIO:
+        if world.loses():
             yield outcomes.Unknown("lost", worker_lost=True)
         else:
             yield outcomes.Completed(200, (), world.make_answer(call))
@@ -259,6 +259,8 @@
         self.runs: dict[str, list[Run]] = {}
         self.outcomes: dict[str, int] = {}
         self.violations: list[str] = []
+        self.loss_ratio = LOSS_RATIO
+        self.refusal_ratio = REFUSAL_RATIO
         self._cut: set[frozenset[str]] = set()
         self._number = 0
         self._contact = 0
@@ -269,7 +271,7 @@
 
     def loses(self) -> bool:
         """Decides whether a message is lost."""
-        return self.random.random() < LOSS_RATIO
+        return self.random.random() < self.loss_ratio
 
     async def delay(self) -> None:
         """Waits as long as a message travels."""
--- a/kumquatridge/callpath/inbound.py
+++ b/kumquatridge/callpath/inbound.py
@@ -14,6 +14,7 @@
 from kumquatridge.calls import refusals
 from kumquatridge.chain import ledger as chain_ledger
 from kumquatridge.membership import table
+from kumquatridge.quarantine import isolation as suspect_isolation
 from kumquatridge.quarantine import register as crash_register
 from kumquatridge.telemetry import recorder as telemetry
 
@@ -40,7 +41,7 @@
         self._worker = worker
         self._recorder = recorder
         self._crashes = crashes
-        self._suspect_runs = asyncio.Lock()
+        self._isolation = suspect_isolation.Isolation()
 
     @contextlib.asynccontextmanager
     async def serve(self, call: calls.Call) -> AsyncIterator[outcomes.Outcome]:
@@ -55,20 +56,22 @@
                     yield outcome
             case crash_register.Refuse(refusal):
                 yield self._refuse(call, refusal)
-            case crash_register.Suspect(fingerprint):
-                async with self._run_alone(call, fingerprint) as outcome:
+            case crash_register.Suspect() as suspect:
+                async with self._run_apart(call, suspect) as outcome:
                     yield outcome
 
     @contextlib.asynccontextmanager
-    async def _run_alone(
-        self, call: calls.Call, fingerprint: str
+    async def _run_apart(
+        self, call: calls.Call, suspect: crash_register.Suspect
     ) -> AsyncIterator[outcomes.Outcome]:
-        """Runs a suspect with no other suspect beside it."""
+        """Runs a suspect apart from other suspects."""
         async with contextlib.AsyncExitStack() as stack:
             remaining_s = call.chain.get_remaining_ms() / 1000.0
             try:
                 async with asyncio.timeout(remaining_s):
-                    await stack.enter_async_context(self._suspect_runs)
+                    await stack.enter_async_context(
+                        self._isolation.hold(suspect)
+                    )
             except TimeoutError:
                 yield self._refuse(call, refusals.DeadlineExceeded(0))
                 return
@@ -76,10 +79,19 @@
                 case crash_register.Refuse(refusal):
                     yield self._refuse(call, refusal)
                     return
+                case crash_register.Suspect(crashes=crashes) as now if (
+                    crashes > suspect.crashes
+                ):
+                    await stack.aclose()
+                    async with self._run_apart(call, now) as outcome:
+                        yield outcome
+                    return
+                case _:
+                    pass
             outcome = await stack.enter_async_context(self._admit(call))
             match outcome:
                 case outcomes.Completed():
-                    self._crashes.record_answer(fingerprint)
+                    self._crashes.record_answer(suspect.fingerprint)
             yield outcome
 
     @contextlib.asynccontextmanager
--- a/kumquatridge/quarantine/register.py
+++ b/kumquatridge/quarantine/register.py
@@ -1,9 +1,9 @@
 """Crashes of workers, by the fingerprint of the calls in progress.
 
-The first crash makes a suspect of every call that was in progress. A suspect
-runs with no other suspect beside it, so a second crash points at one call.
-An answer clears the fingerprint. Entries merge by union, whatever the order
-in which daemons learn of them.
+The first crash makes a suspect of every call that was in progress. Suspects
+are kept apart, so that further crashes point at one call. An answer clears
+the fingerprint. Entries merge by union, whatever the order in which daemons
+learn of them.
 """
 
 from collections.abc import Callable, Iterable
@@ -59,9 +59,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Suspect:
-    """The call was in progress at a crash and must run alone."""
+    """The call was in progress at crashes and must be kept apart."""
 
     fingerprint: str
+    crashes: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -118,7 +119,7 @@
         wait_ms = self._get_wait_ms(known)
         if wait_ms > 0:
             return Refuse(refusals.Quarantined(fingerprint, int(wait_ms)))
-        return Suspect(fingerprint)
+        return Suspect(fingerprint, known.count)
 
     def record_crash(self, call: calls.Call) -> None:
         """Counts a call that was in progress when the worker died."""
--- a/tests/callpath/graph.py
+++ b/tests/callpath/graph.py
@@ -6,6 +6,7 @@
 import dataclasses
 import random
 
+from kumquatridge import clock
 from kumquatridge.admission import guard as admission_guard
 from kumquatridge.callpath import inbound
 from kumquatridge.callpath import intake as call_intake
@@ -15,6 +16,7 @@
 from kumquatridge.calls import importance
 from kumquatridge.calls import outcomes
 from kumquatridge.calls import refusals
+from kumquatridge.chain import context
 from kumquatridge.chain import ledger as chain_ledger
 from kumquatridge.chain import ratio as retry_ratio
 from kumquatridge.membership import member as members
@@ -51,22 +53,29 @@
     def record_refusal(
         self, call: calls.Call, refusal: refusals.Refusal
     ) -> None:
+        """Takes down the reason."""
         self.refusals.append(refusal.code)
 
     def record_retry(self, call: calls.Call, reason: str) -> None:
+        """Counts a retry."""
         self.retries += 1
 
     def record_retry_denied(self, call: calls.Call, reason: str) -> None:
+        """Takes down the reason."""
         self.denied.append(reason)
 
 
 class Node:
-    """A daemon and its worker."""
+    """A daemon and its worker.
+
+    With `child` the worker answers 503 after one child came to that.
+    """
 
     def __init__(self, world: "GraphWorld", service: int, number: int) -> None:
         self.world = world
         self.service = service
         self.number = number
+        self.child: outcomes.Outcome | None = None
         self.member = make_member(service, number)
         self.members = table.MemberTable(self.member)
         self.ledger = chain_ledger.Ledger()
@@ -101,6 +110,10 @@
         self, call: calls.Call, address: str, token: str
     ) -> AsyncIterator[outcomes.Outcome]:
         """Runs a call as the worker would, with its child calls."""
+        if self.child is not None:
+            self.intake.settle(make_child_request(token), self.child)
+            yield outcomes.Completed(503, (), call_body.EMPTY)
+            return
         world = self.world
         world.runs += 1
         await world.delay()
@@ -122,6 +135,7 @@
     async def send(
         self, call: calls.Call, member: members.Member
     ) -> AsyncIterator[outcomes.Outcome]:
+        """Carries a call."""
         world = self._world
         await world.delay()
         if world.fails():
@@ -135,6 +149,7 @@
     def send_home(
         self, call: calls.Call, member: members.Member
     ) -> contextlib.AbstractAsyncContextManager[outcomes.Outcome]:
+        """Carries a call."""
         return self.send(call, member)
 
 
@@ -158,12 +173,15 @@
                 node.members.learn(other.member)
 
     def fails(self) -> bool:
+        """Decides whether something goes wrong."""
         return self.random.random() < self.graph.fault_ratio
 
     async def delay(self) -> None:
+        """Waits as long as a message travels."""
         await asyncio.sleep(self.random.random() * MAX_DELAY_S)
 
     async def call_root(self) -> outcomes.Outcome:
+        """Sends a root call to the first service."""
         return await self.ask(self.nodes["s0-0"], 0, None)
 
     async def call_children(self, node: Node, token: str) -> bool:
@@ -244,3 +262,31 @@
             for service in range(len(graph.children))
         }
     )
+
+
+def make_chain(remaining_s: float) -> context.ChainContext:
+    """Returns the context of a root without retries."""
+    return context.ChainContext(
+        root_id="root",
+        importance=importance.Importance.NORMAL,
+        expires_at_ms=clock.get_now_ms() + remaining_s * 1000.0,
+        retries=0,
+        depth=0,
+    )
+
+
+def make_child_request(token: str) -> call_intake.Request:
+    """Returns a request that a worker sends for a child call."""
+    return call_intake.Request(
+        service="s1",
+        method="GET",
+        path="/",
+        headers=(),
+        body=call_body.EMPTY,
+        token=token,
+    )
+
+
+def readdress(call: calls.Call, service: str) -> calls.Call:
+    """Returns a call to another service."""
+    return dataclasses.replace(call, service=service)
--- /dev/null
+++ b/tests/callpath/test_chain.py
@@ -0,0 +1,134 @@
+"""What a chain inherits, and how it is cut off."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from kumquatridge.callpath import intake as call_intake
+from kumquatridge.calls import body as call_body
+from kumquatridge.calls import call as calls
+from kumquatridge.calls import outcomes
+from kumquatridge.calls import refusals
+from tests.callpath import graph as graphs
+
+GRAPH = graphs.Graph(
+    ((1,), ()), allowance=4, fault_ratio=0.0, application_tries=1, seed=1
+)
+
+
+def make_request(
+    token: str | None, timeout_ms: int | None = None
+) -> call_intake.Request:
+    return call_intake.Request(
+        service="s1",
+        method="GET",
+        path="/",
+        headers=(),
+        body=call_body.EMPTY,
+        timeout_ms=timeout_ms,
+        token=token,
+    )
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("token", ["", "forged", "0" * 32])
+async def test_unknown_token_is_no_root(token: str) -> None:
+    node = graphs.GraphWorld(GRAPH).nodes["s0-0"]
+    with node.intake.open(make_request(token)) as opened:
+        assert opened == refusals.ParentEnded()
+
+
+@pytest.mark.looptime
+async def test_token_of_an_ended_call_is_refused() -> None:
+    node = graphs.GraphWorld(GRAPH).nodes["s0-0"]
+    with node.ledger.record(graphs.make_chain(1.0)) as record:
+        pass
+    with node.intake.open(make_request(record.token)) as opened:
+        assert opened == refusals.ParentEnded()
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("timeout_ms", [None, 10, 10**9])
+async def test_child_inherits(timeout_ms: int | None) -> None:
+    node = graphs.GraphWorld(GRAPH).nodes["s0-0"]
+    chain = graphs.make_chain(1.0)
+    with (
+        node.ledger.record(chain, "shop") as record,
+        node.intake.open(make_request(record.token, timeout_ms)) as opened,
+    ):
+        match opened:
+            case calls.Call():
+                assert opened.chain.importance == chain.importance
+                assert opened.chain.root_id == chain.root_id
+                assert opened.chain.expires_at_ms <= chain.expires_at_ms
+                assert opened.chain.depth == 1
+                assert opened.chain.retries == 0
+                assert opened.caller == "shop"
+            case refusal:
+                pytest.fail(str(refusal))
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(
+    "is_cut_off",
+    [pytest.param(True, id="cut off"), pytest.param(False, id="ends")],
+)
+async def test_children_of_a_lost_call_are_cancelled(is_cut_off: bool) -> None:
+    node = graphs.GraphWorld(GRAPH).nodes["s0-0"]
+    started = asyncio.Event()
+
+    async def call_child(token: str) -> None:
+        with node.intake.open(make_request(token)):
+            started.set()
+            await asyncio.sleep(1.0)
+
+    with (
+        contextlib.suppress(ConnectionError),
+        node.ledger.record(graphs.make_chain(1.0)) as record,
+    ):
+        child = asyncio.create_task(call_child(record.token))
+        await started.wait()
+        if is_cut_off:
+            raise ConnectionError
+    await asyncio.wait((child,))
+    assert child.cancelled() == is_cut_off
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(
+    ("child", "is_shed"),
+    [
+        pytest.param(
+            outcomes.Completed(200, (), call_body.EMPTY),
+            True,
+            id="the worker's own refusal",
+        ),
+        pytest.param(
+            outcomes.NotRun(refusals.NoInstance("s1", 0)),
+            False,
+            id="a child's refusal passed up",
+        ),
+        pytest.param(
+            outcomes.Completed(503, (), call_body.EMPTY, shed=True),
+            False,
+            id="a child's shed passed up",
+        ),
+    ],
+)
+async def test_workers_refusal_is_told_from_its_childs(
+    child: outcomes.Outcome, is_shed: bool
+) -> None:
+    node = graphs.GraphWorld(GRAPH).nodes["s0-0"]
+    node.child = child
+    request = make_request(None)
+    with node.intake.open(request) as opened:
+        assert isinstance(opened, calls.Call)
+        call = graphs.readdress(opened, "s0")
+        async with node.inbound.serve(call) as outcome:
+            pass
+    match outcome:
+        case outcomes.Completed(503, shed=shed):
+            assert shed == is_shed
+        case other:
+            pytest.fail(str(other))
--- /dev/null
+++ b/tests/http/test_client.py
@@ -0,0 +1,76 @@
+"""The HTTP client never sends a request twice by itself."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from kumquatridge import clock
+from kumquatridge.calls import body as call_body
+from kumquatridge.calls import call as calls
+from kumquatridge.calls import outcomes
+from kumquatridge.http import client
+from tests import processes
+from tests.callpath import graph as graphs
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class ClosingWorker:
+    """Answers the first request, then drops the connection at the second."""
+
+    def __init__(self) -> None:
+        self.requests = 0
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serves one connection."""
+        try:
+            while await reader.readuntil(b"\r\n\r\n"):
+                self.requests += 1
+                if self.requests > 1:
+                    break
+                writer.write(ANSWER)
+        except asyncio.IncompleteReadError:
+            pass
+        writer.close()
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT", "POST", "DELETE"])
+async def test_kept_connection_that_closes_is_unknown(method: str) -> None:
+    address = processes.get_free_address()
+    host, port = address.split(":")
+    worker = ClosingWorker()
+    server = await asyncio.start_server(worker.serve, host, int(port))
+    async with server, client.make_session() as session:
+        replies = [await send(session, address, method) for _ in range(2)]
+    assert isinstance(replies[0], client.Answer)
+    assert isinstance(replies[1], outcomes.Unknown)
+    assert replies[1].worker_lost
+    assert worker.requests == 2
+
+
+async def send(
+    session: aiohttp.ClientSession, address: str, method: str
+) -> client.Reply:
+    """Sends one call to an address."""
+    policies = graphs.make_policies(graphs.Graph(((),), 0, 0.0, 1, 0))
+    policy = policies.find("s0", method, "/")
+    assert policy is not None
+    call = calls.Call(
+        service="s0",
+        method=method,
+        path="/",
+        headers=(),
+        body=call_body.EMPTY,
+        caller="",
+        request_key=None,
+        policy=policy,
+        chain=graphs.make_chain(5.0),
+        received_ms=clock.get_now_ms(),
+    )
+    async with client.send(
+        session, call, f"http://{address}/", (), address
+    ) as reply:
+        return reply
