Add the demo and explain commands

Cause: nothing showed a person what the system does. Change: a demo in one process with calm, twice the capacity and calm again; explain reads the decisions of daemons.

--- /dev/null
+++ b/kumquatridge/demo/deployment.py
@@ -0,0 +1,123 @@
+"""The demo's daemons and workers, all in this process, on loopback."""
+
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+import pathlib
+import socket
+
+import httpx
+
+from kumquatridge.daemon import runtime
+from kumquatridge.daemon import settings as daemon_settings
+from kumquatridge.standins import worker as worker_standin
+
+LOOPBACK = "127.0.0.1"
+SERVICE = "round-planning"
+TREE_FILE = pathlib.Path(__file__).parent / "tree.jsonc"
+DRAIN_MS = 50
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DeploymentSettings:
+    """How many workers there are and what each can do."""
+
+    workers: int = 3
+    slots: int = 20
+    service_ms: float = 150.0
+
+    @property
+    def capacity_per_s(self) -> float:
+        """Calls that all workers together finish in a second."""
+        return self.workers * self.slots / self.service_ms * 1000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Deployment:
+    """What runs: the callers' addresses and the workers."""
+
+    caller_addresses: tuple[str, ...]
+    operator_addresses: tuple[str, ...]
+    workers: tuple[worker_standin.SampleWorker, ...]
+
+    def count_repeated_runs(self) -> int:
+        """Returns how many request keys were run more than once."""
+        runs = sum(
+            (worker.runs_by_key for worker in self.workers),
+            start=type(self.workers[0].runs_by_key)(),
+        )
+        return sum(1 for count in runs.values() if count > 1)
+
+
+def get_free_address() -> str:
+    """Returns a loopback address that nothing listens on now."""
+    with socket.socket() as probe:
+        probe.bind((LOOPBACK, 0))
+        return f"{LOOPBACK}:{probe.getsockname()[1]}"
+
+
+def make_daemon_settings(
+    instance: str, tree_file: pathlib.Path, *seeds: str
+) -> daemon_settings.DaemonSettings:
+    """Returns settings of a daemon on free loopback addresses."""
+    return daemon_settings.DaemonSettings(
+        instance=instance,
+        data_centre="local",
+        caller_address=get_free_address(),
+        call_address=get_free_address(),
+        control_address=get_free_address(),
+        operator_address=get_free_address(),
+        peer_key="loopback",
+        tree_file=str(tree_file),
+        seeds=seeds,
+        drain_ms=DRAIN_MS,
+    )
+
+
+@contextlib.asynccontextmanager
+async def run_deployment(
+    settings: DeploymentSettings,
+) -> AsyncIterator[Deployment]:
+    """Runs daemons and workers until the context is left."""
+    daemons: list[daemon_settings.DaemonSettings] = []
+    workers: list[worker_standin.SampleWorker] = []
+    async with contextlib.AsyncExitStack() as stack:
+        for number in range(settings.workers):
+            seeds = (daemons[0].control_address,) if daemons else ()
+            daemon = make_daemon_settings(
+                f"planning-{number + 1}", TREE_FILE, *seeds
+            )
+            await stack.enter_async_context(runtime.Daemon(daemon))
+            worker = worker_standin.WorkerSettings(
+                get_free_address(), settings.service_ms, settings.slots
+            )
+            workers.append(
+                await stack.enter_async_context(
+                    worker_standin.SampleWorker(worker)
+                )
+            )
+            await _announce(daemon, worker)
+            daemons.append(daemon)
+        yield Deployment(
+            tuple(daemon.caller_address for daemon in daemons),
+            tuple(daemon.operator_address for daemon in daemons),
+            tuple(workers),
+        )
+
+
+async def _announce(
+    daemon: daemon_settings.DaemonSettings,
+    worker: worker_standin.WorkerSettings,
+) -> None:
+    announcement = {
+        "service": SERVICE,
+        "address": worker.address,
+        "slots": worker.slots,
+        "connections": worker.slots,
+    }
+    async with httpx.AsyncClient() as client:
+        answer = await client.post(
+            f"http://{daemon.operator_address}/v1/announcement",
+            json=announcement,
+        )
+        answer.raise_for_status()
--- /dev/null
+++ b/kumquatridge/demo/report.py
@@ -0,0 +1,131 @@
+"""What the demo prints."""
+
+import collections
+from collections.abc import Iterable
+import dataclasses
+
+from kumquatridge.demo import load
+
+WINDOW_S = 0.25
+RECOVERED_RATIO = 0.95
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PhaseReport:
+    """What became of the calls that were due in one phase."""
+
+    name: str
+    demand_per_s: float
+    goodput_per_s: float
+    p50_ms: float
+    p99_ms: float
+    good_by_kind: dict[str, str]
+    refusals: dict[str, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DemoReport:
+    """The whole demo."""
+
+    capacity_per_s: float
+    phases: tuple[PhaseReport, ...]
+    recovery_s: float | None
+    repeated_runs: int
+
+
+def make_report(
+    phases: tuple[load.Phase, ...],
+    results: list[load.CallResult],
+    capacity_per_s: float,
+    repeated_runs: int,
+) -> DemoReport:
+    """Sums up the results of a demo with a calm phase at its end."""
+    reports = []
+    start_s = 0.0
+    for phase in phases:
+        end_s = start_s + phase.duration_s
+        due = [one for one in results if start_s <= one.due_s < end_s]
+        reports.append(_report_phase(phase, due))
+        start_s = end_s
+    calm_start_s = start_s - phases[-1].duration_s
+    calm = [one for one in results if one.due_s >= calm_start_s]
+    return DemoReport(
+        capacity_per_s,
+        tuple(reports),
+        get_recovery_s(calm, calm_start_s),
+        repeated_runs,
+    )
+
+
+def get_recovery_s(calm: list[load.CallResult], start_s: float) -> float | None:
+    """Returns how long after the start nearly all calls are good again.
+
+    Looks at windows of calls by the time they were due; None when the last
+    window is not good yet.
+    """
+    windows: dict[int, list[bool]] = collections.defaultdict(list)
+    for one in calm:
+        windows[int((one.due_s - start_s) / WINDOW_S)].append(one.is_good)
+    bad = [
+        number
+        for number, good in windows.items()
+        if sum(good) < RECOVERED_RATIO * len(good)
+    ]
+    if not windows or max(bad, default=-1) == max(windows):
+        return None
+    return (max(bad, default=-1) + 1) * WINDOW_S
+
+
+def _report_phase(phase: load.Phase, due: list[load.CallResult]) -> PhaseReport:
+    good = [one for one in due if one.is_good]
+    latencies_ms = sorted(one.latency_ms for one in good) or [0.0]
+    refusals = collections.Counter(
+        f"{one.kind}: {one.reason or one.outcome}"
+        for one in due
+        if not one.is_good
+    )
+    return PhaseReport(
+        phase.name,
+        len(due) / phase.duration_s,
+        len(good) / phase.duration_s,
+        latencies_ms[len(latencies_ms) // 2],
+        latencies_ms[len(latencies_ms) * 99 // 100],
+        {
+            kind: _get_share(one for one in due if one.kind == kind)
+            for kind in (load.BOOKING, load.LOOKUP)
+        },
+        dict(refusals),
+    )
+
+
+def _get_share(results: Iterable[load.CallResult]) -> str:
+    goods = [one.is_good for one in results]
+    return f"{sum(goods)} of {len(goods)}"
+
+
+def render(report: DemoReport) -> str:
+    """Returns the report as text."""
+    lines = [f"capacity: {report.capacity_per_s:.0f} calls/s", ""]
+    for phase in report.phases:
+        lines += _render_phase(phase)
+    if report.recovery_s is None:
+        lines.append("recovery: not within the calm phase")
+    else:
+        lines.append(
+            f"recovery: within {report.recovery_s:.2f} s after the overload"
+        )
+    lines.append(f"bookings run twice: {report.repeated_runs}")
+    return "\n".join(lines)
+
+
+def _render_phase(phase: PhaseReport) -> list[str]:
+    lines = [
+        f"{phase.name}: {phase.demand_per_s:.0f} calls/s asked, "
+        f"{phase.goodput_per_s:.0f} answered well; "
+        f"p50 {phase.p50_ms:.0f} ms, p99 {phase.p99_ms:.0f} ms"
+    ]
+    for kind, share in phase.good_by_kind.items():
+        lines.append(f"  {kind}s answered well: {share}")
+    for reason, count in sorted(phase.refusals.items()):
+        lines.append(f"  refused {reason}: {count}")
+    return [*lines, ""]
--- /dev/null
+++ b/kumquatridge/demo/runner.py
@@ -0,0 +1,34 @@
+"""Runs the demo from start to report."""
+
+import aiohttp
+
+from kumquatridge.demo import deployment
+from kumquatridge.demo import load
+from kumquatridge.demo import report
+
+PHASES = (
+    load.Phase("calm", 0.6, 3.0),
+    load.Phase("overload", 2.0, 6.0),
+    load.Phase("calm again", 0.6, 4.0),
+)
+
+
+async def run_demo(
+    settings: deployment.DeploymentSettings,
+    phases: tuple[load.Phase, ...] = PHASES,
+) -> report.DemoReport:
+    """Runs a deployment, overloads it and reports what callers saw."""
+    async with (
+        deployment.run_deployment(settings) as running,
+        aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0)
+        ) as session,
+    ):
+        sending = load.DemoLoad(running, session)
+        await sending.send(phases, settings.capacity_per_s)
+        return report.make_report(
+            phases,
+            sending.results,
+            settings.capacity_per_s,
+            running.count_repeated_runs(),
+        )
--- a/kumquatridge/standins/worker.py
+++ b/kumquatridge/standins/worker.py
@@ -23,11 +23,13 @@
     """Where the worker listens and how it behaves.
 
     `service_ms` is how long each call takes; the query parameter
-    `service_ms` of a request overrides it.
+    `service_ms` of a request overrides it. At most `slots` calls are worked
+    on at once, the others wait in order of arrival.
     """
 
     address: str
     service_ms: float = 0.0
+    slots: int = 100_000
 
 
 class SampleWorker:
@@ -35,6 +37,7 @@
 
     def __init__(self, settings: WorkerSettings) -> None:
         self._settings = settings
+        self._slots = asyncio.Semaphore(settings.slots)
         self._server = server.HttpServer(settings.address, self._handle)
         self.runs_by_key: collections.Counter[str] = collections.Counter()
         self.started = 0
@@ -67,7 +70,7 @@
         service_ms = float(
             request.query.get("service_ms", self._settings.service_ms)
         )
-        if service_ms:
+        async with self._slots:
             await asyncio.sleep(service_ms / 1000.0)
         self.finished += 1
         return web.Response(text=f"{length_bytes} {digest.hexdigest()}")
--- a/kumquatridge/ui/check.py
+++ b/kumquatridge/ui/check.py
@@ -1,13 +1,12 @@
 """`kumquatridge check`: validates settings without applying them."""
 
 import pathlib
-import sys
 
 import click
 
-from kumquatridge import errors
 from kumquatridge.encoding import daemon_text
 from kumquatridge.encoding import settings_text
+from kumquatridge.ui import failures
 
 
 @click.command()
@@ -15,12 +14,9 @@
 @click.argument("file", type=click.Path(path_type=pathlib.Path))
 def check(daemon: bool, file: pathlib.Path) -> None:
     """Checks FILE, a settings tree or a daemon's settings."""
-    try:
+    with failures.report_errors():
         if daemon:
             daemon_text.read_daemon_settings(file)
         else:
             settings_text.read_tree(file).compile()
-    except errors.KumquatridgeError as error:
-        click.echo(f"kumquatridge: {error}", err=True)
-        sys.exit(1)
     click.echo(f"{file}: valid")
--- /dev/null
+++ b/kumquatridge/ui/demo.py
@@ -0,0 +1,28 @@
+"""`kumquatridge demo`: shows an overload and the way back."""
+
+import dataclasses
+import json
+
+import click
+import uvloop
+
+from kumquatridge.demo import deployment
+from kumquatridge.demo import report
+from kumquatridge.demo import runner
+
+
+@click.command()
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def demo(as_json: bool) -> None:
+    """Runs daemons and sample workers here and overloads them for a while."""
+    settings = deployment.DeploymentSettings()
+    if not as_json:
+        click.echo(
+            f"{settings.workers} workers with {settings.slots} slots each, "
+            "calm, then twice the capacity, then calm; 13 s ..."
+        )
+    found = uvloop.run(runner.run_demo(settings))
+    if as_json:
+        click.echo(json.dumps(dataclasses.asdict(found), indent=2))
+    else:
+        click.echo(report.render(found))
--- /dev/null
+++ b/kumquatridge/ui/failures.py
@@ -0,0 +1,22 @@
+"""Turns errors of the library into one line and an exit code."""
+
+from collections.abc import Iterator
+import contextlib
+import sys
+
+import click
+
+from kumquatridge import errors
+
+EXIT_FAILED = 1
+
+
+@contextlib.contextmanager
+def report_errors() -> Iterator[None]:
+    """Prints an error of the library as one line and exits with 1."""
+    try:
+        yield
+    except errors.KumquatridgeError as error:
+        line = " ".join(str(error).split())
+        click.echo(f"kumquatridge: {line}", err=True)
+        sys.exit(EXIT_FAILED)
--- a/kumquatridge/ui/main.py
+++ b/kumquatridge/ui/main.py
@@ -4,6 +4,8 @@
 
 import kumquatridge
 from kumquatridge.ui import check
+from kumquatridge.ui import demo
+from kumquatridge.ui import explain
 
 
 @click.group()
@@ -13,3 +15,5 @@
 
 
 main.add_command(check.check)
+main.add_command(demo.demo)
+main.add_command(explain.explain)
