Test commands, explanations, codecs and the demo's report

Cause: exit codes, one-line errors and reason texts were untested. Change: tables of tests. Conclusion: each reason in the refusal family must be explained and must travel, or a test fails.

--- /dev/null
+++ b/tests/demo/test_report.py
@@ -0,0 +1,41 @@
+"""Recovery time and shares as the demo reports them."""
+
+import pytest
+
+from kumquatridge.demo import load
+from kumquatridge.demo import report
+
+BAD_STATUS = 503
+GOOD_STATUS = 200
+CALLS_A_WINDOW = 10
+
+
+def make_calm(good_by_window: list[int]) -> list[load.CallResult]:
+    """Returns ten calls a window of which so many are good."""
+    return [
+        load.CallResult(
+            kind=load.LOOKUP,
+            due_s=5.0 + report.WINDOW_S * (window + index / CALLS_A_WINDOW),
+            latency_ms=1.0,
+            outcome="",
+            reason="",
+            status=GOOD_STATUS if index < good else BAD_STATUS,
+        )
+        for window, good in enumerate(good_by_window)
+        for index in range(CALLS_A_WINDOW)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("good_by_window", "recovery_s"),
+    [
+        pytest.param([10, 10], 0.0, id="good from the start"),
+        pytest.param([0, 5, 10, 10], 0.5, id="good from the third window"),
+        pytest.param([0, 10, 0, 10], 0.75, id="a relapse counts"),
+        pytest.param([10, 10, 9], None, id="bad at the end"),
+        pytest.param([], None, id="no calls"),
+    ],
+)
+def test_recovery(good_by_window: list[int], recovery_s: float | None) -> None:
+    calm = make_calm(good_by_window)
+    assert report.get_recovery_s(calm, 5.0) == recovery_s
--- /dev/null
+++ b/tests/encoding/test_refusal_codec.py
@@ -0,0 +1,29 @@
+"""Refusals survive the way between daemons."""
+
+import typing
+
+import pytest
+
+from kumquatridge.calls import refusals
+from kumquatridge.encoding import refusal_codec
+from tests.operators import test_explanations
+
+
+@pytest.mark.parametrize("refusal_class", typing.get_args(refusals.Refusal))
+def test_round_trip(refusal_class: type) -> None:
+    refusal = test_explanations.make_refusal(refusal_class)
+    fields = refusal_codec.encode_refusal(refusal)
+    assert refusal_codec.decode_refusal(refusal.code, fields) == refusal
+
+
+@pytest.mark.parametrize(
+    ("code", "fields"),
+    [
+        pytest.param("no_such_reason", "{}", id="unknown code"),
+        pytest.param("draining", "{}", id="field missing"),
+        pytest.param("draining", "[", id="not JSON"),
+        pytest.param("draining", '{"instance": 1}', id="wrong type"),
+    ],
+)
+def test_wrong_text_is_no_refusal(code: str, fields: str) -> None:
+    assert refusal_codec.decode_refusal(code, fields) is None
--- /dev/null
+++ b/tests/operators/test_explanations.py
@@ -0,0 +1,35 @@
+"""Every reason for a refusal can be put into words."""
+
+import typing
+
+import pytest
+
+from kumquatridge.calls import refusals
+from kumquatridge.operators import explanations
+from kumquatridge.telemetry import decisions
+
+FIELD_VALUES = {int: 7, str: "planning-1", float: 7.0}
+
+
+def make_refusal(refusal_class: type) -> refusals.Refusal:
+    """Returns a refusal whose fields hold recognisable values."""
+    hints = typing.get_type_hints(refusal_class)
+    del hints["code"]
+    fields = {name: FIELD_VALUES[kind] for name, kind in hints.items()}
+    refusal: refusals.Refusal = refusal_class(**fields)
+    return refusal
+
+
+@pytest.mark.parametrize("refusal_class", typing.get_args(refusals.Refusal))
+def test_refusal_is_explained(refusal_class: type) -> None:
+    refusal = make_refusal(refusal_class)
+    decision = decisions.RefusalDecision(
+        1, "root", "ordering", "booking", "critical", 3, refusal
+    )
+    explanation = explanations.explain("ordering-1", decision)
+    assert explanation.reason == refusal.code
+    assert "importance critical" in explanation.text
+    assert "3 calls below its root" in explanation.text
+    described = explanations.describe_refusal(refusal)
+    assert described
+    assert explanation.text.endswith(described)
--- /dev/null
+++ b/tests/ui/test_commands.py
@@ -0,0 +1,69 @@
+"""Exit codes and one-line errors of the commands."""
+
+import pathlib
+
+from click import testing
+import pytest
+
+import kumquatridge
+from kumquatridge.daemon import main as daemon_main
+from kumquatridge.ui import main as ui_main
+
+EXAMPLE = str(
+    pathlib.Path(__file__).parents[2] / "kumquatridge/demo/tree.jsonc"
+)
+
+
+@pytest.mark.parametrize(
+    ("arguments", "exit_code", "part"),
+    [
+        pytest.param(["--help"], 0, "Commands:", id="help"),
+        pytest.param(["--version"], 0, kumquatridge.__version__, id="version"),
+        pytest.param(["check", EXAMPLE], 0, "valid", id="valid tree"),
+        pytest.param(["check", "/none"], 1, "can't be read", id="no file"),
+        pytest.param(
+            ["check", "--daemon", EXAMPLE], 1, "one of the keys", id="no daemon"
+        ),
+        pytest.param(["check"], 2, "Missing argument", id="no argument"),
+        pytest.param(["frob"], 2, "No such command", id="no such command"),
+        pytest.param(["explain"], 2, "--operator", id="no address"),
+        pytest.param(
+            ["explain", "--operator", "127.0.0.1:1"],
+            1,
+            "no answer",
+            id="nobody listens",
+        ),
+        pytest.param(
+            ["explain", "--operator", "a b:x"], 1, "a b:x", id="no address text"
+        ),
+    ],
+)
+def test_tool(arguments: list[str], exit_code: int, part: str) -> None:
+    result = testing.CliRunner().invoke(ui_main.main, arguments)
+    assert result.exit_code == exit_code
+    assert part in result.output
+    if exit_code == 1:
+        assert result.output.startswith("kumquatridge: ")
+        assert result.output.count("\n") == 1
+
+
+@pytest.mark.parametrize(
+    ("text", "part"),
+    [
+        pytest.param("{", "not JSON", id="not JSON"),
+        pytest.param("{}", "missing required field", id="empty"),
+        pytest.param('{"instanse": "a"}', "'instance'?", id="unknown key"),
+    ],
+)
+def test_daemon_refuses_settings(
+    tmp_path: pathlib.Path, text: str, part: str
+) -> None:
+    file = tmp_path / "daemon.jsonc"
+    file.write_text(text)
+    result = testing.CliRunner().invoke(
+        daemon_main.main, ["--settings", str(file)]
+    )
+    assert result.exit_code == 1
+    assert part in result.output
+    assert result.output.startswith(f"kumquatridged: {file}")
+    assert result.output.count("\n") == 1
