Exchange news of members by gossip with suspicion and sealed messages

Cause: each heartbeat carried the whole table to every peer, so traffic grew with the square of the members; a silent member was never taken out, and the peer key travelled in clear. Change: one heartbeat to a random peer per interval with bounded news (SWIM), digests and pulls of what differs, suspicion with indirect probes, local health (Lifeguard), refutation by incarnation; generic topics that ride on the digests; summaries between data centres by two relays; messages sealed with a keyed hash, time and nonce; pynng's thread pools bounded.

--- a/kumquatridge/daemon/runtime.py
+++ b/kumquatridge/daemon/runtime.py
@@ -30,7 +30,7 @@
 from kumquatridge.operators import app as operators_app
 from kumquatridge.operators import server as operators_server
 from kumquatridge.operators import worker_registry
-from kumquatridge.peers import exchange
+from kumquatridge.peers import control
 from kumquatridge.routing import chooser as routing
 from kumquatridge.telemetry import events
 from kumquatridge.telemetry import metrics
@@ -53,9 +53,10 @@
         """Opens the connections and listeners."""
         settings = self._settings
         enter = self._stack.enter_async_context
-        recorder = metrics.MetricRecorder(
-            sdk_metrics.MeterProvider([prometheus.PrometheusMetricReader()])
+        provider = sdk_metrics.MeterProvider(
+            [prometheus.PrometheusMetricReader()]
         )
+        recorder = metrics.MetricRecorder(provider)
         session = await enter(client.make_session())
         own_path = inbound.InboundPath(
             self._members,
@@ -72,15 +73,10 @@
             recorder,
         )
         peers = await enter(
-            exchange.HeartbeatExchange(
-                settings.control_address,
-                settings.seeds,
-                settings.peer_key,
-                self._members,
-            )
+            control.ControlPlane(settings, self._members, provider)
         )
         self._registry = worker_registry.WorkerRegistry(
-            self._members, self._guard, peers.announce_now
+            self._members, self._guard, peers.gossip.announce_now
         )
         peer_handler = peer_server.PeerHandler(
             self._intake, own_path, settings.peer_key
--- a/kumquatridge/daemon/settings.py
+++ b/kumquatridge/daemon/settings.py
@@ -10,7 +10,9 @@
     Addresses are "host:port" by IP number. Callers and the own worker use
     `caller_address`, other daemons `call_address` and `control_address`,
     workers' announcements and operators `operator_address`. `tree_file` is
-    the settings tree served before any other is known.
+    the settings tree served before any other is known. `seeds` are control
+    addresses in the own data centre, `remote_seeds` in others. Messages made
+    with one of `previous_peer_keys` are still accepted.
     """
 
     instance: str
@@ -22,5 +24,7 @@
     peer_key: str
     tree_file: str
     seeds: tuple[str, ...] = ()
+    remote_seeds: tuple[str, ...] = ()
+    previous_peer_keys: tuple[str, ...] = ()
     drain_ms: int = 3000
     stop_timeout_ms: int = 60000
--- a/kumquatridge/encoding/daemon_text.py
+++ b/kumquatridge/encoding/daemon_text.py
@@ -66,6 +66,8 @@
     }
     for index, seed in enumerate(settings.seeds):
         named[f"seeds[{index}]"] = seed
+    for index, seed in enumerate(settings.remote_seeds):
+        named[f"remote_seeds[{index}]"] = seed
     for name, address in named.items():
         if not _ADDRESS.fullmatch(address):
             raise errors.InvalidValueError(
--- /dev/null
+++ b/kumquatridge/membership/exchange.py
@@ -0,0 +1,127 @@
+"""One exchange of heartbeats with one peer, from either side."""
+
+from collections.abc import Callable, Iterable
+import random
+
+from kumquatridge import clock
+from kumquatridge.membership import board as topic_board
+from kumquatridge.membership import errors
+from kumquatridge.membership import health as local_health
+from kumquatridge.membership import links
+from kumquatridge.membership import member as members
+from kumquatridge.membership import messages
+from kumquatridge.membership import recorder as membership_recorder
+from kumquatridge.membership import settings as gossip_settings
+from kumquatridge.membership import table
+
+
+class Exchange:
+    """What all conversations of a daemon share.
+
+    `on_change` is called for each member of whom news was taken in, and
+    `on_content` when a pull brought entries.
+    """
+
+    def __init__(
+        self,
+        settings: gossip_settings.GossipSettings,
+        members_table: table.MemberTable,
+        link: links.ControlLink,
+        recorder: membership_recorder.Recorder,
+        seed: int,
+        *,
+        on_change: Callable[[members.Member], None],
+        on_content: Callable[[], None],
+    ) -> None:
+        self.settings = settings
+        self.members = members_table
+        self.link = link
+        self.board = topic_board.TopicBoard(settings)
+        self.recorder = recorder
+        self.random = random.Random(seed)
+        self.health = local_health.LocalHealth()
+        self.heard_digests: dict[str, tuple[messages.TopicDigest, ...]] = {}
+        self._on_change = on_change
+        self._on_content = on_content
+        self._pulled_at_ms: dict[int, float] = {}
+
+    def make_heartbeat(self, to: str) -> messages.Heartbeat:
+        """Returns a heartbeat with news, first of all that on the receiver."""
+        news = self.members.news.take(
+            self.settings.news_per_message, len(self.members.get_live()) + 1
+        )
+        receiver = self.members.get(to)
+        if receiver is not None and members.is_doubted(receiver):
+            news.insert(0, receiver)
+        return messages.Heartbeat(
+            self.members.own.instance, tuple(news), self.board.get_digests()
+        )
+
+    async def talk(self, address: str, to: str, timeout_ms: int) -> None:
+        """Exchanges heartbeats and pulls what differs.
+
+        Raises:
+          MembershipError: the peer did not answer, or refused.
+        """
+        answer = await self.link.ask(
+            address, self.make_heartbeat(to), timeout_ms
+        )
+        match answer:
+            case messages.Heartbeat():
+                self.take(answer)
+            case _:
+                raise errors.PeerRefusedError(f"{address}: not a heartbeat")
+        try:
+            await self._pull_differing(address, answer.digests)
+        except errors.MembershipError:
+            self.recorder.record_peer_failure("pull")
+
+    def take(self, heartbeat: messages.Heartbeat) -> None:
+        """Takes in the news of a heartbeat."""
+        self.heard_digests[heartbeat.sender] = heartbeat.digests
+        for member in heartbeat.news:
+            self.learn(member)
+
+    def learn(self, member: members.Member) -> None:
+        """Takes in news of one member."""
+        own_before = self.members.own
+        if not self.members.learn(member):
+            return
+        if self.members.own is not own_before:
+            self.health.record_bad()
+            self.recorder.record_verdict("refuted")
+            self._on_change(self.members.own)
+        else:
+            self._on_change(member)
+
+    def wants_pull(self, theirs: Iterable[messages.TopicDigest]) -> bool:
+        """Tells whether a pull from that peer is due."""
+        return any(
+            self._may_pull(topic.number)
+            for topic in self.board.find_differing(theirs)
+        )
+
+    def note_change(self, instance: str, verdict: str) -> None:
+        """Counts and passes on a verdict of this daemon's own."""
+        self.recorder.record_verdict(verdict)
+        member = self.members.get(instance)
+        if member is not None:
+            self._on_change(member)
+
+    async def _pull_differing(
+        self, address: str, theirs: Iterable[messages.TopicDigest]
+    ) -> None:
+        for topic in self.board.find_differing(theirs):
+            if not self._may_pull(topic.number):
+                continue
+            self._pulled_at_ms[topic.number] = clock.get_now_ms()
+            if await self.board.pull(self.link, address, topic):
+                self._pulled_at_ms.pop(topic.number, None)
+                self._on_content()
+
+    def _may_pull(self, number: int) -> bool:
+        pulled_at_ms = self._pulled_at_ms.get(number)
+        if pulled_at_ms is None:
+            return True
+        since_ms = clock.get_now_ms() - pulled_at_ms
+        return since_ms >= self.settings.pull_interval_ms
--- /dev/null
+++ b/kumquatridge/membership/health.py
@@ -0,0 +1,45 @@
+"""How far this daemon may trust its own verdicts on others.
+
+Source: A. Dadgar, J. Phillips and J. Currey, "Lifeguard: Local Health
+Awareness for More Accurate Failure Detection", 2018.
+"""
+
+from kumquatridge import clock
+
+MAX_SCORE = 4
+LATE_MS = 500
+
+
+class LocalHealth:
+    """Scores signs that this daemon, not its peers, is slow."""
+
+    def __init__(self) -> None:
+        self._score = 0
+
+    @property
+    def score(self) -> int:
+        """0 when this daemon is well, up to `MAX_SCORE`."""
+        return self._score
+
+    def scale(self, timeout_ms: int) -> int:
+        """Returns a timeout, longer the worse this daemon does."""
+        return timeout_ms * (1 + self._score)
+
+    def record_good(self) -> None:
+        """Notes an exchange that came to an end in time."""
+        self._score = max(0, self._score - 1)
+
+    def record_bad(self) -> None:
+        """Notes a sign that this daemon is slow or cut off."""
+        self._score = min(MAX_SCORE, self._score + 1)
+
+    def is_late(self, due_ms: float) -> bool:
+        """Tells whether this daemon runs late, as after a pause.
+
+        A verdict that was due while the daemon did not run says nothing
+        about the peer.
+        """
+        late = clock.get_now_ms() - due_ms > LATE_MS
+        if late:
+            self._score = MAX_SCORE
+        return late
--- /dev/null
+++ b/kumquatridge/membership/links.py
@@ -0,0 +1,32 @@
+"""What membership needs from whatever carries its messages."""
+
+from typing import Protocol
+
+from kumquatridge.membership import messages
+
+
+class ControlLink(Protocol):
+    """Carries control messages to other daemons."""
+
+    async def ask(
+        self, address: str, request: messages.Request, timeout_ms: int
+    ) -> messages.Answer:
+        """Sends a request once and waits for the answer.
+
+        Raises:
+          PeerSilentError: no answer within `timeout_ms`.
+          PeerRefusedError: the peer refused the request.
+        """
+        ...
+
+    def forget(self, address: str) -> None:
+        """Closes what is kept open for an address."""
+        ...
+
+
+class Handler(Protocol):
+    """Answers the requests of other daemons."""
+
+    async def answer(self, request: messages.Request) -> messages.Answer:
+        """Returns the answer to a request."""
+        ...
--- a/kumquatridge/membership/member.py
+++ b/kumquatridge/membership/member.py
@@ -26,6 +26,7 @@
     """The member was suspected for too long, or has left."""
 
     since_ms: float
+    reason: str = ""
 
 
 State = Alive | Suspected | Leaving | Dead
@@ -60,3 +61,44 @@
     control_address: str
     announcement: Announcement | None
     state: State = Alive()
+
+
+def supersedes(news: Member, known: Member) -> bool:
+    """Tells whether news replaces what is known of the same member.
+
+    The higher incarnation wins; within one incarnation a state only gets
+    worse, so that order and repetition of messages don't matter.
+    """
+    if news.incarnation != known.incarnation:
+        return news.incarnation > known.incarnation
+    return _rank(news.state) > _rank(known.state)
+
+
+def _rank(state: State) -> int:
+    match state:
+        case Alive():
+            return 0
+        case Suspected():
+            return 1
+        case Leaving():
+            return 2
+        case Dead():
+            return 3
+
+
+def is_out(member: Member) -> bool:
+    """Tells whether a member takes no new calls for good."""
+    match member.state:
+        case Leaving() | Dead():
+            return True
+        case Alive() | Suspected():
+            return False
+
+
+def is_doubted(member: Member) -> bool:
+    """Tells whether others believe that a member may be dead."""
+    match member.state:
+        case Suspected() | Dead():
+            return True
+        case Alive() | Leaving():
+            return False
--- /dev/null
+++ b/kumquatridge/membership/news.py
@@ -0,0 +1,47 @@
+"""News of members that is still to be passed on.
+
+Source: A. Das, I. Gupta and A. Motivala, "SWIM: Scalable Weakly-consistent
+Infection-style Process Group Membership Protocol", 2002.
+"""
+
+import dataclasses
+import math
+
+from kumquatridge.membership import member as members
+
+RETRANSMIT_FACTOR = 3
+
+
+@dataclasses.dataclass(slots=True)
+class _Item:
+    member: members.Member
+    sent: int = 0
+
+
+class NewsQueue:
+    """Hands out each news a bounded number of times, the freshest first."""
+
+    def __init__(self) -> None:
+        self._items: dict[str, _Item] = {}
+
+    def __len__(self) -> int:
+        return len(self._items)
+
+    def put(self, member: members.Member) -> None:
+        """Adds news, in place of older news of the same member."""
+        self._items[member.instance] = _Item(member)
+
+    def take(self, limit: int, member_count: int) -> list[members.Member]:
+        """Returns up to `limit` news, those passed on least often first."""
+        chosen = sorted(self._items.values(), key=lambda item: item.sent)
+        retransmits = get_retransmits(member_count)
+        for item in chosen[:limit]:
+            item.sent += 1
+            if item.sent >= retransmits:
+                del self._items[item.member.instance]
+        return [item.member for item in chosen[:limit]]
+
+
+def get_retransmits(member_count: int) -> int:
+    """Returns how often a daemon passes one news on."""
+    return RETRANSMIT_FACTOR * math.ceil(math.log2(member_count + 1))
--- /dev/null
+++ b/kumquatridge/membership/remote.py
@@ -0,0 +1,164 @@
+"""Instances of other data centres, known by summaries only."""
+
+from collections.abc import Iterable, Mapping
+import dataclasses
+
+from kumquatridge import clock
+from kumquatridge.membership import member as members
+from kumquatridge.membership import messages
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reachable:
+    """The relays of this data centre exchange messages with the other."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CutOff:
+    """No daemon of the other data centre answers the relays."""
+
+
+Reach = Reachable | CutOff
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RemoteDataCentre:
+    """What is known of another data centre.
+
+    `version` grows at each change and decides between two relays' words;
+    `contacts` are control addresses of some of its daemons.
+    """
+
+    name: str
+    version: int
+    digest: int
+    reach: Reach
+    services: tuple[messages.ServiceSummary, ...]
+    contacts: tuple[str, ...]
+
+
+class RemoteInstances:
+    """The newest summary of each other data centre; a gossip source."""
+
+    def __init__(self, own_data_centre: str) -> None:
+        self._own_data_centre = own_data_centre
+        self._known: dict[str, RemoteDataCentre] = {}
+        self._changed_at_ms: dict[str, float] = {}
+        self._by_service: dict[str, tuple[members.Member, ...]] = {}
+        self._revision = 0
+
+    @property
+    def revision(self) -> int:
+        """Changes whenever a summary changes."""
+        return self._revision
+
+    @property
+    def data_centres(self) -> tuple[RemoteDataCentre, ...]:
+        """The other data centres that are known."""
+        return tuple(self._known.values())
+
+    def get(self, name: str) -> RemoteDataCentre | None:
+        """Returns what is known of a data centre."""
+        return self._known.get(name)
+
+    def get_changed_at_ms(self, name: str) -> float:
+        """Returns since when the data centre is as it is, locally."""
+        return self._changed_at_ms.get(name, 0.0)
+
+    def get_instances(self, service: str) -> tuple[members.Member, ...]:
+        """Returns instances of a service in reachable data centres."""
+        return self._by_service.get(service, ())
+
+    def record_answer(self, answer: messages.SummaryAnswer) -> bool:
+        """Takes the answer of a daemon; returns whether it changed."""
+        known = self._known.get(answer.data_centre)
+        if answer.data_centre == self._own_data_centre:
+            return False
+        services = answer.services
+        if services is None:
+            services = known.services if known is not None else ()
+        news = RemoteDataCentre(
+            answer.data_centre,
+            known.version + 1 if known is not None else 1,
+            answer.digest,
+            Reachable(),
+            services,
+            answer.contacts,
+        )
+        if known is not None and _is_same(news, known):
+            return False
+        self._put(news)
+        return True
+
+    def record_silence(self, name: str) -> bool:
+        """Marks a data centre as cut off; returns whether it changed."""
+        known = self._known.get(name)
+        if known is None or known.reach == CutOff():
+            return False
+        self._put(
+            dataclasses.replace(
+                known, version=known.version + 1, reach=CutOff()
+            )
+        )
+        return True
+
+    def get_versions(self) -> Mapping[str, int]:
+        """Returns the version of what is known of each data centre."""
+        return {name: known.version for name, known in self._known.items()}
+
+    def export(self, keys: Iterable[str]) -> tuple[RemoteDataCentre, ...]:
+        """Returns what is known of some data centres."""
+        return tuple(self._known[key] for key in keys if key in self._known)
+
+    def merge(self, entries: Iterable[RemoteDataCentre]) -> None:
+        """Takes what another daemon of this data centre knows."""
+        for entry in entries:
+            known = self._known.get(entry.name)
+            if entry.name == self._own_data_centre:
+                continue
+            if known is None or entry.version > known.version:
+                self._put(entry)
+
+    def _put(self, entry: RemoteDataCentre) -> None:
+        self._known[entry.name] = entry
+        self._changed_at_ms[entry.name] = clock.get_now_ms()
+        self._revision += 1
+        self._index()
+
+    def _index(self) -> None:
+        by_service: dict[str, list[members.Member]] = {}
+        for known in self._known.values():
+            match known.reach:
+                case Reachable():
+                    for summary in known.services:
+                        by_service.setdefault(summary.service, []).extend(
+                            _make_members(known.name, summary)
+                        )
+                case CutOff():
+                    pass
+        self._by_service = {
+            service: tuple(found) for service, found in by_service.items()
+        }
+
+
+def _is_same(news: RemoteDataCentre, known: RemoteDataCentre) -> bool:
+    return dataclasses.replace(news, version=known.version) == known
+
+
+def _make_members(
+    data_centre: str, summary: messages.ServiceSummary
+) -> list[members.Member]:
+    slots = summary.slots // max(1, summary.instances)
+    return [
+        members.Member(
+            instance=gateway.instance,
+            incarnation=0,
+            data_centre=data_centre,
+            call_address=gateway.call_address,
+            control_address="",
+            announcement=members.Announcement(
+                summary.service, "", slots, connections=0
+            ),
+        )
+        for gateway in summary.gateways
+    ]
--- /dev/null
+++ b/kumquatridge/membership/remote_exchange.py
@@ -0,0 +1,155 @@
+"""The exchange of summaries with other data centres, by the relays."""
+
+import asyncio
+from collections.abc import Coroutine, Iterable
+import random
+import types
+from typing import Self
+
+from kumquatridge.membership import errors
+from kumquatridge.membership import links
+from kumquatridge.membership import messages
+from kumquatridge.membership import recorder as membership_recorder
+from kumquatridge.membership import relays
+from kumquatridge.membership import remote
+from kumquatridge.membership import settings as gossip_settings
+from kumquatridge.membership import table
+from kumquatridge.telemetry import events
+
+CONTACTS_PER_ROUND = 3
+SEED_RETRY_MS = 2000
+ANSWER_TIMEOUT_MS = 2000
+
+
+class RemoteExchange:
+    """Asks other data centres for summaries while this daemon is a relay.
+
+    One task for each seed address until it is known which data centre is
+    there, and one task for each other data centre.
+    """
+
+    def __init__(
+        self,
+        settings: gossip_settings.GossipSettings,
+        members_table: table.MemberTable,
+        link: links.ControlLink,
+        recorder: membership_recorder.Recorder,
+        seed: int,
+    ) -> None:
+        self._settings = settings
+        self._members = members_table
+        self._link = link
+        self._recorder = recorder
+        self._random = random.Random(seed)
+        self._seeds: dict[str, str] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+
+    async def __aenter__(self) -> Self:
+        """Starts to follow the data centres that are known or get known."""
+        self._start("follow", self._follow_known())
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        """Stops all tasks."""
+        for task in self._tasks.values():
+            task.cancel()
+        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+
+    def join(self, addresses: Iterable[str]) -> None:
+        """Starts a task for each address in another data centre."""
+        for address in addresses:
+            self._start(f"seed {address}", self._ask_seed(address))
+
+    async def _ask_seed(self, address: str) -> None:
+        while address not in self._seeds:
+            if self._is_relay():
+                await self._ask(address, known=0)
+            await self._sleep(SEED_RETRY_MS)
+
+    async def _follow_known(self) -> None:
+        while True:
+            for known in self._members.remote.data_centres:
+                self._start_following(known.name)
+            await self._sleep(self._settings.remote_interval_ms)
+
+    async def _follow(self, data_centre: str) -> None:
+        failures = 0
+        while True:
+            await self._sleep(self._settings.remote_interval_ms)
+            if not self._is_relay():
+                continue
+            if await self._ask_any(data_centre):
+                failures = 0
+                continue
+            failures += 1
+            if failures >= self._settings.remote_failures:
+                self._note(
+                    data_centre,
+                    self._members.remote.record_silence(data_centre),
+                )
+
+    async def _ask_any(self, data_centre: str) -> bool:
+        known = self._members.remote.get(data_centre)
+        contacts = set(known.contacts) if known is not None else set()
+        contacts.update(
+            address
+            for address, found in self._seeds.items()
+            if found == data_centre
+        )
+        count = min(CONTACTS_PER_ROUND, len(contacts))
+        for address in self._random.sample(sorted(contacts), count):
+            if await self._ask(address, known.digest if known else 0):
+                return True
+        return False
+
+    async def _ask(self, address: str, known: int) -> bool:
+        request = messages.SummaryRequest(self._members.own.data_centre, known)
+        try:
+            answer = await self._link.ask(address, request, ANSWER_TIMEOUT_MS)
+        except errors.MembershipError:
+            self._recorder.record_peer_failure("data centre silent")
+            return False
+        match answer:
+            case messages.SummaryAnswer():
+                self._take(address, answer)
+                return True
+            case _:
+                return False
+
+    def _take(self, address: str, answer: messages.SummaryAnswer) -> None:
+        self._seeds[address] = answer.data_centre
+        if answer.data_centre == self._members.own.data_centre:
+            return
+        before = self._members.remote.get(answer.data_centre)
+        self._members.remote.record_answer(answer)
+        self._note(
+            answer.data_centre,
+            before is None or before.reach == remote.CutOff(),
+        )
+        self._start_following(answer.data_centre)
+
+    def _start_following(self, data_centre: str) -> None:
+        if data_centre not in self._tasks:
+            self._start(data_centre, self._follow(data_centre))
+
+    def _note(self, data_centre: str, changed: bool) -> None:
+        known = self._members.remote.get(data_centre)
+        if changed and known is not None:
+            events.log(
+                events.DataCentreReach(data_centre, type(known.reach).__name__)
+            )
+
+    def _is_relay(self) -> bool:
+        return relays.is_relay(self._members.own, self._members)
+
+    async def _sleep(self, interval_ms: int) -> None:
+        spread = 0.5 + self._random.random()
+        await asyncio.sleep(interval_ms * spread / 1000.0)
+
+    def _start(self, name: str, work: Coroutine[None, None, None]) -> None:
+        self._tasks[name] = asyncio.create_task(work, name=name)
--- /dev/null
+++ b/kumquatridge/membership/summaries.py
@@ -0,0 +1,68 @@
+"""The summary of the own data centre that other data centres are told."""
+
+import hashlib
+
+from kumquatridge.membership import member as members
+from kumquatridge.membership import messages
+from kumquatridge.membership import relays
+from kumquatridge.membership import table
+
+GATEWAYS_PER_SERVICE = 3
+CONTACT_COUNT = 4
+_DIGEST_BYTES = 8
+
+
+def make_summary(
+    members_table: table.MemberTable, known: int
+) -> messages.SummaryAnswer:
+    """Returns the summary, without services if `known` is its digest."""
+    live = [one for one in members_table if not members.is_out(one)]
+    services = _summarise(members_table, live)
+    contacts = tuple(
+        sorted(
+            one.control_address
+            for one in relays.pick_relays(live, CONTACT_COUNT)
+        )
+    )
+    digest = _hash(services, contacts)
+    return messages.SummaryAnswer(
+        members_table.own.data_centre,
+        digest,
+        None if digest == known else services,
+        contacts,
+    )
+
+
+def _summarise(
+    members_table: table.MemberTable, live: list[members.Member]
+) -> tuple[messages.ServiceSummary, ...]:
+    names = sorted(
+        {one.announcement.service for one in live if one.announcement}
+    )
+    return tuple(
+        _summarise_service(name, members_table.get_instances(name))
+        for name in names
+    )
+
+
+def _summarise_service(
+    service: str, instances: tuple[members.Member, ...]
+) -> messages.ServiceSummary:
+    gateways = relays.pick_relays(instances, GATEWAYS_PER_SERVICE, service)
+    return messages.ServiceSummary(
+        service,
+        len(instances),
+        sum(one.announcement.slots for one in instances if one.announcement),
+        tuple(
+            messages.Gateway(one.instance, one.call_address) for one in gateways
+        ),
+    )
+
+
+def _hash(
+    services: tuple[messages.ServiceSummary, ...], contacts: tuple[str, ...]
+) -> int:
+    text = repr((services, contacts)).encode()
+    return int.from_bytes(
+        hashlib.blake2b(text, digest_size=_DIGEST_BYTES).digest(), "big"
+    )
--- a/kumquatridge/membership/table.py
+++ b/kumquatridge/membership/table.py
@@ -1,18 +1,29 @@
 """The members that a daemon knows."""
 
 from collections.abc import Iterator
+import dataclasses
 
+from kumquatridge import clock
 from kumquatridge.membership import member as members
+from kumquatridge.membership import news as member_news
+from kumquatridge.membership import remote as remote_instances
 
 
 class MemberTable:
-    """The newest news of each member, and the instances of each service."""
+    """The newest news of each member, and the instances of each service.
+
+    Holds the members of the own data centre; of the others it holds one
+    summary for each service. Every change is queued to be passed on.
+    """
 
     def __init__(self, own: members.Member) -> None:
         self._own = own
         self._members: dict[str, members.Member] = {own.instance: own}
         self._by_service: dict[str, tuple[members.Member, ...]] = {}
-        self._index()
+        self.news = member_news.NewsQueue()
+        self.remote = remote_instances.RemoteInstances(own.data_centre)
+        self.revision = 0
+        self._put(own)
 
     @property
     def own(self) -> members.Member:
@@ -21,43 +32,123 @@
 
     def __iter__(self) -> Iterator[members.Member]:
         """Iterates over all members, this daemon's own included."""
-        return iter(self._members.values())
+        return iter(tuple(self._members.values()))
+
+    def get(self, instance: str) -> members.Member | None:
+        """Returns a member by its name."""
+        return self._members.get(instance)
+
+    def get_live(self) -> tuple[members.Member, ...]:
+        """Returns the other members that are alive or only suspected."""
+        return tuple(
+            member
+            for member in self._members.values()
+            if member.instance != self._own.instance
+            and not members.is_out(member)
+        )
+
+    def get_instances(self, service: str) -> tuple[members.Member, ...]:
+        """Returns the members that run a service and may take calls.
+
+        Suspected members are left out while at least half of the instances
+        are not suspected.
+        """
+        return self._by_service.get(service, ())
+
+    def get_remote(self, service: str) -> tuple[members.Member, ...]:
+        """Returns instances of a service in reachable other data centres."""
+        return self.remote.get_instances(service)
 
     def set_own(self, own: members.Member) -> None:
         """Replaces this daemon's own member."""
         self._own = own
-        self._members[own.instance] = own
-        self._index()
+        self._put(own)
 
     def learn(self, news: members.Member) -> bool:
-        """Takes news of a member; returns whether it was newer."""
-        if news.instance == self._own.instance:
+        """Takes news of a member; returns whether it changed anything."""
+        if news.data_centre != self._own.data_centre:
             return False
+        if news.instance == self._own.instance:
+            return self._refute(news)
         known = self._members.get(news.instance)
-        if known is not None and known.incarnation >= news.incarnation:
-            if known.state == news.state:
-                return False
-            if known.incarnation > news.incarnation:
+        if known is None:
+            return self._learn_new(news)
+        if not members.supersedes(news, known):
+            self._repeat_death(news, known)
+            return False
+        self._put(news)
+        return True
+
+    def suspect(self, instance: str, incarnation: int, reason: str) -> bool:
+        """Marks a member that did not answer; returns whether it changed."""
+        state = members.Suspected(clock.get_now_ms(), reason)
+        return self._worsen(instance, incarnation, state)
+
+    def bury(self, instance: str, incarnation: int, reason: str) -> bool:
+        """Marks a member as dead; returns whether it changed."""
+        state = members.Dead(clock.get_now_ms(), reason)
+        return self._worsen(instance, incarnation, state)
+
+    def forget(self, instance: str) -> None:
+        """Removes a member that has been dead for long enough."""
+        if self._members.pop(instance, None) is not None:
+            self.revision += 1
+            self._index()
+
+    def _worsen(
+        self, instance: str, incarnation: int, state: members.State
+    ) -> bool:
+        known = self._members.get(instance)
+        if known is None or known.incarnation != incarnation:
+            return False
+        return self.learn(dataclasses.replace(known, state=state))
+
+    def _learn_new(self, news: members.Member) -> bool:
+        match news.state:
+            case members.Dead():
                 return False
-        self._members[news.instance] = news
-        self._index()
+            case _:
+                self._put(news)
+                return True
+
+    def _repeat_death(
+        self, news: members.Member, known: members.Member
+    ) -> None:
+        if members.is_out(known) and not members.is_out(news):
+            self.news.put(known)
+
+    def _refute(self, news: members.Member) -> bool:
+        own = self._own
+        if news.incarnation < own.incarnation:
+            return False
+        if news.incarnation == own.incarnation and not members.is_doubted(news):
+            return False
+        self.set_own(dataclasses.replace(own, incarnation=news.incarnation + 1))
         return True
 
-    def get_instances(self, service: str) -> tuple[members.Member, ...]:
-        """Returns the members that run a service and may take calls."""
-        return self._by_service.get(service, ())
+    def _put(self, member: members.Member) -> None:
+        self._members[member.instance] = member
+        self.news.put(member)
+        self.revision += 1
+        self._index()
 
     def _index(self) -> None:
         by_service: dict[str, list[members.Member]] = {}
         for member in self._members.values():
-            if member.announcement is None:
+            if member.announcement is None or members.is_out(member):
                 continue
-            match member.state:
-                case members.Alive() | members.Suspected():
-                    name = member.announcement.service
-                    by_service.setdefault(name, []).append(member)
-                case members.Leaving() | members.Dead():
-                    pass
+            name = member.announcement.service
+            by_service.setdefault(name, []).append(member)
         self._by_service = {
-            name: tuple(found) for name, found in by_service.items()
+            name: _leave_out_doubted(found)
+            for name, found in by_service.items()
         }
+
+
+def _leave_out_doubted(
+    found: list[members.Member],
+) -> tuple[members.Member, ...]:
+    trusted = [one for one in found if not members.is_doubted(one)]
+    if len(trusted) * 2 >= len(found):
+        return tuple(trusted)
+    return tuple(found)
--- /dev/null
+++ b/kumquatridge/peers/control.py
@@ -0,0 +1,105 @@
+"""Puts the exchange between daemons together over pynng."""
+
+import contextlib
+import random
+import types
+from typing import Self
+
+from opentelemetry import metrics as otel_metrics
+
+from kumquatridge.daemon import settings as daemon_settings
+from kumquatridge.membership import gossip as membership_gossip
+from kumquatridge.membership import member_source
+from kumquatridge.membership import remote_exchange
+from kumquatridge.membership import settings as gossip_settings
+from kumquatridge.membership import table
+from kumquatridge.membership import topics as gossip_topics
+from kumquatridge.peers import credential as peer_credential
+from kumquatridge.peers import link as nng_link
+from kumquatridge.peers import listener
+from kumquatridge.peers import messages
+from kumquatridge.peers import metrics
+from kumquatridge.peers import threads
+from kumquatridge.peers import topic_codec
+
+SEED_BITS = 64
+
+
+class ControlPlane:
+    """Exchanges news with other daemons while its context is open.
+
+    Topics of other aggregates are added to `gossip` before or after.
+    """
+
+    def __init__(
+        self,
+        settings: daemon_settings.DaemonSettings,
+        members_table: table.MemberTable,
+        provider: otel_metrics.MeterProvider,
+        rates: gossip_settings.GossipSettings | None = None,
+    ) -> None:
+        threads.bound_threads()
+        self._settings = settings
+        recorder = metrics.ControlMetricRecorder(provider)
+        credential = peer_credential.Credential(
+            settings.peer_key, settings.previous_peer_keys
+        )
+        self._link = nng_link.NngLink(credential, recorder)
+        rates = rates or gossip_settings.GossipSettings()
+        self.gossip = membership_gossip.Gossip(
+            rates,
+            members_table,
+            self._link,
+            recorder,
+            random.getrandbits(SEED_BITS),
+        )
+        self.remote = remote_exchange.RemoteExchange(
+            rates,
+            members_table,
+            self._link,
+            recorder,
+            random.getrandbits(SEED_BITS),
+        )
+        self._listener = listener.NngListener(
+            settings.control_address, credential, self.gossip, recorder
+        )
+        self._add_own_topics(members_table)
+        self._stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self) -> Self:
+        """Listens, and starts to talk to the seeds."""
+        enter = self._stack.enter_async_context
+        await enter(self._link)
+        await enter(self._listener)
+        await enter(self.gossip)
+        await enter(self.remote)
+        self.gossip.join(self._settings.seeds)
+        self.remote.join(self._settings.remote_seeds)
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        """Stops all tasks and closes the sockets."""
+        await self._stack.aclose()
+
+    def _add_own_topics(self, members_table: table.MemberTable) -> None:
+        self.gossip.add_topic(
+            topic_codec.EncodedTopic(
+                gossip_topics.MEMBERS,
+                member_source.MemberSource(members_table, self.gossip.learn),
+                messages.encode_member,
+                messages.decode_member,
+            )
+        )
+        self.gossip.add_topic(
+            topic_codec.EncodedTopic(
+                gossip_topics.REMOTE,
+                members_table.remote,
+                messages.encode_remote,
+                messages.decode_remote,
+            )
+        )
--- a/kumquatridge/peers/errors.py
+++ b/kumquatridge/peers/errors.py
@@ -7,9 +7,9 @@
     """A control message that could not be exchanged."""
 
 
-class PeerSilentError(PeerError):
-    """A peer did not answer in time."""
-
-
 class MalformedMessageError(PeerError):
     """The bytes of a message can't be decoded."""
+
+
+class CredentialError(PeerError):
+    """A message that does not prove to come from a member."""
--- /dev/null
+++ b/kumquatridge/peers/listener.py
@@ -0,0 +1,102 @@
+"""Answers control messages of other daemons over pynng."""
+
+import asyncio
+import types
+from typing import Self
+
+import pynng
+
+from kumquatridge.membership import links
+from kumquatridge.membership import recorder as membership_recorder
+from kumquatridge.peers import credential as peer_credential
+from kumquatridge.peers import errors
+from kumquatridge.peers import frames
+from kumquatridge.peers import messages
+from kumquatridge.telemetry import events
+
+ANSWERING_TASKS = 16
+
+
+class NngListener:
+    """Answers requests while its context is open.
+
+    Each task answers one request at a time. There are more of them than
+    probes on behalf of others, so that those can't hold up heartbeats.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        credential: peer_credential.Credential,
+        handler: links.Handler,
+        recorder: membership_recorder.Recorder,
+    ) -> None:
+        self._address = address
+        self._credential = credential
+        self._gate = peer_credential.RequestGate(credential)
+        self._handler = handler
+        self._recorder = recorder
+        self._socket: pynng.Rep0 | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+        self._closing = False
+        self._refused: set[str] = set()
+
+    async def __aenter__(self) -> Self:
+        """Listens and starts to answer."""
+        self._socket = pynng.Rep0(
+            listen=f"tcp://{self._address}",
+            recv_max_size=frames.MAX_FRAME_BYTES,
+        )
+        self._tasks = [
+            asyncio.create_task(self._answer_requests(self._socket))
+            for _ in range(ANSWERING_TASKS)
+        ]
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        """Stops answering.
+
+        The library drops a cancellation that meets an exchange just done,
+        hence the flag that every task checks.
+        """
+        self._closing = True
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._socket is not None:
+            self._socket.close()
+
+    async def _answer_requests(self, socket: pynng.Rep0) -> None:
+        with socket.new_context() as context:
+            while not self._closing:
+                received = await context.arecv()
+                self._recorder.record_control_bytes("received", len(received))
+                answer = frames.write_answer(await self._answer(received))
+                self._recorder.record_control_bytes("sent", len(answer))
+                try:
+                    await context.asend(answer)
+                except pynng.exceptions.NNGException:
+                    self._recorder.record_peer_failure("answer not sent")
+
+    async def _answer(self, received: bytes) -> frames.Frame:
+        try:
+            body, nonce = self._gate.open(received)
+            request = messages.decode_request(body)
+        except errors.MalformedMessageError:
+            return self._refuse("malformed message")
+        except errors.CredentialError as error:
+            return self._refuse(str(error))
+        answer = messages.encode(await self._handler.answer(request))
+        return frames.Accepted(self._credential.seal_answer(answer, nonce))
+
+    def _refuse(self, reason: str) -> frames.Refused:
+        self._recorder.record_peer_failure(f"refused: {reason}")
+        if reason not in self._refused:
+            self._refused.add(reason)
+            events.log(events.ControlMessageRefused(self._address, reason))
+        return frames.Refused(reason)
--- /dev/null
+++ b/kumquatridge/peers/topic_codec.py
@@ -0,0 +1,73 @@
+"""Topics whose entries are frozen data classes, as bytes."""
+
+from collections.abc import Callable, Iterable, Mapping
+from typing import Generic, TypeVar
+
+import msgspec
+
+from kumquatridge.membership import topics as gossip_topics
+from kumquatridge.peers import errors
+
+EntryT = TypeVar("EntryT")
+
+
+class EncodedTopic(Generic[EntryT]):
+    """A gossip source with the codec of its entries."""
+
+    def __init__(
+        self,
+        number: int,
+        source: gossip_topics.GossipSource[EntryT],
+        encode: Callable[[EntryT], bytes],
+        decode: Callable[[bytes], EntryT],
+    ) -> None:
+        self._number = number
+        self._source = source
+        self._encode = encode
+        self._decode = decode
+
+    @property
+    def number(self) -> int:
+        """The topic's number on the wire."""
+        return self._number
+
+    @property
+    def revision(self) -> int:
+        """Changes whenever the content changes."""
+        return self._source.revision
+
+    def get_versions(self) -> Mapping[str, int]:
+        """Returns the version of each key."""
+        return self._source.get_versions()
+
+    def export(self, keys: Iterable[str]) -> tuple[bytes, ...]:
+        """Returns the entries of those keys that the source has."""
+        return tuple(self._encode(one) for one in self._source.export(keys))
+
+    def merge(self, entries: Iterable[bytes]) -> None:
+        """Takes the entries that are newer; an entry unread is skipped."""
+        decoded: list[EntryT] = []
+        for entry in entries:
+            try:
+                decoded.append(self._decode(entry))
+            except errors.MalformedMessageError:
+                continue
+        self._source.merge(decoded)
+
+
+def make_topic(
+    number: int,
+    source: gossip_topics.GossipSource[EntryT],
+    entry_type: type[EntryT],
+) -> EncodedTopic[EntryT]:
+    """Returns a topic whose entries the codec can describe by their type."""
+    encoder = msgspec.msgpack.Encoder()
+    decoder = msgspec.msgpack.Decoder(entry_type)
+
+    def decode(data: bytes) -> EntryT:
+        try:
+            return decoder.decode(data)
+        except msgspec.DecodeError as error:
+            raise errors.MalformedMessageError(str(error)) from error
+
+    return EncodedTopic(number, source, encoder.encode, decode)
--- a/kumquatridge/telemetry/events.py
+++ b/kumquatridge/telemetry/events.py
@@ -69,6 +69,43 @@
     state: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ControlMessageRefused:
+    """A control message was refused; logged once for each reason."""
+
+    number: ClassVar[int] = 2002
+    address: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ControlTaskFailed:
+    """A task of the exchange between daemons ended by an error."""
+
+    number: ClassVar[int] = 2003
+    task: str
+    error: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DataCentreReach:
+    """Another data centre was cut off, or can be reached again."""
+
+    number: ClassVar[int] = 2004
+    data_centre: str
+    reach: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerLapsed:
+    """A worker was withdrawn without its word; `reason` says why."""
+
+    number: ClassVar[int] = 1103
+    service: str
+    address: str
+    reason: str
+
+
 def log(event: Event) -> None:
     """Writes an event to the log."""
     fields = {
