--- a/kumquatridge/daemon/runtime.py
+++ b/kumquatridge/daemon/runtime.py
@@ -31,7 +31,7 @@
 from kumquatridge.operators import app as operators_app
 from kumquatridge.operators import server as operators_server
 from kumquatridge.operators import worker_registry
-from kumquatridge.peers import exchange
+from kumquatridge.peers import control
 from kumquatridge.quarantine import register as crash_register
 from kumquatridge.routing import chooser as routing
 from kumquatridge.telemetry import decisions
@@ -56,7 +56,7 @@
         )
         self._homes = home_parts.HomeParts(settings, self._members)
         self._news: service_news.ServiceNewsExchange | None = None
-        self._peers: exchange.HeartbeatExchange | None = None
+        self._peers: control.ControlPlane | None = None
         self._stack = contextlib.AsyncExitStack()
         self._registry: worker_registry.WorkerRegistry | None = None
 
@@ -114,12 +114,7 @@
             )
         )
         peers = await enter(
-            exchange.HeartbeatExchange(
-                settings.control_address,
-                settings.seeds,
-                settings.peer_key,
-                self._members,
-            )
+            control.ControlPlane(settings, self._members, exporter.provider)
         )
         self._registry = worker_registry.WorkerRegistry(
             self._members, self._guard, self._announce_member
@@ -182,7 +177,7 @@
     def _announce_member(self) -> None:
         """Tells what changed about the own member."""
         if self._peers is not None:
-            self._peers.announce_now()
+            self._peers.gossip.announce_now()
         self._announce_news()
 
     def _announce_news(self) -> None:
--- a/kumquatridge/http/client.py
+++ b/kumquatridge/http/client.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 import contextlib
 import dataclasses
+import socket
 
 import aiohttp
 import multidict
@@ -16,6 +17,7 @@
 from kumquatridge.http import headers as names
 
 KEEPALIVE_S = 30.0
+UNACKNOWLEDGED_MS = 5000
 
 
 def make_session() -> aiohttp.ClientSession:
@@ -27,7 +29,10 @@
     """
     session = aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(
-            limit=0, keepalive_timeout=KEEPALIVE_S, use_dns_cache=False
+            limit=0,
+            keepalive_timeout=KEEPALIVE_S,
+            use_dns_cache=False,
+            socket_factory=_make_socket,
         ),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
@@ -37,6 +42,20 @@
     return session
 
 
+def _make_socket(address: aiohttp.AddrInfoType) -> socket.socket:
+    """Returns a socket whose bytes don't arrive long after they were sent.
+
+    The kernel gives the connection up when the other side has acknowledged
+    nothing for `UNACKNOWLEDGED_MS`.
+    """
+    family, kind, protocol, _, _ = address
+    made = socket.socket(family, kind, protocol)
+    made.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
+    )
+    return made
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
     """An answer whose status and headers are here."""
--- a/tests/idempotency/test_real_daemons.py
+++ b/tests/idempotency/test_real_daemons.py
@@ -15,6 +15,7 @@
 from tests import processes
 
 MAX_AGE_MS = 1500
+TRANSIT_MS = 200
 RESENDS = 6
 SERVICE_MS = 200
 
@@ -98,4 +99,5 @@
     return dataclasses.replace(
         processes.make_settings(instance, *seeds),
         bare_key_max_age_ms=MAX_AGE_MS,
+        bare_key_transit_ms=TRANSIT_MS,
     )
