Keep settings in the platform and bring them to every daemon

Daemons only had the tree of their settings file. Nodes are now objects of the platform, written with conditional updates, watched by two relays for each data centre and merged by version; the tree is fitted to its bounds before it is compiled. kumquatridge settings gets, applies, diffs and waits.

The settings text is now read by the json module after comments are blanked: the JSON5 library took a key that stands twice without a word.

--- a/kumquatridge/daemon/runtime.py
+++ b/kumquatridge/daemon/runtime.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import pathlib
 import random
 import signal
 import time
@@ -15,7 +14,7 @@
 from kumquatridge.callpath import outbound
 from kumquatridge.chain import ledger as chain_ledger
 from kumquatridge.daemon import settings as daemon_settings
-from kumquatridge.encoding import settings_text
+from kumquatridge.daemon import settings_plane
 from kumquatridge.http import caller_server
 from kumquatridge.http import client
 from kumquatridge.http import peer_client
@@ -40,11 +39,14 @@
 
     def __init__(self, settings: daemon_settings.DaemonSettings) -> None:
         self._settings = settings
-        tree = settings_text.read_tree(pathlib.Path(settings.tree_file))
         self._members = table.MemberTable(_make_own_member(settings))
         self._guard = admission_guard.AdmissionGuard(slots=0)
         self._ledger = chain_ledger.Ledger()
-        self._intake = call_intake.Intake(tree.compile(), self._ledger)
+        self._plane = settings_plane.SettingsPlane(settings, self._members)
+        self._intake = call_intake.Intake(
+            self._plane.store.policies, self._ledger
+        )
+        self._plane.attach(self._intake)
         self._decisions = decisions.DecisionLog()
         self._stack = contextlib.AsyncExitStack()
         self._registry: worker_registry.WorkerRegistry | None = None
@@ -56,6 +58,7 @@
         recorder = metrics.MetricRecorder(self._decisions)
         exporter = self._stack.enter_context(metrics.MetricExporter(recorder))
         self._add_gauges(exporter)
+        self._plane.add_metrics(exporter)
         session = await enter(client.make_session())
         own_path = inbound.InboundPath(
             self._members,
@@ -79,6 +82,7 @@
                 self._members,
             )
         )
+        await enter(self._plane)
         self._registry = worker_registry.WorkerRegistry(
             self._members, self._guard, peers.announce_now
         )
@@ -104,6 +108,7 @@
                         self._members,
                         self._decisions,
                         exporter,
+                        self._plane.store,
                     )
                 ),
             )
--- a/kumquatridge/daemon/settings.py
+++ b/kumquatridge/daemon/settings.py
@@ -10,7 +10,9 @@
     Addresses are "host:port" by IP number. Callers and the own worker use
     `caller_address`, other daemons `call_address` and `control_address`,
     workers' announcements and operators `operator_address`. `tree_file` is
-    the settings tree served before any other is known.
+    the settings tree served before any other is known. `platform_token` is
+    shown to the platform. With `settings_key`, the platform operators' key,
+    the daemon checks the signature of every node.
     """
 
     instance: str
@@ -22,5 +24,8 @@
     peer_key: str
     tree_file: str
     seeds: tuple[str, ...] = ()
+    platform_address: str | None = None
+    platform_token: str | None = None
+    settings_key: str | None = None
     drain_ms: int = 3000
     stop_timeout_ms: int = 60000
--- /dev/null
+++ b/kumquatridge/daemon/settings_plane.py
@@ -0,0 +1,170 @@
+"""Brings the settings of the fleet to the daemon's intake."""
+
+import asyncio
+import contextlib
+import pathlib
+import random
+import types
+from typing import Self
+
+from kumquatridge.callpath import intake as call_intake
+from kumquatridge.daemon import settings as daemon_settings
+from kumquatridge.encoding import settings_text
+from kumquatridge.membership import member as members
+from kumquatridge.membership import relays
+from kumquatridge.membership import table as member_table
+from kumquatridge.platform import client as platform_client
+from kumquatridge.platform import repository as platform_repository
+from kumquatridge.settings import credentials
+from kumquatridge.settings import instances
+from kumquatridge.settings import relay
+from kumquatridge.settings import reporter
+from kumquatridge.settings import store as settings_store
+from kumquatridge.telemetry import events
+from kumquatridge.telemetry import gauges
+from kumquatridge.telemetry import metrics
+from kumquatridge.telemetry import settings_counts
+
+FILE_NOTICE_S = 10.0
+RELAY_PURPOSE = "settings"
+
+
+class MemberDuty:
+    """Shares out the calls to the platform among the live members."""
+
+    def __init__(self, table: member_table.MemberTable) -> None:
+        self._table = table
+
+    def is_relay(self) -> bool:
+        """Tells whether this daemon watches the platform."""
+        own = self._table.own
+        return relays.is_relay(own, self._table, purpose=RELAY_PURPOSE)
+
+    def is_reporter(self) -> bool:
+        """Tells whether this daemon reports for its data centre."""
+        own = self._table.own
+        return relays.is_relay(own, self._table, 1, RELAY_PURPOSE)
+
+    def list_instances(self) -> tuple[str, ...]:
+        """Returns the other live members of the data centre."""
+        return tuple(
+            member.instance
+            for member in self._table
+            if member.instance != self._table.own.instance and _is_live(member)
+        )
+
+
+def _is_live(member: members.Member) -> bool:
+    match member.state:
+        case members.Alive() | members.Suspected():
+            return True
+        case members.Leaving() | members.Dead():
+            return False
+
+
+class SettingsPlane:
+    """Owns the daemon's settings and keeps them new while it is open.
+
+    `store` and `table` spread to the other daemons of the data centre.
+    """
+
+    def __init__(
+        self,
+        settings: daemon_settings.DaemonSettings,
+        members_table: member_table.MemberTable,
+    ) -> None:
+        """Reads the settings file.
+
+        Raises:
+          SettingsError: the file holds no valid tree.
+        """
+        self._settings = settings
+        tree = settings_text.read_tree(pathlib.Path(settings.tree_file))
+        self._counts = settings_counts.SettingsCounts()
+        self.store = settings_store.NodeStore(
+            settings_store.StoreSettings(
+                tuple(tree.nodes.values()),
+                settings_text.read_defaults(),
+                credentials.RecordRule(settings.settings_key),
+            ),
+            self._counts,
+        )
+        self.table = instances.InstanceTable(settings.instance, self.store)
+        self._duty = MemberDuty(members_table)
+        self._stack = contextlib.AsyncExitStack()
+        self._notice: asyncio.Task[None] | None = None
+
+    def attach(self, intake: call_intake.Intake) -> None:
+        """Hands every new version to the intake."""
+        self.store.on_applied(lambda: intake.set_policies(self.store.policies))
+
+    def add_metrics(self, exporter: metrics.MetricExporter) -> None:
+        """Adds counters and gauges to what is exported."""
+        self._counts.expose(exporter)
+        exporter.add_gauge(
+            gauges.SETTINGS_NODES, lambda: len(self.store.get_versions())
+        )
+        exporter.add_gauge(
+            gauges.SETTINGS_ORIGIN,
+            lambda: settings_store.rank_origin(self.store.origin),
+        )
+
+    async def __aenter__(self) -> Self:
+        """Starts to follow the platform."""
+        self._notice = asyncio.create_task(self._log_if_alone())
+        address = self._settings.platform_address
+        if address is not None:
+            await self._follow(address)
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        """Stops."""
+        if self._notice is not None:
+            self._notice.cancel()
+        await self._stack.aclose()
+
+    async def _log_if_alone(self) -> None:
+        await asyncio.sleep(FILE_NOTICE_S)
+        match self.store.origin:
+            case settings_store.FromFile():
+                events.log(events.SettingsFromFile(self._settings.tree_file))
+            case settings_store.Partial() | settings_store.Complete():
+                pass
+
+    async def _follow(self, address: str) -> None:
+        settings = self._settings
+        enter = self._stack.enter_async_context
+        client = await enter(
+            platform_client.PlatformClient(
+                platform_client.ClientSettings(address, settings.platform_token)
+            )
+        )
+        nodes = platform_repository.PlatformRepository(client)
+        await enter(
+            relay.SettingsRelay(
+                relay.RelaySettings(settings.instance, settings.data_centre),
+                nodes=nodes,
+                store=self.store,
+                duty=self._duty,
+                recorder=self._counts,
+                rng=random.Random(),
+            )
+        )
+        await enter(
+            reporter.InForceReporter(
+                reporter.ReporterSettings(
+                    settings.instance, settings.data_centre
+                ),
+                reports=nodes,
+                store=self.store,
+                table=self.table,
+                duty=self._duty,
+                recorder=self._counts,
+                rng=random.Random(),
+            )
+        )
--- a/kumquatridge/encoding/daemon_text.py
+++ b/kumquatridge/encoding/daemon_text.py
@@ -66,6 +66,8 @@
     }
     for index, seed in enumerate(settings.seeds):
         named[f"seeds[{index}]"] = seed
+    if settings.platform_address is not None:
+        named["platform_address"] = settings.platform_address
     for name, address in named.items():
         if not _ADDRESS.fullmatch(address):
             raise errors.InvalidValueError(
--- a/kumquatridge/encoding/settings_text.py
+++ b/kumquatridge/encoding/settings_text.py
@@ -3,21 +3,27 @@
 A text holds nested nodes: {"settings": {...}, "children": {name: node}}.
 """
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 import dataclasses
 import difflib
+import functools
+import json
 import pathlib
+import re
 from typing import Any
 
-import pyjson5
-
 from kumquatridge.calls import importance as call_importance
 from kumquatridge.settings import errors
 from kumquatridge.settings import node as settings_node
 from kumquatridge.settings import tree
 
-_MAX_DEPTH = tree.ROUTE_DEPTH
 _NODE_KEYS = ("settings", "children")
+_DEFAULTS_FILE = pathlib.Path(__file__).parent.parent / "defaults.jsonc"
+
+_STRING = r'"(?:\\.|[^"\\\n])*"'
+_COMMENT = re.compile(rf"{_STRING}|//[^\n]*|/\*.*?\*/", re.DOTALL)
+_TRAILING_COMMA = re.compile(rf"{_STRING}|,(?=\s*[}}\]])")
+_NOT_BREAK = re.compile(r"[^\n]")
 
 
 def _as_importance(value: object) -> call_importance.Importance | None:
@@ -81,29 +87,53 @@
 
 
 def parse_text(source: str, text: str) -> Any:
-    """Parses JSON with comments.
+    """Parses JSON with comments; a comma after the last item is allowed.
 
     Raises:
       SettingsError: the text is not JSON; says where.
     """
+    plain = _TRAILING_COMMA.sub(_blank, _COMMENT.sub(_blank, text))
     try:
-        return pyjson5.decode(text)
-    except pyjson5.Json5DecoderException as error:
+        return json.loads(
+            plain,
+            object_pairs_hook=_make_object,
+            parse_constant=_reject_constant,
+        )
+    except (ValueError, RecursionError) as error:
         raise errors.SettingsError(
             f"{source}: not JSON with comments: {error}"
         ) from error
 
 
-def decode_tree(
-    source: str, text: str, path: str = settings_node.ROOT_PATH
-) -> tree.SettingsTree:
+def _blank(match: re.Match[str]) -> str:
+    """Returns strings as they are and spaces in place of all else."""
+    found = match.group()
+    return found if found.startswith('"') else _NOT_BREAK.sub(" ", found)
+
+
+def _make_object(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    made = dict(pairs)
+    if len(made) < len(pairs):
+        keys = [key for key, _ in pairs]
+        twice = next(key for key in keys if keys.count(key) > 1)
+        raise ValueError(f"the key {twice!r} stands twice in one object")
+    return made
+
+
+def _reject_constant(name: str) -> None:
+    raise ValueError(f"{name} is no JSON value")
+
+
+def decode_tree(source: str, text: str) -> tree.SettingsTree:
     """Decodes a whole settings tree.
 
     Raises:
       SettingsError: names the source, the path, the value and what was
         expected.
     """
-    return tree.SettingsTree(source, decode_nodes(source, text, path))
+    return tree.SettingsTree(
+        source, decode_nodes(source, text), read_defaults()
+    )
 
 
 def decode_nodes(
@@ -113,17 +143,73 @@
     return list(_walk(source, path, parse_text(source, text)))
 
 
+@functools.cache
+def read_defaults() -> settings_node.NodeSettings:
+    """Returns what stands in for settings that the root does not have."""
+    text = _DEFAULTS_FILE.read_text(encoding="utf-8")
+    source = _DEFAULTS_FILE.name
+    settings = _expect_object(source, "/", parse_text(source, text))
+    return decode_settings(source, "/", settings)
+
+
+def encode_settings(settings: settings_node.NodeSettings) -> dict[str, Any]:
+    """Returns what a node sets itself as JSON values."""
+    return {
+        field.name: _encode_value(getattr(settings, field.name))
+        for field in dataclasses.fields(settings)
+        if getattr(settings, field.name) is not None
+    }
+
+
+def encode_nodes(
+    nodes: Iterable[settings_node.Node],
+    path: str = settings_node.ROOT_PATH,
+) -> str:
+    """Returns the text of a subtree, which `decode_nodes` reads."""
+    top: dict[str, Any] = {}
+    for node in sorted(nodes, key=lambda node: node.path):
+        place = top
+        below = node.path.removeprefix(path).strip("/")
+        for name in below.split("/") if below else ():
+            place = place.setdefault("children", {}).setdefault(name, {})
+        settings = encode_settings(node.settings)
+        if settings:
+            place["settings"] = settings
+    return json.dumps(top, indent=2)
+
+
+def _encode_value(value: object) -> object:
+    match value:
+        case call_importance.Importance():
+            return value.name.lower()
+        case tuple():
+            return list(value)
+        case _:
+            return value
+
+
 def read_tree(path: pathlib.Path) -> tree.SettingsTree:
     """Reads a settings tree from a file.
 
     Raises:
       SettingsError: the file can't be read or holds no valid tree.
     """
+    return tree.SettingsTree(str(path), read_nodes(path), read_defaults())
+
+
+def read_nodes(
+    path: pathlib.Path, top: str = settings_node.ROOT_PATH
+) -> list[settings_node.Node]:
+    """Reads the nodes of a subtree, whose top has a path, from a file.
+
+    Raises:
+      SettingsError: the file can't be read or holds no nodes.
+    """
     try:
         text = path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise errors.SettingsError(f"{path}: can't be read: {error}") from error
-    return decode_tree(str(path), text)
+    return decode_nodes(str(path), text, top)
 
 
 def _walk(
@@ -132,16 +218,19 @@
     value = _expect_object(source, path, value)
     reject_unknown(source, path, value, _NODE_KEYS)
     settings = _expect_object(source, path, value.get("settings", {}))
-    yield settings_node.Node(path, _decode_settings(source, path, settings))
+    yield settings_node.Node(path, decode_settings(source, path, settings))
     children = _expect_object(source, path, value.get("children", {}))
-    if children and tree.get_depth(path) >= _MAX_DEPTH:
+    if children and settings_node.get_depth(path) >= settings_node.ROUTE_DEPTH:
         raise errors.InvalidValueError(
             source, f"{path} children", sorted(children), "none below a route"
         )
     for name, child in children.items():
-        if not name or "/" in name:
+        if not settings_node.is_name(name):
             raise errors.InvalidValueError(
-                source, f"{path} children", name, 'a name without "/"'
+                source,
+                f"{path} children",
+                name,
+                f"a name of {settings_node.NAME_RULE}",
             )
         yield from _walk(source, f"{path.rstrip('/')}/{name}", child)
 
@@ -165,9 +254,14 @@
             )
 
 
-def _decode_settings(
+def decode_settings(
     source: str, path: str, settings: dict[str, Any]
 ) -> settings_node.NodeSettings:
+    """Decodes what one node sets itself.
+
+    Raises:
+      InvalidValueError: a key is not known or a value is wrong.
+    """
     reject_unknown(source, f"{path} settings", settings, tuple(_KEYS))
     decoded: dict[str, Any] = {}
     for name, value in settings.items():
--- a/kumquatridge/operators/app.py
+++ b/kumquatridge/operators/app.py
@@ -11,6 +11,7 @@
 from kumquatridge.membership import table
 from kumquatridge.operators import explanations
 from kumquatridge.operators import worker_registry
+from kumquatridge.settings import store as settings_store
 from kumquatridge.telemetry import decisions
 from kumquatridge.telemetry import metrics
 
@@ -35,6 +36,7 @@
     queued: int
     limit: int
     members: tuple[MemberStatus, ...]
+    settings: settings_store.StoreStatus
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,6 +48,7 @@
     members: table.MemberTable
     decisions: decisions.DecisionLog
     exporter: metrics.MetricExporter
+    settings: settings_store.NodeStore
 
 
 @litestar.post("/v1/announcement", status_code=204)
@@ -81,6 +84,7 @@
         guard.queued,
         guard.limit,
         tuple(_describe(member) for member in daemon.members),
+        daemon.settings.get_status(),
     )
 
 
--- /dev/null
+++ b/kumquatridge/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's object API and what the system keeps there."""
--- /dev/null
+++ b/kumquatridge/platform/repository.py
@@ -0,0 +1,126 @@
+"""Keeps nodes and reports as objects of the platform, one object each."""
+
+from collections.abc import AsyncIterator, Iterator, Mapping
+import contextlib
+
+from kumquatridge.encoding import record_text
+from kumquatridge.platform import errors
+from kumquatridge.platform import objects
+from kumquatridge.settings import errors as settings_errors
+from kumquatridge.settings import in_force
+from kumquatridge.settings import record as settings_record
+from kumquatridge.settings import repository
+
+NODE_PREFIX = "settings"
+REPORT_PREFIX = "status/settings/"
+
+
+class PlatformRepository:
+    """The repository of nodes and reports over the platform's API."""
+
+    def __init__(self, api: objects.ObjectApi) -> None:
+        self._api = api
+
+    async def read(self, path: str) -> repository.StoredObject | None:
+        """Returns a node, or None when there never was one."""
+        with _translate_errors():
+            found = await self._api.get(_make_key(path))
+        return None if found is None else _read_node(found)
+
+    async def write(
+        self, stored: settings_record.StoredNode
+    ) -> repository.WriteReply:
+        """Stores a node if its object still has the revision given."""
+        reply = await self._api.put(
+            _make_key(stored.record.path),
+            record_text.encode_node(stored),
+            stored.revision,
+        )
+        match reply:
+            case objects.Stored():
+                return repository.Stored()
+            case objects.Conflict(version):
+                return repository.Conflict(version)
+            case objects.Denied(reason):
+                return repository.Denied(reason)
+            case objects.AnswerLost(reason):
+                return repository.AnswerLost(reason)
+
+    async def list_nodes(self) -> repository.Listing:
+        """Returns all nodes."""
+        with _translate_errors():
+            listing = await self._api.list_objects(_make_key("/"))
+        return repository.Listing(
+            tuple(_read_node(found) for found in listing.objects),
+            listing.version,
+        )
+
+    async def list_revisions(self) -> Mapping[str, int]:
+        """Returns the revision of each node's object by path."""
+        with _translate_errors():
+            found = await self._api.list_versions(_make_key("/"))
+        return {_make_path(one.key): one.version for one in found}
+
+    async def watch(
+        self, since_revision: int, window_s: float
+    ) -> AsyncIterator[repository.StoredObject]:
+        """Yields nodes as they change; ends after the window."""
+        with _translate_errors():
+            changes = self._api.watch(_make_key("/"), since_revision, window_s)
+            async for found in changes:
+                yield _read_node(found)
+
+    async def write_report(self, report: in_force.InForceReport) -> None:
+        """Replaces the report of a data centre."""
+        key = REPORT_PREFIX + report.data_centre
+        with _translate_errors():
+            known = await self._api.get(key)
+            version = objects.NOT_STORED if known is None else known.version
+            reply = await self._api.put(
+                key, record_text.encode_report(report), version
+            )
+        match reply:
+            case objects.Stored():
+                return
+            case objects.Conflict():
+                raise settings_errors.RepositoryError(
+                    f"{key}: another relay was first"
+                )
+            case objects.Denied(reason) | objects.AnswerLost(reason):
+                raise settings_errors.RepositoryError(f"{key}: {reason}")
+
+    async def list_reports(self) -> tuple[in_force.InForceReport, ...]:
+        """Returns the reports of all data centres."""
+        with _translate_errors():
+            listing = await self._api.list_objects(REPORT_PREFIX)
+        return tuple(
+            record_text.decode_report(found.value)
+            for found in listing.objects
+            if found.value is not None
+        )
+
+
+def _make_key(path: str) -> str:
+    return NODE_PREFIX + path
+
+
+def _make_path(key: str) -> str:
+    return key.removeprefix(NODE_PREFIX)
+
+
+def _read_node(found: objects.PlatformObject) -> repository.StoredObject:
+    path = _make_path(found.key)
+    if found.value is None:
+        return repository.Damaged(path, found.version, "the object is gone")
+    try:
+        return record_text.decode_node(path, found.value, found.version)
+    except settings_errors.SettingsError as error:
+        return repository.Damaged(path, found.version, str(error))
+
+
+@contextlib.contextmanager
+def _translate_errors() -> Iterator[None]:
+    try:
+        yield
+    except errors.PlatformError as error:
+        raise settings_errors.RepositoryError(str(error)) from error
--- /dev/null
+++ b/kumquatridge/settings/digests.py
@@ -0,0 +1,22 @@
+"""One number that stands for the versions of all nodes.
+
+It is the exclusive or of a hash of each (path, version), so that it follows
+a change at a cost that does not grow with the number of nodes.
+"""
+
+from collections.abc import Mapping
+
+import xxhash
+
+
+def hash_entry(path: str, version: int) -> int:
+    """Returns the hash of one version of a node."""
+    return xxhash.xxh64_intdigest(f"{path} {version}".encode())
+
+
+def make_digest(versions: Mapping[str, int]) -> int:
+    """Returns the digest of a whole store."""
+    digest = 0
+    for path, version in versions.items():
+        digest ^= hash_entry(path, version)
+    return digest
--- a/kumquatridge/settings/errors.py
+++ b/kumquatridge/settings/errors.py
@@ -1,6 +1,7 @@
 """Errors of the settings aggregate."""
 
 from kumquatridge import errors
+from kumquatridge.settings import bounds
 
 
 class SettingsError(errors.KumquatridgeError):
@@ -20,3 +21,19 @@
         self.path = path
         self.value = value
         self.expected = expected
+
+
+class LooserThanParentError(InvalidValueError):
+    """A node would loosen what the node above it bounds."""
+
+    def __init__(self, source: str, path: str, excess: bounds.Excess) -> None:
+        super().__init__(
+            source,
+            path,
+            excess.value,
+            f"at most {excess.bound!r}, the bound of the node above",
+        )
+
+
+class RepositoryError(SettingsError):
+    """The place where settings are kept did not answer."""
--- a/kumquatridge/settings/node.py
+++ b/kumquatridge/settings/node.py
@@ -1,10 +1,45 @@
 """One node of the settings tree: platform, team, service or route."""
 
 import dataclasses
+import re
 
 from kumquatridge.calls import importance as call_importance
 
 ROOT_PATH = "/"
+SERVICE_DEPTH = 2
+ROUTE_DEPTH = 3
+
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+NAME_RULE = "1 to 63 letters, digits, dots, dashes or underscores"
+
+
+def get_depth(path: str) -> int:
+    """Returns 0 for the root, 1 for a team, 2 for a service, 3 for a route."""
+    return 0 if path == ROOT_PATH else path.count("/")
+
+
+def get_parent(path: str) -> str:
+    """Returns the path of the node above."""
+    return path.rsplit("/", 1)[0] or ROOT_PATH
+
+
+def get_name(path: str) -> str:
+    """Returns the last part of a path."""
+    return path.rsplit("/", 1)[1]
+
+
+def is_name(name: str) -> bool:
+    """Tells whether a team, service or route may have this name."""
+    return _NAME.fullmatch(name) is not None
+
+
+def is_path(path: str) -> bool:
+    """Tells whether a node may have this path."""
+    if path == ROOT_PATH:
+        return True
+    if not path.startswith("/") or get_depth(path) > ROUTE_DEPTH:
+        return False
+    return all(is_name(name) for name in path[1:].split("/"))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/kumquatridge/settings/record.py
@@ -0,0 +1,62 @@
+"""What the platform keeps of a node: its versions and who wrote them."""
+
+import dataclasses
+
+from kumquatridge.settings import node as settings_node
+
+HISTORY_LENGTH = 10
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodeRecord:
+    """One version of a node.
+
+    `settings` is None when the node was deleted: deletions carry versions
+    too, and a node made again goes on counting. `owner` is the subtree of
+    the credential that signed the record. `nonce` is unique to the write.
+    `written_at_ms` is wall-clock time for people; no decision uses it.
+    """
+
+    path: str
+    version: int
+    settings: settings_node.NodeSettings | None
+    owner: str
+    writer: str
+    nonce: str
+    written_at_ms: int
+    signature: str = ""
+
+    def make_node(self) -> settings_node.Node | None:
+        """Returns the node, or None when it was deleted."""
+        if self.settings is None:
+            return None
+        return settings_node.Node(self.path, self.settings, self.version)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredNode:
+    """A node as stored: its newest record and some before it, newest first.
+
+    `revision` is the version that the platform gave the object, 0 for one
+    that is not stored yet.
+    """
+
+    record: NodeRecord
+    history: tuple[NodeRecord, ...] = ()
+    revision: int = 0
+
+    def succeed(self, record: NodeRecord) -> "StoredNode":
+        """Returns what to store when `record` follows the newest one."""
+        history = (self.record, *self.history)[:HISTORY_LENGTH]
+        return StoredNode(record, history, self.revision)
+
+    def find_write(self, nonce: str) -> NodeRecord | None:
+        """Returns the version that a write made, if it is still known."""
+        for record in (self.record, *self.history):
+            if record.nonce == nonce:
+                return record
+        return None
+
+    def remembers(self, version: int) -> bool:
+        """Tells whether the history reaches back to a version."""
+        return self.record.version - len(self.history) <= version
--- /dev/null
+++ b/kumquatridge/settings/relay.py
@@ -0,0 +1,222 @@
+"""Brings settings from the platform into a data centre.
+
+Only the relays of a data centre call the platform; the other daemons learn
+from peers. A watch may go silent without an error, so each is opened anew
+after a short window, from the last revision seen, and a listing of revisions
+at a low rate finds what no watch has told.
+"""
+
+import asyncio
+from collections.abc import Iterable, Mapping
+import dataclasses
+import random
+import types
+from typing import Protocol, Self
+
+from kumquatridge import clock
+from kumquatridge.settings import errors
+from kumquatridge.settings import record as settings_record
+from kumquatridge.settings import recorder as settings_recorder
+from kumquatridge.settings import repository
+from kumquatridge.settings import store as settings_store
+from kumquatridge.telemetry import events
+
+MAX_SINGLE_READS = 8
+
+
+class RelayDuty(Protocol):
+    """Tells whether this daemon calls the platform for its data centre."""
+
+    def is_relay(self) -> bool:
+        """Tells whether this daemon watches the platform."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelaySettings:
+    """How often a relay calls the platform.
+
+    Each time is drawn between 1 - `jitter_ratio` and 1 + `jitter_ratio` of
+    what is given, so that relays don't call at the same moment.
+    """
+
+    instance: str
+    data_centre: str
+    start_delay_s: float = 1.0
+    duty_check_s: float = 2.0
+    watch_window_s: float = 5.0
+    listing_interval_s: float = 60.0
+    first_backoff_s: float = 0.5
+    max_backoff_s: float = 15.0
+    jitter_ratio: float = 0.2
+
+
+class SettingsRelay:
+    """Follows the platform while its context is open."""
+
+    def __init__(
+        self,
+        settings: RelaySettings,
+        *,
+        nodes: repository.NodeRepository,
+        store: settings_store.NodeStore,
+        duty: RelayDuty,
+        recorder: settings_recorder.SettingsRecorder,
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._nodes = nodes
+        self._store = store
+        self._duty = duty
+        self._recorder = recorder
+        self._rng = rng
+        self._task: asyncio.Task[None] | None = None
+        self._seen: dict[str, int] = {}
+        self._revision: int | None = None
+        self._next_listing_ms = 0.0
+        self._backoff_s = settings.first_backoff_s
+        self._lost_at_ms: float | None = None
+
+    @property
+    def cut_off_since_ms(self) -> float | None:
+        """When the platform stopped to answer, on the local clock."""
+        return self._lost_at_ms
+
+    async def __aenter__(self) -> Self:
+        """Starts to follow the platform."""
+        self._task = asyncio.create_task(self._run())
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        """Stops."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        await asyncio.sleep(self._settings.start_delay_s * self._rng.random())
+        while True:
+            if self._duty.is_relay():
+                await self._follow()
+            await asyncio.sleep(self._jitter(self._settings.duty_check_s))
+
+    async def _follow(self) -> None:
+        settings = self._settings
+        events.log(events.RelayStarted(settings.instance, settings.data_centre))
+        while self._duty.is_relay():
+            try:
+                await self._take_turn()
+            except errors.RepositoryError as error:
+                self._note_lost("follow", error)
+                await asyncio.sleep(self._jitter(self._backoff_s))
+                self._backoff_s = min(
+                    self._backoff_s * 2, settings.max_backoff_s
+                )
+            else:
+                self._note_back()
+        self._revision = None
+        events.log(events.RelayStopped(settings.instance, settings.data_centre))
+
+    async def _take_turn(self) -> None:
+        if self._revision is None:
+            await self._list_nodes()
+        if clock.get_now_ms() < self._next_listing_ms:
+            await self._watch(self._revision or 0)
+        else:
+            await self._look_for_missed()
+
+    async def _list_nodes(self) -> None:
+        listing = await self._nodes.list_nodes()
+        self._take(listing.objects)
+        self._store.mark_complete()
+        self._revision = max(self._revision or 0, listing.revision)
+        self._plan_listing(self._settings.listing_interval_s)
+
+    async def _watch(self, since_revision: int) -> None:
+        window_s = self._jitter(self._settings.watch_window_s)
+        async for found in self._nodes.watch(since_revision, window_s):
+            self._take((found,))
+            self._revision = max(self._revision or 0, found.revision)
+            self._note_back()
+
+    async def _look_for_missed(self) -> None:
+        listed = await self._nodes.list_revisions()
+        await self._watch(self._revision or 0)
+        missed = self._find_unseen(listed)
+        for path in missed:
+            self._recorder.record_missed_change()
+            events.log(events.WatchMissedChange(path))
+        if not missed:
+            self._store.mark_complete()
+        elif len(missed) > MAX_SINGLE_READS:
+            await self._list_nodes()
+        else:
+            for path in missed:
+                await self._read(path)
+        self._plan_listing(
+            self._settings.watch_window_s
+            if missed
+            else self._settings.listing_interval_s
+        )
+
+    def _find_unseen(self, listed: Mapping[str, int]) -> tuple[str, ...]:
+        return tuple(
+            path
+            for path, revision in listed.items()
+            if revision > self._seen.get(path, 0)
+        )
+
+    async def _read(self, path: str) -> None:
+        found = await self._nodes.read(path)
+        if found is not None:
+            self._take((found,))
+
+    def _take(self, found: Iterable[repository.StoredObject]) -> None:
+        records: list[settings_record.NodeRecord] = []
+        for one in found:
+            match one:
+                case settings_record.StoredNode(record=record):
+                    records.append(record)
+                    self._note_seen(record.path, one.revision)
+                case repository.Damaged(path, revision, reason):
+                    self._note_damaged(path, revision, reason)
+        self._store.merge(records)
+
+    def _note_seen(self, path: str, revision: int) -> bool:
+        if revision <= self._seen.get(path, 0):
+            return False
+        self._seen[path] = revision
+        return True
+
+    def _note_damaged(self, path: str, revision: int, reason: str) -> None:
+        if self._note_seen(path, revision):
+            self._recorder.record_rejection("damaged")
+            events.log(events.SettingsObjectDamaged(path, reason))
+
+    def _plan_listing(self, interval_s: float) -> None:
+        self._next_listing_ms = (
+            clock.get_now_ms() + self._jitter(interval_s) * 1000.0
+        )
+
+    def _jitter(self, time_s: float) -> float:
+        ratio = self._settings.jitter_ratio
+        return time_s * self._rng.uniform(1.0 - ratio, 1.0 + ratio)
+
+    def _note_lost(self, operation: str, error: errors.RepositoryError) -> None:
+        self._recorder.record_platform_failure(operation)
+        if self._lost_at_ms is None:
+            self._lost_at_ms = clock.get_now_ms()
+            events.log(events.PlatformLost(operation, str(error)))
+
+    def _note_back(self) -> None:
+        if self._lost_at_ms is None:
+            return
+        lost_for_ms = clock.get_now_ms() - self._lost_at_ms
+        self._lost_at_ms = None
+        self._backoff_s = self._settings.first_backoff_s
+        events.log(events.PlatformBack(round(lost_for_ms)))
--- a/kumquatridge/settings/tree.py
+++ b/kumquatridge/settings/tree.py
@@ -3,109 +3,112 @@
 from collections.abc import Iterable, Mapping
 import dataclasses
 
+from kumquatridge.settings import bounds
 from kumquatridge.settings import errors
 from kumquatridge.settings import node as settings_node
 from kumquatridge.settings import policy
 
-SERVICE_DEPTH = 2
-ROUTE_DEPTH = 3
-
-_BOUNDED_FIELDS = (
-    "importance",
-    "deadline_ms",
-    "retry_allowance",
-    "max_body_bytes",
-)
-
-
-def get_depth(path: str) -> int:
-    """Returns 0 for the root, 1 for a team, 2 for a service, 3 for a route."""
-    return 0 if path == settings_node.ROOT_PATH else path.count("/")
-
-
-def get_parent(path: str) -> str:
-    """Returns the path of the node above."""
-    return path.rsplit("/", 1)[0] or settings_node.ROOT_PATH
-
-
-def _inherit(
-    parent: settings_node.NodeSettings, own: settings_node.NodeSettings
-) -> settings_node.NodeSettings:
-    changes = {
-        field.name: getattr(parent, field.name)
-        for field in dataclasses.fields(own)
-        if getattr(own, field.name) is None
-    }
-    return dataclasses.replace(own, **changes)
+_NO_DEFAULTS = settings_node.NodeSettings()
 
 
 class SettingsTree:
-    """An immutable tree of nodes that satisfies every bound."""
+    """An immutable tree of nodes that satisfies every bound.
+
+    `defaults` stand in for what the root does not set.
+    """
 
-    def __init__(self, source: str, nodes: Iterable[settings_node.Node]):
+    def __init__(
+        self,
+        source: str,
+        nodes: Iterable[settings_node.Node],
+        defaults: settings_node.NodeSettings = _NO_DEFAULTS,
+    ) -> None:
         """Checks the nodes.
 
         Raises:
-          SettingsError: a parent is missing or a child loosens a bound.
+          SettingsError: a parent is missing, a child loosens a bound or two
+            teams name the same service.
         """
-        ordered = sorted(nodes, key=lambda node: node.path)
+        self._source = source
+        self._defaults = defaults
+        by_path = {node.path: node for node in nodes}
+        root = settings_node.Node(
+            settings_node.ROOT_PATH, settings_node.NodeSettings()
+        )
+        by_path.setdefault(root.path, root)
         self._nodes: Mapping[str, settings_node.Node] = {
-            node.path: node for node in ordered
+            path: by_path[path] for path in sorted(by_path)
         }
         self._effective: dict[str, settings_node.NodeSettings] = {}
-        self._source = source
-        for node in ordered:
+        self._services: dict[str, str] = {}
+        self._routes: dict[str, list[str]] = {}
+        for node in self._nodes.values():
             self._effective[node.path] = self._resolve(node)
+            self._index(node.path)
 
     @property
     def nodes(self) -> Mapping[str, settings_node.Node]:
-        """All nodes by path."""
+        """All nodes by path, parents before children."""
         return self._nodes
 
+    @property
+    def services(self) -> Mapping[str, str]:
+        """The path of each service by its name."""
+        return self._services
+
     def get_effective(self, path: str) -> settings_node.NodeSettings:
         """Returns a node's settings with everything it inherits."""
         return self._effective[path]
 
     def _resolve(self, node: settings_node.Node) -> settings_node.NodeSettings:
         if node.path == settings_node.ROOT_PATH:
-            return node.settings
-        parent = self._effective.get(get_parent(node.path))
+            return bounds.inherit(self._defaults, node.settings)
+        parent = self._effective.get(settings_node.get_parent(node.path))
         if parent is None:
             raise errors.SettingsError(
                 f"{self._source}: at {node.path}: the node above is missing"
             )
-        self._check_bounds(node, parent)
-        return _inherit(parent, node.settings)
-
-    def _check_bounds(
-        self, node: settings_node.Node, parent: settings_node.NodeSettings
-    ) -> None:
-        for name in _BOUNDED_FIELDS:
-            own, bound = getattr(node.settings, name), getattr(parent, name)
-            if own is not None and bound is not None and own > bound:
-                raise errors.InvalidValueError(
-                    self._source,
-                    f"{node.path} {name}",
-                    own,
-                    f"at most {bound!r}, the bound of the node above",
-                )
+        for excess in bounds.find_excesses(parent, node.settings):
+            raise errors.LooserThanParentError(
+                self._source, f"{node.path} {excess.field}", excess
+            )
+        return bounds.inherit(parent, node.settings)
+
+    def _index(self, path: str) -> None:
+        match settings_node.get_depth(path):
+            case settings_node.SERVICE_DEPTH:
+                name = settings_node.get_name(path)
+                other = self._services.setdefault(name, path)
+                if other != path:
+                    raise errors.InvalidValueError(
+                        self._source,
+                        path,
+                        name,
+                        f"a service name that {other} has not taken",
+                    )
+            case settings_node.ROUTE_DEPTH:
+                parent = settings_node.get_parent(path)
+                self._routes.setdefault(parent, []).append(path)
 
     def compile(self) -> policy.PolicyLookup:
-        """Builds the lookup that serves calls."""
-        services: dict[str, policy.ServicePolicies] = {}
-        for path in self._nodes:
-            if get_depth(path) == SERVICE_DEPTH:
-                name = path.rsplit("/", 1)[1]
-                services[name] = self._compile_service(path, name)
-        return policy.PolicyLookup(services)
+        """Builds the lookup that serves calls.
+
+        Raises:
+          SettingsError: a value has no setting and no default.
+        """
+        return policy.PolicyLookup(
+            {
+                name: self._compile_service(path, name)
+                for name, path in self._services.items()
+            }
+        )
 
     def _compile_service(
         self, path: str, service: str
     ) -> policy.ServicePolicies:
         matchers = [
             self._compile_route(route, service)
-            for route in self._nodes
-            if get_depth(route) == ROUTE_DEPTH and get_parent(route) == path
+            for route in self._routes.get(path, ())
         ]
         matchers.sort(key=lambda matcher: -len(matcher.path_prefix))
         return policy.ServicePolicies(
@@ -114,11 +117,10 @@
 
     def _compile_route(self, path: str, service: str) -> policy.RouteMatcher:
         effective = self._effective[path]
-        name = path.rsplit("/", 1)[1]
         return policy.RouteMatcher(
             effective.path_prefix or "/",
             effective.methods or (),
-            self._make_policy(path, service, name),
+            self._make_policy(path, service, settings_node.get_name(path)),
         )
 
     def _make_policy(
--- a/kumquatridge/telemetry/events.py
+++ b/kumquatridge/telemetry/events.py
@@ -69,6 +69,101 @@
     state: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettingsFromFile:
+    """Neither platform nor peers had settings; the file is in force."""
+
+    number: ClassVar[int] = 3001
+    file: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettingsApplied:
+    """Newer versions of nodes were taken; `nodes` are "path version"."""
+
+    number: ClassVar[int] = 3002
+    nodes: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettingsRejected:
+    """A version of a node was not taken, because of `reason`."""
+
+    number: ClassVar[int] = 3003
+    path: str
+    version: int
+    writer: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettingsAdjusted:
+    """Nodes that disagree were fitted to each other before use."""
+
+    number: ClassVar[int] = 3004
+    adjustments: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettingsBroken:
+    """The newest nodes make no valid tree; the last good one stays."""
+
+    number: ClassVar[int] = 3005
+    fault: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayStarted:
+    """This daemon watches the platform for its data centre from now on."""
+
+    number: ClassVar[int] = 3006
+    instance: str
+    data_centre: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayStopped:
+    """Other daemons watch the platform for the data centre."""
+
+    number: ClassVar[int] = 3007
+    instance: str
+    data_centre: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlatformLost:
+    """The platform does not answer; settings stay as they are."""
+
+    number: ClassVar[int] = 3008
+    operation: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlatformBack:
+    """The platform answers again."""
+
+    number: ClassVar[int] = 3009
+    lost_for_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WatchMissedChange:
+    """A listing found a change that the open watch had not told."""
+
+    number: ClassVar[int] = 3010
+    path: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettingsObjectDamaged:
+    """An object of the platform holds no valid node; it was left out."""
+
+    number: ClassVar[int] = 3011
+    path: str
+    reason: str
+
+
 def log(event: Event) -> None:
     """Writes an event to the log."""
     fields = {
--- a/kumquatridge/telemetry/gauges.py
+++ b/kumquatridge/telemetry/gauges.py
@@ -49,5 +49,43 @@
     "kumquatridge_members", "Members that the daemon knows, itself included."
 )
 
-COUNTERS = (REFUSALS, RETRIES, REJECTIONS)
-GAUGES = (IN_PROGRESS, QUEUED, LIMIT, MEMBERS)
+SETTINGS_REJECTIONS = CounterSpec(
+    "kumquatridge_settings_rejections",
+    ("reason",),
+    "Versions of settings nodes that were not taken.",
+)
+PLATFORM_FAILURES = CounterSpec(
+    "kumquatridge_platform_failures",
+    ("operation",),
+    "Calls of this relay that the platform did not answer.",
+)
+MISSED_CHANGES = CounterSpec(
+    "kumquatridge_settings_missed_changes",
+    ("found_by",),
+    "Changes that the platform's watch did not tell.",
+)
+SETTINGS_NODES = GaugeSpec(
+    "kumquatridge_settings_nodes",
+    "Nodes of which a version is known, deleted ones included.",
+)
+SETTINGS_ORIGIN = GaugeSpec(
+    "kumquatridge_settings_origin",
+    "0: only the settings file, 1: some versions, 2: all versions known.",
+)
+
+COUNTERS = (
+    REFUSALS,
+    RETRIES,
+    REJECTIONS,
+    SETTINGS_REJECTIONS,
+    PLATFORM_FAILURES,
+    MISSED_CHANGES,
+)
+GAUGES = (
+    IN_PROGRESS,
+    QUEUED,
+    LIMIT,
+    MEMBERS,
+    SETTINGS_NODES,
+    SETTINGS_ORIGIN,
+)
--- a/kumquatridge/telemetry/metrics.py
+++ b/kumquatridge/telemetry/metrics.py
@@ -5,7 +5,7 @@
 """
 
 import collections
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
 import types
 from typing import NamedTuple, Self
 
@@ -22,6 +22,7 @@
 METER_NAME = "kumquatridge"
 
 ReadGauge = Callable[[], float]
+ReadCounter = Callable[[], Mapping[str, int]]
 
 
 class RefusalKey(NamedTuple):
@@ -104,6 +105,20 @@
             spec.name, callbacks=[observe], description=spec.description
         )
 
+    def add_counter(self, spec: gauges.CounterSpec, read: ReadCounter) -> None:
+        """Exposes the counts by the one label of a counter."""
+        (label,) = spec.labels
+
+        def observe(
+            options: otel_metrics.CallbackOptions,
+        ) -> Iterable[otel_metrics.Observation]:
+            for value, count in read().items():
+                yield otel_metrics.Observation(count, {label: value})
+
+        self._meter.create_observable_counter(
+            spec.name, callbacks=[observe], description=spec.description
+        )
+
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self._registry)
--- a/kumquatridge/ui/main.py
+++ b/kumquatridge/ui/main.py
@@ -4,6 +4,7 @@
 
 import kumquatridge
 from kumquatridge.ui import check
+from kumquatridge.ui import settings
 
 
 @click.group()
@@ -13,3 +14,4 @@
 
 
 main.add_command(check.check)
+main.add_command(settings.settings)
--- /dev/null
+++ b/kumquatridge/ui/settings.py
@@ -0,0 +1,266 @@
+"""`kumquatridge settings`: reads and changes the settings tree."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+import functools
+import getpass
+import pathlib
+import socket
+import sys
+from typing import Any, ParamSpec
+
+import click
+
+from kumquatridge import errors
+from kumquatridge.encoding import credential_text
+from kumquatridge.encoding import record_text
+from kumquatridge.encoding import settings_text
+from kumquatridge.platform import client as platform_client
+from kumquatridge.platform import repository as platform_repository
+from kumquatridge.settings import credentials
+from kumquatridge.settings import digests
+from kumquatridge.settings import editing
+from kumquatridge.settings import errors as settings_errors
+from kumquatridge.settings import in_force
+from kumquatridge.settings import node as settings_node
+from kumquatridge.settings import record as settings_record
+from kumquatridge.settings import repository
+from kumquatridge.settings import writer
+from kumquatridge.ui import settings_output
+
+WAIT_POLL_S = 1.0
+
+_Parameters = ParamSpec("_Parameters")
+
+
+def _report_errors(
+    command: Callable[_Parameters, Coroutine[Any, Any, bool]],
+) -> Callable[_Parameters, None]:
+    """Runs a command; a failure is one line and the exit code 1."""
+
+    @functools.wraps(command)
+    def run(*args: _Parameters.args, **kwargs: _Parameters.kwargs) -> None:
+        try:
+            done = asyncio.run(command(*args, **kwargs))
+        except errors.KumquatridgeError as error:
+            click.echo(f"kumquatridge: {error}", err=True)
+            done = False
+        sys.exit(0 if done else 1)
+
+    return run
+
+
+def _check_path(
+    context: click.Context, parameter: click.Parameter, path: str
+) -> str:
+    if not settings_node.is_path(path):
+        raise click.BadParameter(
+            f"got {path!r}, expected a path such as /team/service"
+        )
+    return path
+
+
+_PLATFORM = click.option(
+    "--platform",
+    "address",
+    required=True,
+    envvar="KUMQUATRIDGE_PLATFORM",
+    help="The platform's address, host:port.",
+)
+_CREDENTIAL = click.option(
+    "--credential-file",
+    required=True,
+    type=click.Path(path_type=pathlib.Path),
+    envvar="KUMQUATRIDGE_CREDENTIAL_FILE",
+    help="Who you are, in JSON with comments.",
+)
+_PATH = click.option(
+    "--path", default="/", callback=_check_path, help="The top of a subtree."
+)
+_KEEP_CHILDREN = click.option(
+    "--keep-children", is_flag=True, help="Leave the nodes below alone."
+)
+_JSON = click.option("--json", "as_json", is_flag=True, help="For scripts.")
+_FILE = click.argument("file", type=click.Path(path_type=pathlib.Path))
+
+
+@click.group()
+def settings() -> None:
+    """Reads and changes the settings tree that the platform keeps."""
+
+
+@settings.command()
+@_PLATFORM
+@_PATH
+@_JSON
+@_report_errors
+async def get(address: str, path: str, as_json: bool) -> bool:
+    """Prints the subtree at a path."""
+    async with _open_client(address) as client:
+        nodes = platform_repository.PlatformRepository(client)
+        current = editing.index(await nodes.list_nodes())
+    subtree = editing.Edit(address, path, ())
+    found = [
+        node
+        for node in editing.list_nodes(current)
+        if subtree.covers(node.path)
+    ]
+    settings_output.print_nodes(found, path, as_json)
+    return True
+
+
+@settings.command()
+@_PLATFORM
+@_PATH
+@_KEEP_CHILDREN
+@_JSON
+@_FILE
+@_report_errors
+async def diff(
+    *,
+    address: str,
+    path: str,
+    keep_children: bool,
+    as_json: bool,
+    file: pathlib.Path,
+) -> bool:
+    """Prints what `apply` of FILE would change."""
+    edit = _read_edit(file, path, keep_children)
+    async with _open_client(address) as client:
+        nodes = platform_repository.PlatformRepository(client)
+        current = editing.index(await nodes.list_nodes())
+    plan = editing.plan(edit, current, settings_text.read_defaults())
+    settings_output.print_plan(plan, as_json)
+    return True
+
+
+@settings.command()
+@_PLATFORM
+@_CREDENTIAL
+@_PATH
+@_KEEP_CHILDREN
+@_JSON
+@_FILE
+@_report_errors
+async def apply(
+    *,
+    address: str,
+    credential_file: pathlib.Path,
+    path: str,
+    keep_children: bool,
+    as_json: bool,
+    file: pathlib.Path,
+) -> bool:
+    """Makes the subtree at a path what FILE says."""
+    own = credential_text.read_credential(credential_file)
+    edit = _read_edit(file, path, keep_children)
+    name = f"{getpass.getuser()}@{socket.gethostname()}"
+    async with _open_client(address, own) as client:
+        nodes = platform_repository.PlatformRepository(client)
+        current = editing.index(await nodes.list_nodes())
+        plan = editing.plan(edit, current, settings_text.read_defaults(), own)
+        node_writer = writer.NodeWriter(writer.WriterSettings(name, own), nodes)
+        outcomes = await node_writer.write_all(plan.changes)
+    settings_output.print_outcomes(plan, outcomes, as_json)
+    return writer.are_accepted(outcomes)
+
+
+@settings.command()
+@_PLATFORM
+@_JSON
+@click.argument("path", callback=_check_path)
+@_report_errors
+async def history(address: str, as_json: bool, path: str) -> bool:
+    """Prints the latest versions of the node PATH, newest first."""
+    async with _open_client(address) as client:
+        nodes = platform_repository.PlatformRepository(client)
+        found = await nodes.read(path)
+    match found:
+        case None:
+            raise settings_errors.SettingsError(f"{path}: no such node")
+        case repository.Damaged(reason=reason):
+            raise settings_errors.SettingsError(f"{path}: {reason}")
+        case settings_record.StoredNode(record=newest, history=older):
+            records = [record_text.describe(one) for one in (newest, *older)]
+    settings_output.print_history(records, as_json)
+    return True
+
+
+@settings.command()
+@_PLATFORM
+@_PATH
+@click.option("--timeout-s", default=30.0, show_default=True)
+@_JSON
+@_report_errors
+async def wait(
+    address: str, path: str, timeout_s: float, as_json: bool
+) -> bool:
+    """Waits until the subtree at a path is in force everywhere."""
+    async with _open_client(address) as client:
+        nodes = platform_repository.PlatformRepository(client)
+        missing = await _wait_until_in_force(nodes, path, timeout_s)
+    settings_output.print_missing(missing, as_json)
+    return not missing
+
+
+@settings.command()
+@click.option(
+    "--key-file",
+    required=True,
+    type=click.Path(path_type=pathlib.Path),
+    help="The operators' own credential.",
+)
+@click.option("--owner", required=True, callback=_check_path)
+@_report_errors
+async def credential(key_file: pathlib.Path, owner: str) -> bool:
+    """Prints the credential of a team."""
+    own = credential_text.read_credential(key_file)
+    made = credentials.delegate(own, owner)
+    click.echo(credential_text.encode_credential(made))
+    return True
+
+
+def _open_client(
+    address: str, own: credentials.Credential | None = None
+) -> platform_client.PlatformClient:
+    token = None if own is None else own.platform_token
+    return platform_client.PlatformClient(
+        platform_client.ClientSettings(address, token)
+    )
+
+
+def _read_edit(
+    file: pathlib.Path, path: str, keep_children: bool
+) -> editing.Edit:
+    nodes = tuple(settings_text.read_nodes(file, path))
+    if keep_children and len(nodes) > 1:
+        raise settings_errors.SettingsError(
+            f"{file}: has children, which --keep-children forbids"
+        )
+    return editing.Edit(str(file), path, nodes, keep_children)
+
+
+async def _wait_until_in_force(
+    nodes: platform_repository.PlatformRepository, path: str, timeout_s: float
+) -> tuple[in_force.NotYet, ...]:
+    """Returns what is not in force when the time is over."""
+    loop = asyncio.get_running_loop()
+    ends_at_s = loop.time() + timeout_s
+    missing = await _find_missing(nodes, path)
+    while missing and loop.time() < ends_at_s:
+        await asyncio.sleep(WAIT_POLL_S)
+        missing = await _find_missing(nodes, path)
+    return missing
+
+
+async def _find_missing(
+    nodes: platform_repository.PlatformRepository, path: str
+) -> tuple[in_force.NotYet, ...]:
+    versions = editing.get_versions(editing.index(await nodes.list_nodes()))
+    subtree = editing.Edit("", path, ())
+    wanted = {
+        one: version for one, version in versions.items() if subtree.covers(one)
+    }
+    return in_force.find_missing(
+        await nodes.list_reports(), digests.make_digest(versions), wanted
+    )
