--- a/kumquatridge/daemon/settings.py
+++ b/kumquatridge/daemon/settings.py
@@ -12,7 +12,9 @@
     workers' announcements and operators `operator_address`. `tree_file` is
     the settings tree served before any other is known. `seeds` are control
     addresses in the own data centre, `remote_seeds` in others. Messages made
-    with one of `previous_peer_keys` are still accepted.
+    with one of `previous_peer_keys` are still accepted. `platform_token` is
+    shown to the platform. With `settings_key`, the platform operators' key,
+    the daemon checks the signature of every node.
     """
 
     instance: str
@@ -26,5 +28,8 @@
     seeds: tuple[str, ...] = ()
     remote_seeds: tuple[str, ...] = ()
     previous_peer_keys: tuple[str, ...] = ()
+    platform_address: str | None = None
+    platform_token: str | None = None
+    settings_key: str | None = None
     drain_ms: int = 3000
     stop_timeout_ms: int = 60000
--- a/kumquatridge/encoding/daemon_text.py
+++ b/kumquatridge/encoding/daemon_text.py
@@ -68,6 +68,8 @@
         named[f"seeds[{index}]"] = seed
     for index, seed in enumerate(settings.remote_seeds):
         named[f"remote_seeds[{index}]"] = seed
+    if settings.platform_address is not None:
+        named["platform_address"] = settings.platform_address
     for name, address in named.items():
         if not _ADDRESS.fullmatch(address):
             raise errors.InvalidValueError(
--- a/kumquatridge/ui/main.py
+++ b/kumquatridge/ui/main.py
@@ -6,6 +6,7 @@
 from kumquatridge.ui import check
 from kumquatridge.ui import demo
 from kumquatridge.ui import explain
+from kumquatridge.ui import settings
 
 
 @click.group()
@@ -15,5 +16,6 @@
 
 
 main.add_command(check.check)
+main.add_command(settings.settings)
 main.add_command(demo.demo)
 main.add_command(explain.explain)
