--- a/kumquatridge/daemon/runtime.py
+++ b/kumquatridge/daemon/runtime.py
@@ -11,8 +11,11 @@
 from kumquatridge.admission import guard as admission_guard
 from kumquatridge.callpath import inbound
 from kumquatridge.callpath import intake as call_intake
+from kumquatridge.callpath import keyed
 from kumquatridge.callpath import outbound
 from kumquatridge.chain import ledger as chain_ledger
+from kumquatridge.chain import ratio as retry_ratio
+from kumquatridge.daemon import home_parts
 from kumquatridge.daemon import settings as daemon_settings
 from kumquatridge.daemon import settings_plane
 from kumquatridge.http import caller_server
@@ -20,6 +23,7 @@
 from kumquatridge.http import peer_client
 from kumquatridge.http import peer_server
 from kumquatridge.http import server
+from kumquatridge.http import service_news
 from kumquatridge.http import worker_client
 from kumquatridge.membership import member as members
 from kumquatridge.membership import table
@@ -27,6 +31,7 @@
 from kumquatridge.operators import server as operators_server
 from kumquatridge.operators import worker_registry
 from kumquatridge.peers import control
+from kumquatridge.quarantine import register as crash_register
 from kumquatridge.routing import chooser as routing
 from kumquatridge.telemetry import decisions
 from kumquatridge.telemetry import events
@@ -43,11 +48,15 @@
         self._guard = admission_guard.AdmissionGuard(slots=0)
         self._ledger = chain_ledger.Ledger()
         self._plane = settings_plane.SettingsPlane(settings, self._members)
+        self._decisions = decisions.DecisionLog()
+        self._recorder = metrics.MetricRecorder(self._decisions)
         self._intake = call_intake.Intake(
-            self._plane.store.policies, self._ledger
+            self._plane.store.policies, self._ledger, self._recorder
         )
         self._plane.attach(self._intake)
-        self._decisions = decisions.DecisionLog()
+        self._homes = home_parts.HomeParts(settings, self._members)
+        self._news: service_news.ServiceNewsExchange | None = None
+        self._peers: control.ControlPlane | None = None
         self._stack = contextlib.AsyncExitStack()
         self._registry: worker_registry.WorkerRegistry | None = None
 
@@ -55,40 +64,77 @@
         """Opens the connections and listeners."""
         settings = self._settings
         enter = self._stack.enter_async_context
-        recorder = metrics.MetricRecorder(self._decisions)
+        recorder = self._recorder
         exporter = self._stack.enter_context(metrics.MetricExporter(recorder))
         self._add_gauges(exporter)
         self._plane.add_metrics(exporter)
         session = await enter(client.make_session())
+        crashes = crash_register.CrashRegister(
+            crash_register.QuarantineSettings(),
+            settings.instance,
+            self._announce_news,
+        )
+        news = await enter(
+            service_news.ServiceNewsExchange(
+                self._members,
+                self._homes.roster,
+                crashes,
+                session,
+                settings.peer_key,
+                seeds=settings.seeds,
+            )
+        )
+        self._news = news
         own_path = inbound.InboundPath(
             self._members,
             self._guard,
             self._ledger,
             worker_client.HttpWorkerLink(session),
             recorder,
+            crashes=crashes,
         )
+        peer_link = peer_client.HttpPeerLink(session, settings.peer_key)
         path = outbound.OutboundPath(
             self._members,
             routing.InstanceChooser(self._members, random.getrandbits(64)),
             own_path,
-            peer_client.HttpPeerLink(session, settings.peer_key),
+            peer_link,
             recorder,
+            ratio=retry_ratio.RetryRatio(retry_ratio.RatioSettings()),
+        )
+        await enter(self._homes.stalls)
+        keyed_path = await enter(
+            keyed.KeyedPath(
+                self._members,
+                own_path,
+                path,
+                peer_link,
+                recorder,
+                home_finder=self._homes.finder,
+                memory=self._homes.memory,
+            )
         )
         peers = await enter(
             control.ControlPlane(settings, self._members, exporter.provider)
         )
         await enter(self._plane)
         self._registry = worker_registry.WorkerRegistry(
-            self._members, self._guard, peers.gossip.announce_now
+            self._members, self._guard, self._announce_member
         )
+        self._peers = peers
         peer_handler = peer_server.PeerHandler(
-            self._intake, own_path, settings.peer_key, recorder
+            self._intake,
+            own_path,
+            settings.peer_key,
+            recorder,
+            home=keyed_path,
+            news=news,
         )
         await enter(
             server.HttpServer(settings.call_address, peer_handler.handle)
         )
         caller_handler = caller_server.CallerHandler(
-            self._intake, path, recorder
+            self._intake, keyed_path, recorder, self._homes.issuer
         )
         await enter(
             server.HttpServer(settings.caller_address, caller_handler.handle)
@@ -131,6 +177,17 @@
             )
         )
 
+    def _announce_member(self) -> None:
+        """Tells what changed about the own member."""
+        if self._peers is not None:
+            self._peers.gossip.announce_now()
+        self._announce_news()
+
+    def _announce_news(self) -> None:
+        """Tells the service's daemons what changed about homes or crashes."""
+        if self._news is not None:
+            self._news.announce()
+
     def _add_gauges(self, exporter: metrics.MetricExporter) -> None:
         guard = self._guard
         exporter.add_gauge(gauges.IN_PROGRESS, lambda: guard.in_progress)
--- a/kumquatridge/telemetry/metrics.py
+++ b/kumquatridge/telemetry/metrics.py
@@ -47,6 +47,9 @@
         self._log = log
         self.refusals: collections.Counter[RefusalKey] = collections.Counter()
         self.retries: collections.Counter[RetryKey] = collections.Counter()
+        self.retries_denied: collections.Counter[RetryKey] = (
+            collections.Counter()
+        )
         self.rejections: collections.Counter[str] = collections.Counter()
 
     def record_refusal(
@@ -62,6 +65,10 @@
         self.retries[RetryKey(reason, call.service)] += 1
         self._log.add_retry(call, reason)
 
+    def record_retry_denied(self, call: calls.Call, reason: str) -> None:
+        """Counts an attempt that would have helped but wasn't allowed."""
+        self.retries_denied[RetryKey(reason, call.service)] += 1
+
     def record_rejection(self, refusal: refusals.Refusal) -> None:
         """Counts a request that never became a call and why."""
         self.rejections[refusal.code] += 1
@@ -132,6 +139,7 @@
         observers = {
             gauges.REFUSALS: self._observe_refusals,
             gauges.RETRIES: self._observe_retries,
+            gauges.RETRIES_DENIED: self._observe_retries_denied,
             gauges.REJECTIONS: self._observe_rejections,
         }
         for spec, observe in observers.items():
@@ -151,6 +159,12 @@
         for key, count in self._recorder.retries.items():
             yield otel_metrics.Observation(count, key._asdict())
 
+    def _observe_retries_denied(
+        self, options: otel_metrics.CallbackOptions
+    ) -> Iterator[otel_metrics.Observation]:
+        for key, count in self._recorder.retries_denied.items():
+            yield otel_metrics.Observation(count, key._asdict())
+
     def _observe_rejections(
         self, options: otel_metrics.CallbackOptions
     ) -> Iterator[otel_metrics.Observation]:
