--- /dev/null
+++ b/kumquatridge/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Scripted scenarios in virtual time, on the product and a naive version."""
--- /dev/null
+++ b/kumquatridge/bench/capacity.py
@@ -0,0 +1,54 @@
+"""What the slots of a deployment can carry of a mix of chains."""
+
+from collections.abc import Mapping
+
+from kumquatridge.bench import scenario
+
+SlotTimes = Mapping[str, float]
+
+
+def get_hold_ms(step: scenario.Step, deployment: scenario.Deployment) -> float:
+    """Returns for how long an undisturbed step holds its slot."""
+    own_ms = step.work_ratio * _get_service(deployment, step).service_ms
+    children_ms = [get_hold_ms(child, deployment) for child in step.children]
+    if step.is_parallel:
+        return own_ms + max(children_ms)
+    return own_ms + sum(children_ms)
+
+
+def get_slot_times(
+    chain: scenario.Chain, deployment: scenario.Deployment
+) -> SlotTimes:
+    """Returns the slot time, in ms, that a chain takes of each service."""
+    times: dict[str, float] = {}
+    for step in scenario.iter_steps(chain.root):
+        held_ms = get_hold_ms(step, deployment)
+        times[step.service] = times.get(step.service, 0.0) + held_ms
+    return times
+
+
+def get_slots(deployment: scenario.Deployment) -> Mapping[str, int]:
+    """Returns the slots of each service."""
+    return {one.name: one.workers * one.slots for one in deployment.services}
+
+
+def get_rate_per_s(
+    deployment: scenario.Deployment, mix: tuple[scenario.Share, ...]
+) -> float:
+    """Returns the highest rate of the mix at which no service is full."""
+    chains = {one.name: one for one in deployment.chains}
+    total = sum(share.weight for share in mix)
+    load: dict[str, float] = {}
+    for share in mix:
+        part = share.weight / total
+        times = get_slot_times(chains[share.chain], deployment)
+        for service, held_ms in times.items():
+            load[service] = load.get(service, 0.0) + part * held_ms / 1000.0
+    slots = get_slots(deployment)
+    return min(slots[name] / held_s for name, held_s in load.items())
+
+
+def _get_service(
+    deployment: scenario.Deployment, step: scenario.Step
+) -> scenario.Service:
+    return next(one for one in deployment.services if one.name == step.service)
--- /dev/null
+++ b/kumquatridge/bench/faults.py
@@ -0,0 +1,120 @@
+"""Brings about the faults of a scenario at their times."""
+
+import asyncio
+import random
+
+from kumquatridge import clock
+from kumquatridge.bench import fleets
+from kumquatridge.bench import scenario
+
+MEMBERSHIP_DELAY_S = 2.0
+
+
+class FaultInjector:
+    """Disturbs a fleet as a scenario says."""
+
+    def __init__(
+        self, script: scenario.Scenario, fleet: fleets.Fleet, seed: str
+    ) -> None:
+        self._script = script
+        self._fleet = fleet
+        self._random = random.Random(f"{seed}/faults")
+
+    async def run(self) -> None:
+        """Brings about every fault and ends it again."""
+        async with asyncio.TaskGroup() as group:
+            for fault in self._script.faults:
+                group.create_task(self._run_fault(fault))
+
+    async def _run_fault(self, fault: scenario.Fault) -> None:
+        await asyncio.sleep(fault.span.starts_ms / 1000.0)
+        match fault.trouble:
+            case scenario.Slow(service, workers_ratio, slowdown_ratio):
+                self._slow(
+                    [
+                        one
+                        for one in self._fleet.instances
+                        if one.worker.service.name == service
+                    ],
+                    workers_ratio,
+                    slowdown_ratio,
+                    fault.span.ends_ms,
+                )
+            case scenario.SlowMoments():
+                await self._slow_moments(fault.trouble, fault.span)
+            case scenario.CrashWorker(service, number):
+                self._find(service, number).worker.crash(fault.span.length_ms)
+            case scenario.Stall(service, number):
+                await self._pause(self._find(service, number).worker, fault)
+            case scenario.PauseDaemon(service, number):
+                await self._pause(self._find(service, number), fault)
+            case scenario.RestartDaemon(service, number):
+                await self._restart(self._find(service, number), fault)
+            case scenario.Cut(data_centre):
+                await self._cut(data_centre, fault)
+            case scenario.Lose(half, ratio):
+                self._fleet.network.set_lost(half, ratio)
+                await _wait(fault)
+                self._fleet.network.set_lost(half, 0.0)
+
+    def _find(self, service: str, number: int) -> fleets.Instance:
+        name = f"{service}-{number}"
+        return next(
+            one for one in self._fleet.instances if one.worker.name == name
+        )
+
+    def _slow(
+        self,
+        among: list[fleets.Instance],
+        workers_ratio: float,
+        slowdown_ratio: float,
+        ends_ms: float,
+    ) -> None:
+        count = max(1, round(workers_ratio * len(among)))
+        for instance in self._random.sample(among, count):
+            instance.worker.slow_down(slowdown_ratio, ends_ms)
+
+    async def _slow_moments(
+        self, trouble: scenario.SlowMoments, span: scenario.Span
+    ) -> None:
+        while (now_ms := clock.get_now_ms()) < span.ends_ms:
+            self._slow(
+                list(self._fleet.instances),
+                trouble.workers_ratio,
+                trouble.slowdown_ratio,
+                now_ms + trouble.moment_ms,
+            )
+            await asyncio.sleep(trouble.period_ms / 1000.0)
+
+    async def _pause(
+        self, owner: fleets.HasProcess, fault: scenario.Fault
+    ) -> None:
+        owner.process.pause()
+        await _wait(fault)
+        owner.process.resume()
+
+    async def _restart(
+        self, instance: fleets.Instance, fault: scenario.Fault
+    ) -> None:
+        instance.process.lose()
+        await asyncio.sleep(0)
+        instance.restart_daemon()
+        await _wait(fault)
+        instance.process.start()
+        self._fleet.note_reachability()
+
+    async def _cut(self, data_centre: str, fault: scenario.Fault) -> None:
+        self._fleet.network.cut(data_centre)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._follow())
+            await _wait(fault)
+            self._fleet.network.mend(data_centre)
+            group.create_task(self._follow())
+
+    async def _follow(self) -> None:
+        await asyncio.sleep(MEMBERSHIP_DELAY_S)
+        self._fleet.note_reachability()
+
+
+async def _wait(fault: scenario.Fault) -> None:
+    await asyncio.sleep(fault.span.length_ms / 1000.0)
--- /dev/null
+++ b/kumquatridge/bench/fleets.py
@@ -0,0 +1,74 @@
+"""What a scenario needs of a fleet, whether the product or the naive one."""
+
+import dataclasses
+from typing import Protocol
+
+from kumquatridge.bench import jobs
+from kumquatridge.bench import network as bench_network
+from kumquatridge.bench import process
+from kumquatridge.bench import records as bench_records
+from kumquatridge.bench import scenario
+from kumquatridge.bench import workers
+from kumquatridge.calls import outcomes
+from kumquatridge.settings import policy as settings_policy
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Environment:
+    """What all instances of a fleet share in one run."""
+
+    deployment: scenario.Deployment
+    network: bench_network.FakeNetwork
+    policies: settings_policy.PolicyLookup
+    book: jobs.JobBook
+    records: bench_records.Records
+    seed: str
+
+
+class HasProcess(Protocol):
+    """Whatever runs in a process of its own."""
+
+    @property
+    def process(self) -> process.FakeProcess:
+        """The process: of a daemon, or of a worker."""
+        ...
+
+
+class Instance(HasProcess, Protocol):
+    """An instance: a worker and, in the product, the daemon beside it."""
+
+    @property
+    def data_centre(self) -> str:
+        """Where the instance stands."""
+        ...
+
+    @property
+    def worker(self) -> workers.FakeWorker:
+        """The worker."""
+        ...
+
+    async def send(self, job: jobs.Job) -> outcomes.Outcome:
+        """Serves a call of an outside caller."""
+        ...
+
+    def restart_daemon(self) -> None:
+        """Replaces the daemon by one that remembers nothing."""
+        ...
+
+
+class Fleet(Protocol):
+    """All instances of a deployment."""
+
+    @property
+    def network(self) -> bench_network.FakeNetwork:
+        """What connects the instances."""
+        ...
+
+    @property
+    def instances(self) -> tuple[Instance, ...]:
+        """The instances, service by service."""
+        ...
+
+    def note_reachability(self) -> None:
+        """Lets the fleet's membership follow a cut or a lost process."""
+        ...
--- /dev/null
+++ b/kumquatridge/bench/plots.py
@@ -0,0 +1,68 @@
+"""Draws the course of runs; needs matplotlib, which only developers have."""
+
+from collections.abc import Sequence
+import pathlib
+from typing import Any
+
+from kumquatridge.bench import errors
+from kumquatridge.bench import measures
+from kumquatridge.bench import records as bench_records
+from kumquatridge.bench import runner
+from kumquatridge.bench import scenario
+
+STEP_MS = 1000.0
+DOTS_PER_INCH = 90
+
+
+def draw(results: Sequence[runner.RunResult], file: pathlib.Path) -> None:
+    """Draws success and p99 over time, all results in one picture.
+
+    Raises:
+      BenchError: matplotlib is not installed.
+    """
+    pyplot = _load_pyplot()
+    figure, (top, bottom) = pyplot.subplots(2, 1, sharex=True, figsize=(8, 6))
+    for result in results:
+        spans = _make_spans(result.script.duration_ms)
+        seconds = [span.starts_ms / 1000.0 for span in spans]
+        groups = [_pick(result, span) for span in spans]
+        label = f"{result.version.value}, seed {result.seed}"
+        top.plot(seconds, [100 * measures.get_success(g) for g in groups])
+        bottom.plot(seconds, [measures.get_p99_ms(g) for g in groups])
+        top.lines[-1].set_label(label)
+    top.set_title(results[0].script.title)
+    top.set_ylabel("requests that succeed, %")
+    bottom.set_ylabel("p99 of those, ms")
+    bottom.set_yscale("log")
+    bottom.set_xlabel("time of arrival, s")
+    top.legend()
+    figure.savefig(file, dpi=DOTS_PER_INCH)
+    pyplot.close(figure)
+
+
+def _load_pyplot() -> Any:
+    try:
+        import matplotlib as mpl  # noqa: PLC0415
+        from matplotlib import pyplot as plt  # noqa: PLC0415
+    except ImportError as error:
+        raise errors.BenchError(
+            "plots need matplotlib: pip install 'kumquatridge[dev]', "
+            "or leave --report out"
+        ) from error
+    mpl.use("agg")
+    return plt
+
+
+def _make_spans(duration_ms: float) -> list[scenario.Span]:
+    return [
+        scenario.Span(number * STEP_MS, (number + 1) * STEP_MS)
+        for number in range(int(duration_ms / STEP_MS))
+    ]
+
+
+def _pick(
+    result: runner.RunResult, span: scenario.Span
+) -> list[bench_records.Finished]:
+    return [
+        one for one in result.records.finished if span.contains(one.arrived_ms)
+    ]
--- /dev/null
+++ b/kumquatridge/bench/process.py
@@ -0,0 +1,77 @@
+"""A stand-in for a process that can be lost or stand still."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+from kumquatridge.bench import errors
+
+T = TypeVar("T")
+
+
+class ProcessDownError(errors.BenchError):
+    """The process took nothing in, because it is not there."""
+
+
+class ProcessLostError(errors.BenchError):
+    """The process was lost while it ran what it had taken in."""
+
+
+class FakeProcess:
+    """Runs work in tasks of its own and can be lost with all of them."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.is_up = True
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._lost: set[asyncio.Task[Any]] = set()
+        self._going = asyncio.Event()
+        self._going.set()
+
+    async def run(self, work: Coroutine[Any, Any, T]) -> T:
+        """Runs work to its end.
+
+        Raises:
+          ProcessDownError: the process is not there; nothing was run.
+          ProcessLostError: the process was lost on the way.
+        """
+        if not self.is_up:
+            work.close()
+            raise ProcessDownError(self.name)
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        try:
+            return await task
+        except asyncio.CancelledError:
+            own = asyncio.current_task()
+            if task not in self._lost or (own and own.cancelling()):
+                raise
+            raise ProcessLostError(self.name) from None
+        finally:
+            self._lost.discard(task)
+
+    def lose(self) -> None:
+        """Loses the process and everything that it runs."""
+        self.is_up = False
+        self._going.set()
+        self._lost.update(self._tasks)
+        for task in tuple(self._tasks):
+            task.cancel()
+
+    def start(self) -> None:
+        """Brings the process back, with nothing in progress."""
+        self.is_up = True
+
+    def pause(self) -> None:
+        """Makes the process stand still."""
+        self._going.clear()
+
+    def resume(self) -> None:
+        """Lets the process go on."""
+        self._going.set()
+
+    async def wait_while_paused(self) -> None:
+        """Returns once the process does not stand still."""
+        if not self._going.is_set():
+            await self._going.wait()
--- /dev/null
+++ b/kumquatridge/bench/runner.py
@@ -0,0 +1,114 @@
+"""Runs a scenario in virtual time."""
+
+import asyncio
+import dataclasses
+import enum
+import pathlib
+import time
+
+import looptime
+
+from kumquatridge.bench import callers
+from kumquatridge.bench import entropy
+from kumquatridge.bench import faults
+from kumquatridge.bench import fleets
+from kumquatridge.bench import jobs
+from kumquatridge.bench import measures
+from kumquatridge.bench import naive
+from kumquatridge.bench import network
+from kumquatridge.bench import product
+from kumquatridge.bench import records as bench_records
+from kumquatridge.bench import scenario
+from kumquatridge.encoding import settings_text
+from kumquatridge.settings import policy as settings_policy
+
+TREE_FILE = "tree.jsonc"
+CLOCK_RESOLUTION_S = 1e-4
+IDLE_CYCLES = 1
+
+
+class Version(enum.Enum):
+    """Which fleet a scenario runs on."""
+
+    PRODUCT = "kumquatridge"
+    NAIVE = "naive"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunResult:
+    """What one run of a scenario came to."""
+
+    script: scenario.Scenario
+    version: Version
+    seed: int
+    measured: tuple[measures.Measured, ...]
+    records: bench_records.Records
+    wall_s: float
+
+    @property
+    def holds(self) -> bool:
+        """Whether every bound and promise holds."""
+        return all(one.holds for one in self.measured)
+
+
+def run_scenario(
+    script: scenario.Scenario,
+    examples: pathlib.Path,
+    version: Version,
+    seed: int,
+) -> RunResult:
+    """Runs a scenario to its end and measures it."""
+    file = examples / script.deployment.name / TREE_FILE
+    policies = settings_text.read_tree(file).compile()
+    started_s = time.monotonic()
+    with (
+        entropy.seed_secrets(str(seed)),
+        asyncio.Runner(loop_factory=_make_loop) as runner,
+    ):
+        records = runner.run(_run(script, policies, version, str(seed)))
+    return RunResult(
+        script,
+        version,
+        seed,
+        measures.RunMeasures(script, records).measure_all(),
+        records,
+        time.monotonic() - started_s,
+    )
+
+
+def _make_loop() -> asyncio.AbstractEventLoop:
+    loop: asyncio.AbstractEventLoop = looptime.new_event_loop(
+        start=0, resolution=CLOCK_RESOLUTION_S, noop_cycles=IDLE_CYCLES
+    )
+    return loop
+
+
+async def _run(
+    script: scenario.Scenario,
+    policies: settings_policy.PolicyLookup,
+    version: Version,
+    seed: str,
+) -> bench_records.Records:
+    environment = fleets.Environment(
+        script.deployment,
+        network.FakeNetwork(script.deployment, seed),
+        policies,
+        jobs.JobBook(),
+        bench_records.Records(),
+        seed,
+    )
+    fleet = _make_fleet(version, environment)
+    async with asyncio.TaskGroup() as group:
+        group.create_task(faults.FaultInjector(script, fleet, seed).run())
+        group.create_task(callers.Callers(script, fleet, environment).run())
+    return environment.records
+
+
+def _make_fleet(
+    version: Version, environment: fleets.Environment
+) -> fleets.Fleet:
+    match version:
+        case Version.PRODUCT:
+            return product.ProductFleet(environment)
+        case Version.NAIVE:
+            return naive.NaiveFleet(environment)
--- /dev/null
+++ b/kumquatridge/bench/workers.py
@@ -0,0 +1,101 @@
+"""A stand-in for a worker, in virtual time."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+import dataclasses
+import random
+from typing import Any
+
+from kumquatridge import clock
+from kumquatridge.bench import jobs
+from kumquatridge.bench import placement
+from kumquatridge.bench import process
+from kumquatridge.bench import records as bench_records
+from kumquatridge.bench import scenario
+from kumquatridge.calls import outcomes
+
+POISON_RESTART_MS = 2000.0
+SPREAD_RATIO = 0.2
+
+
+# Makes a call for a worker that is running one.
+SendChild = Callable[[jobs.Job], Coroutine[Any, Any, outcomes.Outcome]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Slowdown:
+    ratio: float
+    ends_ms: float
+
+
+class FakeWorker:
+    """Runs calls in slots, the rest in an unbounded queue of its own."""
+
+    def __init__(
+        self,
+        place: placement.Place,
+        book: jobs.JobBook,
+        records: bench_records.Records,
+        seed: str,
+    ) -> None:
+        self.name = place.name
+        self.service = place.service
+        self.process = process.FakeProcess(place.name)
+        self._slots = asyncio.Semaphore(place.service.slots)
+        self._book = book
+        self._records = records
+        self._random = random.Random(f"{seed}/{place.name}")
+        self._slowdown = _Slowdown(1.0, 0.0)
+
+    def slow_down(self, ratio: float, ends_ms: float) -> None:
+        """Makes calls that begin now take longer until a time."""
+        self._slowdown = _Slowdown(ratio, ends_ms)
+
+    async def handle(
+        self, job: jobs.Job, send_child: SendChild
+    ) -> outcomes.Completed:
+        """Runs a call and the calls that it makes."""
+        async with self._slots:
+            self._records.note_run(self.name, job)
+            if job.is_poison:
+                self.crash(POISON_RESTART_MS)
+            await asyncio.sleep(self._get_work_s(job.step))
+            all_well = await self._send_children(job, send_child)
+            await self.process.wait_while_paused()
+        status = jobs.STATUS_OK if all_well else jobs.STATUS_CHILD_FAILED
+        return jobs.make_answer(job, status)
+
+    def crash(self, restart_ms: float) -> None:
+        """Loses all calls in progress; the worker comes back later."""
+        self._records.crashes[self.service.name] += 1
+        self.process.lose()
+        asyncio.get_running_loop().call_later(
+            restart_ms / 1000.0, self.process.start
+        )
+
+    async def _send_children(
+        self, job: jobs.Job, send_child: SendChild
+    ) -> bool:
+        children = [
+            self._book.make_child(job, position)
+            for position in range(len(job.step.children))
+        ]
+        if job.step.is_parallel:
+            answers = await asyncio.gather(*map(send_child, children))
+            return all(map(jobs.is_success, answers))
+        for child in children:
+            if not jobs.is_success(await send_child(child)):
+                return False
+        return True
+
+    def _get_work_s(self, step: scenario.Step) -> float:
+        spread = self._random.uniform(1 - SPREAD_RATIO, 1 + SPREAD_RATIO)
+        work_ms = self.service.service_ms * step.work_ratio * spread
+        return self._stretch_ms(work_ms) / 1000.0
+
+    def _stretch_ms(self, work_ms: float) -> float:
+        slow_ms = max(0.0, self._slowdown.ends_ms - clock.get_now_ms())
+        done_ms = slow_ms / self._slowdown.ratio
+        if done_ms >= work_ms:
+            return work_ms * self._slowdown.ratio
+        return slow_ms + work_ms - done_ms
--- /dev/null
+++ b/kumquatridge/ui/bench.py
@@ -0,0 +1,141 @@
+"""`kumquatridge bench`: runs scenarios in virtual time."""
+
+from collections.abc import Iterator, Sequence
+import itertools
+import json
+import pathlib
+import sys
+
+import click
+
+from kumquatridge import errors
+from kumquatridge.bench import library
+from kumquatridge.bench import plots
+from kumquatridge.bench import report
+from kumquatridge.bench import runner
+from kumquatridge.bench import scenario
+from kumquatridge.bench import scenario_text
+
+_EXAMPLES = click.option(
+    "--examples",
+    default=library.EXAMPLES,
+    show_default=False,
+    type=click.Path(path_type=pathlib.Path),
+    help="The folder of the deployments; the repository's examples if left.",
+)
+
+
+@click.group()
+def bench() -> None:
+    """Proves the decisions under load and faults, in virtual time."""
+
+
+@bench.command("list")
+@_EXAMPLES
+def list_scenarios(examples: pathlib.Path) -> None:
+    """Lists the scenarios that ship with the package."""
+    try:
+        for name, file in library.find_scenarios().items():
+            script = scenario_text.read_scenario(file, examples)
+            click.echo(f"{name:40} {script.title}")
+    except errors.KumquatridgeError as error:
+        _fail(error)
+
+
+@bench.command()
+@click.argument("files", nargs=-1, required=True)
+@click.option("--seed", default=1, show_default=True, help="The first seed.")
+@click.option(
+    "--seeds",
+    default=1,
+    show_default=True,
+    type=click.IntRange(min=1),
+    help="How many seeds to run, from the first on.",
+)
+@click.option("--naive", is_flag=True, help="Run the naive version instead.")
+@click.option("--both", is_flag=True, help="Run the naive version as well.")
+@click.option(
+    "--report",
+    "folder",
+    type=click.Path(path_type=pathlib.Path, file_okay=False),
+    help="Write the table and plots into this folder.",
+)
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+@_EXAMPLES
+def run(
+    files: tuple[str, ...],
+    seed: int,
+    seeds: int,
+    naive: bool,
+    both: bool,
+    folder: pathlib.Path | None,
+    as_json: bool,
+    examples: pathlib.Path,
+) -> None:
+    """Runs FILES, scenarios by path or by the name that `list` shows.
+
+    Exits with 0 when all bounds and promises hold for the product, or for
+    the naive version with --naive, and with 1 when not.
+    """
+    versions = _pick_versions(naive, both)
+    results: list[runner.RunResult] = []
+    try:
+        scripts = [
+            scenario_text.read_scenario(library.find_file(name), examples)
+            for name in files
+        ]
+        cases = itertools.product(scripts, range(seed, seed + seeds), versions)
+        for script, number, version in cases:
+            result = runner.run_scenario(script, examples, version, number)
+            results.append(result)
+            if not as_json:
+                _print_result(result)
+        if as_json:
+            values = [report.make_values(one) for one in results]
+            click.echo(json.dumps(values, indent=2))
+        if folder is not None:
+            _write_report(results, folder)
+    except errors.KumquatridgeError as error:
+        _fail(error)
+    judged = [one for one in results if one.version is versions[0]]
+    sys.exit(0 if all(one.holds for one in judged) else 1)
+
+
+def _pick_versions(naive: bool, both: bool) -> tuple[runner.Version, ...]:
+    if naive and both:
+        raise click.UsageError("--naive and --both exclude each other")
+    if both:
+        return (runner.Version.PRODUCT, runner.Version.NAIVE)
+    return (runner.Version.NAIVE if naive else runner.Version.PRODUCT,)
+
+
+def _print_result(result: runner.RunResult) -> None:
+    click.echo(
+        f"{result.script.name}, {result.version.value}, seed {result.seed}: "
+        f"{len(result.records.finished)} requests in {result.wall_s:.1f} s"
+    )
+    for one in result.measured:
+        verdict = "holds" if one.holds else "FAILS"
+        click.echo(f"  {verdict}  {one.name}: {one.figure} ({one.bound})")
+
+
+def _write_report(
+    results: Sequence[runner.RunResult], folder: pathlib.Path
+) -> None:
+    folder.mkdir(parents=True, exist_ok=True)
+    table = report.write_markdown(results)
+    (folder / "bench.md").write_text(table, encoding="utf-8")
+    for script, group in _group_by_script(results):
+        plots.draw(group, folder / f"{script.name}.png")
+
+
+def _group_by_script(
+    results: Sequence[runner.RunResult],
+) -> Iterator[tuple[scenario.Scenario, list[runner.RunResult]]]:
+    for script, group in itertools.groupby(results, lambda one: one.script):
+        yield script, list(group)
+
+
+def _fail(error: errors.KumquatridgeError) -> None:
+    click.echo(f"kumquatridge: {error}", err=True)
+    sys.exit(1)
--- a/kumquatridge/ui/main.py
+++ b/kumquatridge/ui/main.py
@@ -3,6 +3,7 @@
 import click
 
 import kumquatridge
+from kumquatridge.ui import bench
 from kumquatridge.ui import check
 
 
@@ -12,4 +13,5 @@
     """Operates and explains an overload control layer."""
 
 
+main.add_command(bench.bench)
 main.add_command(check.check)
