--- a/kumquatridge/ui/main.py
+++ b/kumquatridge/ui/main.py
@@ -5,6 +5,8 @@
 import kumquatridge
 from kumquatridge.ui import bench
 from kumquatridge.ui import check
+from kumquatridge.ui import demo
+from kumquatridge.ui import explain
 
 
 @click.group()
@@ -15,3 +17,5 @@
 
 main.add_command(bench.bench)
 main.add_command(check.check)
+main.add_command(demo.demo)
+main.add_command(explain.explain)
