Admit by rank and measured limit; choose by own answers

Admission served the most important waiting call but knew neither what the worker bears nor which roots the other hops refuse, and the choice of an instance scanned all instances for each call.

Admission now ranks calls by importance, depth and a hash of the root, moves a level with the demand of short windows, lowers the limit only where that costs no throughput, and shares the slots between short, long and deeper calls.

--- a/kumquatridge/admission/guard.py
+++ b/kumquatridge/admission/guard.py
@@ -6,34 +6,56 @@
 import dataclasses
 
 from kumquatridge import clock
+from kumquatridge.admission import level_control
+from kumquatridge.admission import levels
+from kumquatridge.admission import limits
+from kumquatridge.admission import queue as waiting_queue
+from kumquatridge.admission import service_times
+from kumquatridge.admission import settings as admission_settings
+from kumquatridge.admission import shares
 from kumquatridge.admission import verdicts
 from kumquatridge.calls import call as calls
 from kumquatridge.calls import importance as call_importance
+from kumquatridge.calls import outcomes
 from kumquatridge.calls import refusals
+from kumquatridge.calls import reports
 
-RETRY_AFTER_MS = 1000
+IDLE_RATIO = 0.75
+OVERLOAD_STATUSES = frozenset((429, 503))
+FIRST_ERROR_STATUS = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class AdmissionLevel:
-    """The least importance that an instance admits at the moment."""
+class GuardSnapshot:
+    """What admission at a worker stands at, for status and gauges."""
 
-    importance: call_importance.Importance
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Waiting:
-    importance: call_importance.Importance
-    granted: asyncio.Future[None]
+    slots: int
+    limit: int
+    in_progress: int
+    long_in_progress: int
+    long_limit: int
+    kept_for_deeper: int
+    queued: int
+    level: levels.AdmissionLevel
+    is_overloaded: bool
+    latency_ms: float
 
 
 class AdmissionGuard:
     """Admits calls up to the worker's slots, the more important first."""
 
-    def __init__(self, slots: int) -> None:
-        self._slots = slots
-        self._in_progress = 0
-        self._waiting: list[_Waiting] = []
+    def __init__(
+        self,
+        slots: int,
+        settings: admission_settings.AdmissionSettings | None = None,
+    ) -> None:
+        self._settings = settings or admission_settings.AdmissionSettings()
+        self._limit = limits.ConcurrencyLimit(slots)
+        self._shares = shares.SlotShares(self._settings)
+        self._shares.set_limit(slots)
+        self._control = level_control.LevelControl()
+        self._times = service_times.ServiceTimes()
+        self._queue = waiting_queue.WaitingQueue()
         self._draining = False
         self._idle = asyncio.Event()
         self._idle.set()
@@ -41,22 +63,52 @@
     @property
     def in_progress(self) -> int:
         """Calls that hold a slot now."""
-        return self._in_progress
+        return self._shares.in_progress
 
     @property
     def queued(self) -> int:
         """Calls that wait for a slot now."""
-        return len(self._waiting)
+        return len(self._queue)
 
     @property
     def limit(self) -> int:
         """Calls that may hold a slot at once."""
-        return self._slots
+        return self._shares.limit
+
+    @property
+    def snapshot(self) -> GuardSnapshot:
+        """What the guard stands at."""
+        return GuardSnapshot(
+            slots=self._limit.slots,
+            limit=self.limit,
+            in_progress=self.in_progress,
+            long_in_progress=self._shares.long_in_progress,
+            long_limit=self._shares.get_long_limit(
+                call_importance.Importance.BACKGROUND
+            ),
+            kept_for_deeper=self._shares.get_kept(depth=0),
+            queued=self.queued,
+            level=levels.AdmissionLevel.from_rank(self._control.rank),
+            is_overloaded=self._control.is_overloaded,
+            latency_ms=self._times.median_ms,
+        )
+
+    def make_report(self) -> reports.InstanceReport:
+        """Returns what answers tell the senders of calls."""
+        level = levels.AdmissionLevel.from_rank(self._control.rank)
+        return reports.InstanceReport(
+            level.importance,
+            level.nested,
+            level.threshold,
+            self.in_progress + self.queued,
+            self.limit,
+            self._times.median_ms,
+        )
 
     def set_slots(self, slots: int) -> None:
         """Takes the number of slots that the worker announced."""
-        self._slots = slots
-        self._hand_over()
+        self._limit.set_slots(slots)
+        self._update_limit()
 
     async def wait_until_idle(self) -> None:
         """Waits until no call holds a slot."""
@@ -69,58 +121,170 @@
     @contextlib.asynccontextmanager
     async def admit(self, call: calls.Call) -> AsyncIterator[verdicts.Verdict]:
         """Holds a slot for the call while the context is open."""
-        verdict = await self._wait_for_slot(call)
+        if self._draining:
+            yield verdicts.Refused(refusals.Draining(call.service))
+            return
+        now_ms = clock.get_now_ms()
+        kind = self._make_kind(call)
+        self._shares.enter(kind, now_ms)
         try:
-            yield verdict
+            verdict = await self._decide(call, kind, now_ms)
+            try:
+                yield verdict
+            finally:
+                match verdict:
+                    case verdicts.Admitted():
+                        self._release(kind)
+                    case verdicts.Refused():
+                        pass
         finally:
-            if isinstance(verdict, verdicts.Admitted):
-                self._release()
+            self._shares.leave(kind)
 
-    async def _wait_for_slot(self, call: calls.Call) -> verdicts.Verdict:
-        if self._draining:
-            return verdicts.Refused(refusals.Draining(call.service))
-        if self._in_progress < self._slots and not self._waiting:
-            self._take_slot()
-            return verdicts.Admitted(queued_ms=0.0)
-        started_ms = clock.get_now_ms()
-        wait_ms = min(
-            float(call.policy.queue_wait_ms), call.chain.get_remaining_ms()
+    def record_answer(
+        self, call: calls.Call, latency_ms: float, outcome: outcomes.Outcome
+    ) -> None:
+        """Learns from what the worker answered and how long it took."""
+        match outcome:
+            case outcomes.Completed(status) if status in OVERLOAD_STATUSES:
+                self._learn(latency_ratio=1.0, is_overload=True)
+            case outcomes.Completed(status) if status < FIRST_ERROR_STATUS:
+                ratio = self._times.record(call.policy, latency_ms)
+                self._learn(ratio, is_overload=False)
+            case _:
+                pass
+
+    def _learn(self, latency_ratio: float, is_overload: bool) -> None:
+        self._limit.record(latency_ratio, is_overload, clock.get_now_ms())
+        self._update_limit()
+
+    def _update_limit(self) -> None:
+        before = self._shares.limit
+        self._shares.set_limit(self._limit.limit)
+        if self._limit.limit > before:
+            self._hand_over()
+
+    def _make_kind(self, call: calls.Call) -> shares.Kind:
+        return shares.Kind(
+            call.chain.importance,
+            call.chain.depth,
+            self._times.is_long(call.policy),
         )
-        waiting = _Waiting(
-            call.chain.importance, asyncio.get_running_loop().create_future()
+
+    async def _decide(
+        self, call: calls.Call, kind: shares.Kind, now_ms: float
+    ) -> verdicts.Verdict:
+        rank = levels.get_rank(call.chain)
+        if not kind.is_long:
+            self._control.record_arrival(rank)
+        self._close_window(now_ms)
+        refusal = self._check(call, kind, rank)
+        if refusal is not None:
+            return verdicts.Refused(refusal)
+        if self._shares.can_take(kind):
+            self._take(kind)
+            return verdicts.Admitted(queued_ms=0.0)
+        return await self._wait(call, kind, rank, now_ms)
+
+    def _check(
+        self, call: calls.Call, kind: shares.Kind, rank: int
+    ) -> refusals.Refusal | None:
+        remaining_ms = call.chain.get_remaining_ms()
+        if remaining_ms <= self._times.get_expected_ms(call.policy):
+            return refusals.DeadlineExceeded(int(remaining_ms))
+        if rank >= self._control.rank or kind.is_long:
+            return None
+        if self.in_progress < self.limit * IDLE_RATIO:
+            return None
+        return self._make_overloaded()
+
+    def _make_overloaded(self) -> refusals.Overloaded:
+        return refusals.Overloaded(
+            self._control.rank, self.limit, self._settings.retry_after_ms
         )
-        self._waiting.append(waiting)
+
+    async def _wait(
+        self, call: calls.Call, kind: shares.Kind, rank: int, now_ms: float
+    ) -> verdicts.Verdict:
+        loop = asyncio.get_running_loop()
+        waiting = waiting_queue.Waiting(rank, kind, loop.create_future())
+        wait_ms = self._get_wait_ms(call, kind)
+        self._queue.push(waiting)
         try:
-            async with asyncio.timeout(max(0.0, wait_ms) / 1000.0):
-                await waiting.granted
+            async with asyncio.timeout(wait_ms / 1000.0):
+                refusal = await waiting.decided
         except TimeoutError:
-            waited_ms = int(clock.get_now_ms() - started_ms)
-            return verdicts.Refused(
-                refusals.QueueTimeout(waited_ms, RETRY_AFTER_MS)
-            )
+            if not _holds_slot(waiting):
+                return self._make_queue_refusal(call, now_ms)
+            refusal = None
         except asyncio.CancelledError:
-            if waiting.granted.done() and not waiting.granted.cancelled():
-                self._release()
+            if _holds_slot(waiting):
+                self._release(kind)
             raise
         finally:
-            if waiting in self._waiting:
-                self._waiting.remove(waiting)
-        return verdicts.Admitted(clock.get_now_ms() - started_ms)
+            if waiting.decided.cancelled():
+                self._queue.discard()
+                self._control.record_queue(len(self._queue))
+        if refusal is not None:
+            return verdicts.Refused(refusal)
+        return verdicts.Admitted(clock.get_now_ms() - now_ms)
+
+    def _get_wait_ms(self, call: calls.Call, kind: shares.Kind) -> float:
+        expected_ms = self._times.get_expected_ms(call.policy)
+        wait_ms = float(call.policy.queue_wait_ms)
+        if kind.is_long:
+            wait_ms = max(wait_ms, expected_ms)
+        elif (
+            self._control.is_overloaded
+            and kind.importance < call_importance.Importance.CRITICAL
+        ):
+            wait_ms = min(wait_ms, self._settings.overload_wait_ms)
+        return min(wait_ms, call.chain.get_remaining_ms() - expected_ms)
 
-    def _take_slot(self) -> None:
-        self._in_progress += 1
+    def _make_queue_refusal(
+        self, call: calls.Call, started_ms: float
+    ) -> verdicts.Refused:
+        remaining_ms = call.chain.get_remaining_ms()
+        if remaining_ms <= self._times.get_expected_ms(call.policy):
+            return verdicts.Refused(
+                refusals.DeadlineExceeded(int(remaining_ms))
+            )
+        waited_ms = int(clock.get_now_ms() - started_ms)
+        return verdicts.Refused(
+            refusals.QueueTimeout(waited_ms, self._settings.retry_after_ms)
+        )
+
+    def _close_window(self, now_ms: float) -> None:
+        if not self._control.is_window_over(now_ms):
+            return
+        if self._control.close_window(now_ms, len(self._queue)):
+            for waiting in self._queue.pop_below(self._control.rank):
+                waiting.decided.set_result(self._make_overloaded())
+
+    def _take(self, kind: shares.Kind) -> None:
+        self._shares.take(kind)
         self._idle.clear()
+        if not kind.is_long:
+            self._control.record_grant()
+        self._limit.record_in_progress(self.in_progress)
 
-    def _release(self) -> None:
-        self._in_progress -= 1
-        if self._in_progress == 0:
+    def _release(self, kind: shares.Kind) -> None:
+        self._shares.release(kind)
+        if self.in_progress == 0:
             self._idle.set()
         self._hand_over()
 
     def _hand_over(self) -> None:
-        while self._waiting and self._in_progress < self._slots:
-            chosen = max(self._waiting, key=lambda item: item.importance)
-            self._waiting.remove(chosen)
-            if not chosen.granted.done():
-                self._take_slot()
-                chosen.granted.set_result(None)
+        while self._queue and self.in_progress < self.limit:
+            waiting = self._queue.pop_best(self._shares.can_take)
+            if waiting is None:
+                break
+            self._take(waiting.kind)
+            waiting.decided.set_result(None)
+        self._control.record_queue(len(self._queue))
+
+
+def _holds_slot(waiting: waiting_queue.Waiting) -> bool:
+    decided = waiting.decided
+    return (
+        decided.done() and not decided.cancelled() and decided.result() is None
+    )
--- a/kumquatridge/callpath/inbound.py
+++ b/kumquatridge/callpath/inbound.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 
+from kumquatridge import clock
 from kumquatridge.admission import guard as admission_guard
 from kumquatridge.admission import verdicts
 from kumquatridge.callpath import links
@@ -65,16 +66,23 @@
     async def _run(self, call: calls.Call) -> AsyncIterator[outcomes.Outcome]:
         announcement = self._members.own.announcement
         assert announcement is not None
+        started_ms = clock.get_now_ms()
         with self._ledger.record(call.chain) as record:
             async with self._worker.send(
                 call, announcement.address, record.token
             ) as outcome:
+                latency_ms = clock.get_now_ms() - started_ms
+                self._guard.record_answer(call, latency_ms, outcome)
                 yield dataclasses.replace(
-                    outcome, unspent_retries=record.retries.left
+                    outcome,
+                    unspent_retries=record.retries.left,
+                    report=self._guard.make_report(),
                 )
 
     def _refuse(
         self, call: calls.Call, refusal: refusals.Refusal
     ) -> outcomes.Outcome:
         self._recorder.record_refusal(call, refusal)
-        return outcomes.NotRun(refusal, unspent_retries=call.chain.retries)
+        return outcomes.NotRun(
+            refusal, call.chain.retries, self._guard.make_report()
+        )
--- a/kumquatridge/calls/outcomes.py
+++ b/kumquatridge/calls/outcomes.py
@@ -4,6 +4,7 @@
 
 from kumquatridge.calls import body as call_body
 from kumquatridge.calls import refusals
+from kumquatridge.calls import reports
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -20,6 +21,7 @@
     headers: Headers
     body: call_body.Body
     unspent_retries: int = 0
+    report: reports.InstanceReport | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,6 +30,7 @@
 
     refusal: refusals.Refusal
     unspent_retries: int = 0
+    report: reports.InstanceReport | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,6 +39,7 @@
 
     detail: str
     unspent_retries: int = 0
+    report: reports.InstanceReport | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,6 +48,7 @@
 
     detail: str
     unspent_retries: int = 0
+    report: reports.InstanceReport | None = None
 
 
 Outcome = Completed | NotRun | Failed | Unknown
--- /dev/null
+++ b/kumquatridge/calls/reports.py
@@ -0,0 +1,22 @@
+"""What an instance says about its load on each of its answers."""
+
+import dataclasses
+
+from kumquatridge.calls import importance as call_importance
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstanceReport:
+    """The load of an instance at the moment of an answer.
+
+    `importance`, `nested` and `threshold` name the least call that the
+    instance admits (see `admission.levels`). `latency_ms` is the recent
+    typical time that the worker takes.
+    """
+
+    importance: call_importance.Importance
+    nested: bool
+    threshold: int
+    in_progress: int
+    limit: int
+    latency_ms: float
--- /dev/null
+++ b/kumquatridge/encoding/report_codec.py
@@ -0,0 +1,48 @@
+"""An instance's report as it rides on answers between daemons."""
+
+import msgspec
+
+from kumquatridge.calls import importance as call_importance
+from kumquatridge.calls import reports
+
+
+class _ReportMessage(msgspec.Struct, frozen=True, array_like=True):
+    importance: call_importance.Importance
+    nested: bool
+    threshold: int
+    in_progress: int
+    limit: int
+    latency_ms: float
+
+
+_encoder = msgspec.json.Encoder()
+_decoder = msgspec.json.Decoder(_ReportMessage)
+
+
+def encode_report(report: reports.InstanceReport) -> str:
+    """Returns a report as a JSON array."""
+    message = _ReportMessage(
+        report.importance,
+        report.nested,
+        report.threshold,
+        report.in_progress,
+        report.limit,
+        round(report.latency_ms, 2),
+    )
+    return _encoder.encode(message).decode()
+
+
+def decode_report(text: str) -> reports.InstanceReport | None:
+    """Returns the report, or None when the text is not one."""
+    try:
+        message = _decoder.decode(text)
+    except msgspec.DecodeError:
+        return None
+    return reports.InstanceReport(
+        message.importance,
+        message.nested,
+        message.threshold,
+        message.in_progress,
+        message.limit,
+        message.latency_ms,
+    )
--- a/kumquatridge/http/answers.py
+++ b/kumquatridge/http/answers.py
@@ -8,6 +8,7 @@
 from kumquatridge.calls import outcomes
 from kumquatridge.calls import refusals
 from kumquatridge.encoding import refusal_codec
+from kumquatridge.encoding import report_codec
 from kumquatridge.http import headers
 
 STATUS_UNKNOWN = 502
@@ -59,6 +60,7 @@
                 STATUS_UNKNOWN, headers.OUTCOME_UNKNOWN, detail, outcome
             )
     answer.headers[headers.ROOT_ID] = root_id
+    _add_report(answer, outcome)
     return answer
 
 
@@ -122,3 +124,13 @@
         response.headers.add(name, value)
     response.headers[headers.OUTCOME] = headers.OUTCOME_COMPLETED
     response.headers[headers.UNSPENT_RETRIES] = str(outcome.unspent_retries)
+    _add_report(response, outcome)
+
+
+def _add_report(
+    response: web.StreamResponse, outcome: outcomes.Outcome
+) -> None:
+    if outcome.report is not None:
+        response.headers[headers.REPORT] = report_codec.encode_report(
+            outcome.report
+        )
--- a/kumquatridge/http/peer_client.py
+++ b/kumquatridge/http/peer_client.py
@@ -9,6 +9,7 @@
 from kumquatridge.calls import outcomes
 from kumquatridge.encoding import chain_codec
 from kumquatridge.encoding import refusal_codec
+from kumquatridge.encoding import report_codec
 from kumquatridge.http import client
 from kumquatridge.http import headers
 from kumquatridge.membership import member as members
@@ -53,6 +54,7 @@
     """Returns the outcome that a daemon marked on its answer."""
     marks = answer.response.headers
     unspent_retries = _read_count(marks.get(headers.UNSPENT_RETRIES, "0"))
+    report = report_codec.decode_report(marks.get(headers.REPORT, ""))
     match marks.get(headers.OUTCOME):
         case headers.OUTCOME_COMPLETED:
             return outcomes.Completed(
@@ -60,16 +62,17 @@
                 headers.keep_end_to_end(marks.items()),
                 answer.body,
                 unspent_retries,
+                report,
             )
         case headers.OUTCOME_NOT_RUN:
             refusal = refusal_codec.decode_refusal(
                 marks.get(headers.REASON, ""), marks.get(headers.REFUSAL, "")
             )
             if refusal is not None:
-                return outcomes.NotRun(refusal, unspent_retries)
+                return outcomes.NotRun(refusal, unspent_retries, report)
         case headers.OUTCOME_FAILED:
             return outcomes.Failed(
-                marks.get(headers.DETAIL, ""), unspent_retries
+                marks.get(headers.DETAIL, ""), unspent_retries, report
             )
     return outcomes.Unknown(marks.get(headers.DETAIL, "no outcome marked"))
 
--- /dev/null
+++ b/kumquatridge/routing/instances.py
@@ -0,0 +1,155 @@
+"""What this daemon itself measured of one instance."""
+
+import dataclasses
+
+from kumquatridge.admission import levels
+from kumquatridge.calls import reports
+from kumquatridge.membership import member as members
+from kumquatridge.routing import standings
+
+SLOWNESS_WEIGHT_RATIO = 0.2
+FORGET_MS = 1000.0
+REPORT_LIFETIME_MS = 250.0
+AGE_ALLOWANCE_RATIO = 3.0
+FULL_PENALTY_RATIO = 8.0
+LEAST_RAMP_RATIO = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Flight:
+    """A call in flight; `typical_ms` is what such a call takes, 0 unknown."""
+
+    started_ms: float
+    typical_ms: float
+
+
+class InstanceStats:
+    """Calls in flight, recent times and the last report of an instance.
+
+    Times are kept as ratios to the typical time of each route, so that an
+    instance that happens to serve the longer calls doesn't look slow.
+    """
+
+    def __init__(self, member: members.Member, first_seen_ms: float) -> None:
+        self.member = member
+        self.standing: standings.Standing = standings.Active()
+        self.failures = 0
+        self._first_seen_ms = first_seen_ms
+        self._measured_since_ms = first_seen_ms
+        self._slowness_ratio = 1.0
+        self._measured_ms = first_seen_ms
+        self._samples = 0
+        self._flights: dict[int, Flight] = {}
+        self._flights_begun = 0
+        self._report: reports.InstanceReport | None = None
+        self._reported_ms = 0.0
+        self._least_rank = levels.OPEN_RANK
+
+    @property
+    def in_flight(self) -> int:
+        """Calls that this daemon sent and that have no answer."""
+        return len(self._flights)
+
+    @property
+    def samples(self) -> int:
+        """Answer times taken since the last change of standing."""
+        return self._samples
+
+    @property
+    def slowness_ratio(self) -> float:
+        """Recent answer times as a multiple of what is typical."""
+        return self._slowness_ratio
+
+    def begin(self, flight: Flight) -> int:
+        """Takes note of a call sent; returns the handle to end it with."""
+        self._flights_begun += 1
+        self._flights[self._flights_begun] = flight
+        return self._flights_begun
+
+    def end(self, handle: int) -> None:
+        """Takes note that a call is in flight no more."""
+        del self._flights[handle]
+
+    def record_ratio(self, ratio: float, now_ms: float) -> None:
+        """Takes an answer time as a multiple of the typical one."""
+        self._samples += 1
+        self._measured_ms = now_ms
+        change_ratio = ratio - self._slowness_ratio
+        self._slowness_ratio += change_ratio * SLOWNESS_WEIGHT_RATIO
+
+    def counts(self, started_ms: float) -> bool:
+        """Tells whether a call began after the last change of standing."""
+        return started_ms >= self._measured_since_ms
+
+    def forget_times(self, now_ms: float) -> None:
+        """Starts measuring anew after a change of standing."""
+        self._measured_since_ms = now_ms
+        self._samples = 0
+        self._slowness_ratio = 1.0
+        self.failures = 0
+
+    def record_report(
+        self, report: reports.InstanceReport, now_ms: float
+    ) -> None:
+        """Takes what the instance said of itself with an answer."""
+        self._report = report
+        self._reported_ms = now_ms
+        self._least_rank = levels.get_report_rank(report)
+
+    def get_refusing_report(
+        self, rank: int, now_ms: float
+    ) -> reports.InstanceReport | None:
+        """Returns the fresh report by which a call would be refused."""
+        if rank >= self._least_rank or not self._is_report_fresh(now_ms):
+            return None
+        return self._report
+
+    def get_ramp_ratio(self, now_ms: float) -> float:
+        """Returns the part of its calls that a cold instance gets."""
+        announcement = self.member.announcement
+        if announcement is None or announcement.warm_up_ms == 0:
+            return 1.0
+        age_ms = now_ms - self._first_seen_ms
+        return max(LEAST_RAMP_RATIO, age_ms / announcement.warm_up_ms)
+
+    def get_load_ratio(self, now_ms: float) -> float:
+        """Returns the calls at the instance as a part of its limit."""
+        report = self._report
+        if report is not None and self._is_report_fresh(now_ms):
+            load = max(report.in_progress, len(self._flights))
+            return load / max(1, report.limit)
+        announcement = self.member.announcement
+        slots = announcement.slots if announcement else 1
+        return len(self._flights) / max(1, slots)
+
+    def get_cost_ratio(self, now_ms: float) -> float:
+        """Returns what another call would cost here; lower is better.
+
+        Recent slowness times load, with a penalty when there is no free
+        slot. A call that has been in flight for much longer than is typical
+        counts before its answer is here.
+        """
+        load_ratio = self.get_load_ratio(now_ms)
+        slowness_ratio = max(
+            self._get_remembered_slowness(now_ms),
+            self._get_age_ratio(now_ms) / AGE_ALLOWANCE_RATIO,
+        )
+        cost_ratio = slowness_ratio * (1.0 + load_ratio)
+        if load_ratio >= 1.0:
+            return cost_ratio * FULL_PENALTY_RATIO
+        return cost_ratio
+
+    def _is_report_fresh(self, now_ms: float) -> bool:
+        return now_ms - self._reported_ms < REPORT_LIFETIME_MS
+
+    def _get_remembered_slowness(self, now_ms: float) -> float:
+        weight_ratio = 1.0 - (now_ms - self._measured_ms) / FORGET_MS
+        if weight_ratio <= 0.0:
+            return 1.0
+        return 1.0 + (self._slowness_ratio - 1.0) * weight_ratio
+
+    def _get_age_ratio(self, now_ms: float) -> float:
+        oldest = next(iter(self._flights.values()), None)
+        if oldest is None or oldest.typical_ms == 0.0:
+            return 0.0
+        return (now_ms - oldest.started_ms) / oldest.typical_ms
