--- a/kumquatridge/bench/product.py
+++ b/kumquatridge/bench/product.py
@@ -31,18 +31,23 @@
 CHOOSER_SEED_BITS = 64
 
 
-class _InstanceRecorder:
-    """Counts the refusals and retries of one daemon in the run's records."""
+class _RunRecorder:
+    """Counts refusals and retries in the run's records.
 
-    def __init__(self, name: str, environment: fleets.Environment) -> None:
-        self._name = name
+    `worker` is the worker that the refusals guard, None on the way out.
+    """
+
+    def __init__(
+        self, environment: fleets.Environment, worker: str | None
+    ) -> None:
         self._environment = environment
+        self._worker = worker
 
     def record_refusal(
         self, call: calls.Call, refusal: refusals.Refusal
     ) -> None:
         """Counts a call that was not run and why."""
-        self._environment.records.note_refusal(self._name, call, refusal)
+        self._environment.records.note_refusal(self._worker, call, refusal)
 
     def record_retry(self, call: calls.Call, reason: str) -> None:
         """Counts another attempt at a call and why."""
@@ -158,7 +163,7 @@
     def _assemble(self) -> None:
         """Puts a daemon together that remembers nothing."""
         self.members = table.MemberTable(self._make_member())
-        recorder = _InstanceRecorder(self.name, self.environment)
+        recorder = _RunRecorder(self.environment, self.name)
         seed = random.Random(
             f"{self.environment.seed}/{self.name}/chooser"
         ).getrandbits(CHOOSER_SEED_BITS)
@@ -173,7 +178,7 @@
             routing.InstanceChooser(self.members, seed),
             self._inbound,
             FakePeerLink(self),
-            recorder,
+            _RunRecorder(self.environment, None),
         )
 
     def _make_member(self) -> members.Member:
--- a/kumquatridge/bench/records.py
+++ b/kumquatridge/bench/records.py
@@ -72,11 +72,14 @@
                 del self._critical_refused_ms[worker]
 
     def note_refusal(
-        self, worker: str, call: calls.Call, refusal: refusals.Refusal
+        self, worker: str | None, call: calls.Call, refusal: refusals.Refusal
     ) -> None:
         """Counts a refusal by a daemon."""
         self.refusals[refusal.code] += 1
-        if call.chain.importance != call_importance.Importance.CRITICAL:
+        is_critical = (
+            call.chain.importance == call_importance.Importance.CRITICAL
+        )
+        if worker is None or not is_critical:
             return
         match refusal:
             case refusals.QueueTimeout(waited_ms=waited_ms):
