--- a/kumquatridge/bench/product.py
+++ b/kumquatridge/bench/product.py
@@ -9,8 +9,8 @@
 
 from kumquatridge import clock
 from kumquatridge.admission import guard as admission_guard
-from kumquatridge.bench import jobs
 from kumquatridge.bench import fleets
+from kumquatridge.bench import jobs
 from kumquatridge.bench import placement
 from kumquatridge.bench import process as bench_process
 from kumquatridge.bench import scenario
@@ -22,13 +22,15 @@
 from kumquatridge.calls import outcomes
 from kumquatridge.calls import refusals
 from kumquatridge.chain import ledger as chain_ledger
+from kumquatridge.chain import ratio as retry_ratio
 from kumquatridge.membership import member as members
 from kumquatridge.membership import table
+from kumquatridge.quarantine import register as crash_register
 from kumquatridge.routing import chooser as routing
 
-
 LOST_S = 3600.0
 CHOOSER_SEED_BITS = 64
+PEER_NEWS_MS = 100.0
 
 
 class _RunRecorder:
@@ -53,6 +55,10 @@
         """Counts another attempt at a call and why."""
         self._environment.records.note_retry(call, reason)
 
+    def record_retry_denied(self, call: calls.Call, reason: str) -> None:
+        """Counts an attempt that was not made and why."""
+        self._environment.records.note_retry_denied(reason)
+
 
 class FakeWorkerLink:
     """Carries calls to the stand-in of the own worker."""
@@ -90,7 +96,9 @@
         except bench_process.ProcessDownError:
             return outcomes.NotRun(refusals.Unreachable(address_of(instance)))
         except bench_process.ProcessLostError:
-            return outcomes.Unknown("connection lost after the call was sent")
+            return outcomes.Unknown(
+                "connection lost after the call was sent", worker_lost=True
+            )
 
 
 class FakePeerLink:
@@ -169,9 +177,19 @@
         ).getrandbits(CHOOSER_SEED_BITS)
         guard = admission_guard.AdmissionGuard(self._place.service.slots)
         ledger = chain_ledger.Ledger()
-        self._intake = call_intake.Intake(self.environment.policies, ledger)
+        self._intake = call_intake.Intake(
+            self.environment.policies, ledger, recorder
+        )
+        self.crashes = crash_register.CrashRegister(
+            crash_register.QuarantineSettings(), self.name, self._tell_crashes
+        )
         self._inbound = inbound.InboundPath(
-            self.members, guard, ledger, FakeWorkerLink(self), recorder
+            self.members,
+            guard,
+            ledger,
+            FakeWorkerLink(self),
+            recorder,
+            crashes=self.crashes,
         )
         self._outbound = outbound.OutboundPath(
             self.members,
@@ -179,6 +197,7 @@
             self._inbound,
             FakePeerLink(self),
             _RunRecorder(self.environment, None),
+            ratio=retry_ratio.RetryRatio(retry_ratio.RatioSettings()),
         )
 
     def _make_member(self) -> members.Member:
@@ -222,7 +241,7 @@
                     if token is None:
                         self.environment.records.note_root(opened)
                     async with self._outbound.dispatch(opened) as outcome:
-                        self._intake.return_retries(request, outcome)
+                        self._intake.settle(request, outcome)
                         return outcome
                 case refusal:
                     return outcomes.NotRun(refusal)
@@ -237,6 +256,13 @@
         """Replaces the daemon by one that remembers nothing."""
         self._assemble()
 
+    def _tell_crashes(self) -> None:
+        """Tells the data centre of crashes, as the peers' messages do."""
+        entries = self.crashes.export()
+        asyncio.get_running_loop().call_later(
+            PEER_NEWS_MS / 1000.0, self.fleet.share_crashes, self, entries
+        )
+
     def refute(self) -> None:
         """Raises the incarnation, so that others take it for alive again."""
         self.members.set_own(self._make_member())
@@ -260,6 +286,16 @@
         """Returns an instance by its name."""
         return self._by_name[name]
 
+    def share_crashes(
+        self,
+        source: ProductInstance,
+        entries: tuple[crash_register.CrashEntry, ...],
+    ) -> None:
+        """Carries news of crashes to the daemons of a data centre."""
+        for instance in self.instances:
+            if instance.data_centre == source.data_centre:
+                instance.crashes.merge(entries)
+
     def note_reachability(self) -> None:
         """Lets each daemon know which others it can reach now.
 
--- a/kumquatridge/bench/records.py
+++ b/kumquatridge/bench/records.py
@@ -38,6 +38,7 @@
         self.finished: list[Finished] = []
         self.refusals: collections.Counter[str] = collections.Counter()
         self.retries: collections.Counter[str] = collections.Counter()
+        self.denied_retries: collections.Counter[str] = collections.Counter()
         self.crashes: collections.Counter[str] = collections.Counter()
         self.runs: collections.Counter[int] = collections.Counter()
         self.runs_by_key: collections.Counter[tuple[str, str]] = (
@@ -109,6 +110,10 @@
         self.retries[reason] += 1
         self.retries_by_root[call.chain.root_id] += 1
 
+    def note_retry_denied(self, reason: str) -> None:
+        """Counts another attempt that a daemon did not make."""
+        self.denied_retries[reason] += 1
+
     def note_outcome(self, job: jobs.Job, outcome: outcomes.Outcome) -> None:
         """Checks what a caller or worker was told about its call."""
         match outcome:
--- a/kumquatridge/daemon/runtime.py
+++ b/kumquatridge/daemon/runtime.py
@@ -14,6 +14,7 @@
 from kumquatridge.callpath import intake as call_intake
 from kumquatridge.callpath import outbound
 from kumquatridge.chain import ledger as chain_ledger
+from kumquatridge.chain import ratio as retry_ratio
 from kumquatridge.daemon import settings as daemon_settings
 from kumquatridge.encoding import settings_text
 from kumquatridge.http import caller_server
@@ -28,6 +29,7 @@
 from kumquatridge.operators import server as operators_server
 from kumquatridge.operators import worker_registry
 from kumquatridge.peers import exchange
+from kumquatridge.quarantine import register as crash_register
 from kumquatridge.routing import chooser as routing
 from kumquatridge.telemetry import decisions
 from kumquatridge.telemetry import events
@@ -44,8 +46,11 @@
         self._members = table.MemberTable(_make_own_member(settings))
         self._guard = admission_guard.AdmissionGuard(slots=0)
         self._ledger = chain_ledger.Ledger()
-        self._intake = call_intake.Intake(tree.compile(), self._ledger)
         self._decisions = decisions.DecisionLog()
+        self._recorder = metrics.MetricRecorder(self._decisions)
+        self._intake = call_intake.Intake(
+            tree.compile(), self._ledger, self._recorder
+        )
         self._stack = contextlib.AsyncExitStack()
         self._registry: worker_registry.WorkerRegistry | None = None
 
@@ -53,16 +58,22 @@
         """Opens the connections and listeners."""
         settings = self._settings
         enter = self._stack.enter_async_context
-        recorder = metrics.MetricRecorder(self._decisions)
+        recorder = self._recorder
         exporter = self._stack.enter_context(metrics.MetricExporter(recorder))
         self._add_gauges(exporter)
         session = await enter(client.make_session())
+        crashes = crash_register.CrashRegister(
+            crash_register.QuarantineSettings(),
+            settings.instance,
+            lambda: None,
+        )
         own_path = inbound.InboundPath(
             self._members,
             self._guard,
             self._ledger,
             worker_client.HttpWorkerLink(session),
             recorder,
+            crashes=crashes,
         )
         path = outbound.OutboundPath(
             self._members,
@@ -70,6 +81,7 @@
             own_path,
             peer_client.HttpPeerLink(session, settings.peer_key),
             recorder,
+            ratio=retry_ratio.RetryRatio(retry_ratio.RatioSettings()),
         )
         peers = await enter(
             exchange.HeartbeatExchange(
--- a/kumquatridge/http/peer_client.py
+++ b/kumquatridge/http/peer_client.py
@@ -39,8 +39,8 @@
                     yield read_outcome(reply)
                 case outcomes.NotRun(refusal):
                     yield outcomes.NotRun(refusal, call.chain.retries)
-                case outcomes.Unknown():
-                    yield reply
+                case outcomes.Unknown(detail):
+                    yield outcomes.Unknown(detail)
 
     def _make_marks(self, call: calls.Call) -> outcomes.Headers:
         return (
@@ -63,6 +63,7 @@
                 answer.body,
                 unspent_retries,
                 report,
+                shed=headers.WORKER_SHED in marks,
             )
         case headers.OUTCOME_NOT_RUN:
             refusal = refusal_codec.decode_refusal(
@@ -74,7 +75,11 @@
             return outcomes.Failed(
                 marks.get(headers.DETAIL, ""), unspent_retries, report
             )
-    return outcomes.Unknown(marks.get(headers.DETAIL, "no outcome marked"))
+    return outcomes.Unknown(
+        marks.get(headers.DETAIL, "no outcome marked"),
+        unspent_retries,
+        worker_lost=headers.WORKER_LOST in marks,
+    )
 
 
 def _read_count(text: str) -> int:
--- a/kumquatridge/telemetry/gauges.py
+++ b/kumquatridge/telemetry/gauges.py
@@ -30,6 +30,11 @@
     ("reason", "service"),
     "Further attempts at calls.",
 )
+RETRIES_DENIED = CounterSpec(
+    "kumquatridge_retries_denied",
+    ("reason", "service"),
+    "Further attempts that would have helped but were not allowed.",
+)
 REJECTIONS = CounterSpec(
     "kumquatridge_rejections",
     ("reason",),
@@ -49,5 +54,5 @@
     "kumquatridge_members", "Members that the daemon knows, itself included."
 )
 
-COUNTERS = (REFUSALS, RETRIES, REJECTIONS)
+COUNTERS = (REFUSALS, RETRIES, RETRIES_DENIED, REJECTIONS)
 GAUGES = (IN_PROGRESS, QUEUED, LIMIT, MEMBERS)
