--- a/kumquatridge/bench/capacity.py
+++ b/kumquatridge/bench/capacity.py
@@ -2,15 +2,22 @@
 
 from collections.abc import Mapping
 
+from kumquatridge.bench import network
 from kumquatridge.bench import scenario
 
 SlotTimes = Mapping[str, float]
 
 
 def get_hold_ms(step: scenario.Step, deployment: scenario.Deployment) -> float:
-    """Returns for how long an undisturbed step holds its slot."""
+    """Returns for how long an undisturbed step holds its slot.
+
+    A child adds the way to it and back inside a data centre.
+    """
     own_ms = step.work_ratio * _get_service(deployment, step).service_ms
-    children_ms = [get_hold_ms(child, deployment) for child in step.children]
+    children_ms = [
+        get_hold_ms(child, deployment) + 2 * network.LOCAL_DELAY_MS
+        for child in step.children
+    ]
     if step.is_parallel:
         return own_ms + max(children_ms)
     return own_ms + sum(children_ms)
--- a/kumquatridge/bench/records.py
+++ b/kumquatridge/bench/records.py
@@ -52,9 +52,8 @@
         self.quarantined: dict[str, list[float]] = {}
         self._last_start_ms: dict[str, dict[int, float]] = {}
         self._critical_refused_ms: dict[str, float] = {}
-        self._importance: dict[int, call_importance.Importance] = {}
 
-    def note_run(self, worker: str, job: jobs.Job) -> None:
+    def note_run(self, job: jobs.Job) -> None:
         """Counts that a worker begins to run a call."""
         self.runs[job.call_id] += 1
         if job.key is not None:
--- a/kumquatridge/bench/scenario.py
+++ b/kumquatridge/bench/scenario.py
@@ -345,12 +345,12 @@
 
 def find_problem(script: Scenario) -> str | None:
     """Returns what a scenario names that its deployment does not have."""
-    services = {one.name for one in script.deployment.services}
     chains = {one.name for one in script.deployment.chains}
+    workers = {one.name: one.workers for one in script.deployment.services}
     centres = set(script.deployment.data_centres)
     for chain in script.deployment.chains:
         for step in iter_steps(chain.root):
-            if step.service not in services:
+            if step.service not in workers:
                 return f"chain {chain.name}: no service {step.service!r}"
     for demand in script.demands:
         for share in demand.mix:
@@ -364,8 +364,15 @@
                 | CrashWorker(service=name)
                 | RestartDaemon(service=name)
                 | PauseDaemon(service=name)
-            ) if name not in services:
+            ) if name not in workers:
                 return f"fault: no service {name!r}"
+            case (
+                Stall(name, number)
+                | CrashWorker(name, number)
+                | RestartDaemon(name, number)
+                | PauseDaemon(name, number)
+            ) if not 1 <= number <= workers[name]:
+                return f"fault: {name} has {workers[name]} workers"
             case Cut(name) if name not in centres:
                 return f"fault: no data centre {name!r}"
             case _:
--- a/kumquatridge/bench/scenario_text.py
+++ b/kumquatridge/bench/scenario_text.py
@@ -6,6 +6,8 @@
 from typing import Any
 
 import lark
+import lark.exceptions
+import lark.lexer
 
 from kumquatridge.bench import errors
 from kumquatridge.bench import scenario
@@ -33,9 +35,11 @@
 class _Decoder(lark.Transformer):  # type: ignore[misc]
     """Turns the parts of a syntax tree that scenario and deployment share.
 
-    Each method decodes the grammar rule of its name.
+    Each method decodes the grammar rule of its name; `start` is the rule of
+    a whole text.
     """
 
+    start: str
     NAME = str
     METHOD = str
     PATH = str
@@ -86,6 +90,8 @@
 class _DeploymentDecoder(_Decoder):
     """Decodes a deployment."""
 
+    start = "deployment"
+
     def service(self, items: list[Any]) -> scenario.Service:
         return scenario.Service(*items)
 
@@ -109,6 +115,8 @@
 class _ScenarioDecoder(_Decoder):
     """Decodes a scenario; `examples` is the folder of the deployments."""
 
+    start = "scenario"
+
     def __init__(self, name: str, examples: pathlib.Path) -> None:
         super().__init__()
         self._name = name
@@ -273,13 +281,11 @@
 
 
 def _decode(source: str, text: str, decoder: _Decoder) -> object:
-    start = (
-        "scenario" if isinstance(decoder, _ScenarioDecoder) else "deployment"
-    )
+    parser = _make_parser(decoder.start)
     try:
-        return decoder.transform(_make_parser(start).parse(text))
+        return decoder.transform(parser.parse(text))
     except lark.exceptions.UnexpectedInput as error:
-        raise _explain(source, error) from error
+        raise _explain(source, parser, error) from error
     except lark.exceptions.VisitError as error:
         if isinstance(error.orig_exc, errors.BenchError):
             raise error.orig_exc from error
@@ -287,13 +293,20 @@
 
 
 def _explain(
-    source: str, error: lark.exceptions.UnexpectedInput
+    source: str, parser: lark.Lark, error: lark.exceptions.UnexpectedInput
 ) -> errors.ScenarioSyntaxError:
     found = getattr(error, "token", None) or getattr(error, "char", "")
     expected = getattr(error, "expected", None) or getattr(
         error, "allowed", None
     )
-    names = ", ".join(sorted(expected or ()))
+    literals = {
+        one.name: f'"{one.pattern.value}"'
+        for one in parser.terminals
+        if type(one.pattern) is lark.lexer.PatternStr
+    }
+    names = ", ".join(
+        sorted(literals.get(name, name.lower()) for name in expected or ())
+    )
     shown = "the end of the text" if not str(found) else repr(str(found))
     return errors.ScenarioSyntaxError(
         source, error.line, error.column, f"got {shown}, expected {names}"
--- a/kumquatridge/bench/workers.py
+++ b/kumquatridge/bench/workers.py
@@ -56,7 +56,7 @@
     ) -> outcomes.Completed:
         """Runs a call and the calls that it makes."""
         async with self._slots:
-            self._records.note_run(self.name, job)
+            self._records.note_run(job)
             if job.is_poison:
                 self.crash(POISON_RESTART_MS)
             await asyncio.sleep(self._get_work_s(job.step))
--- a/kumquatridge/ui/bench.py
+++ b/kumquatridge/ui/bench.py
@@ -8,13 +8,15 @@
 
 import click
 
-from kumquatridge import errors
 from kumquatridge.bench import library
 from kumquatridge.bench import plots
 from kumquatridge.bench import report
 from kumquatridge.bench import runner
 from kumquatridge.bench import scenario
 from kumquatridge.bench import scenario_text
+from kumquatridge.ui import failures
+
+NAME_WIDTH = 32
 
 _EXAMPLES = click.option(
     "--examples",
@@ -34,12 +36,10 @@
 @_EXAMPLES
 def list_scenarios(examples: pathlib.Path) -> None:
     """Lists the scenarios that ship with the package."""
-    try:
+    with failures.report_errors():
         for name, file in library.find_scenarios().items():
             script = scenario_text.read_scenario(file, examples)
-            click.echo(f"{name:40} {script.title}")
-    except errors.KumquatridgeError as error:
-        _fail(error)
+            click.echo(f"{name:{NAME_WIDTH}} {script.title}")
 
 
 @bench.command()
@@ -62,7 +62,7 @@
 )
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 @_EXAMPLES
-def run(
+def run(  # noqa: PLR0917 - click passes them by keyword
     files: tuple[str, ...],
     seed: int,
     seeds: int,
@@ -79,7 +79,7 @@
     """
     versions = _pick_versions(naive, both)
     results: list[runner.RunResult] = []
-    try:
+    with failures.report_errors():
         scripts = [
             scenario_text.read_scenario(library.find_file(name), examples)
             for name in files
@@ -95,8 +95,6 @@
             click.echo(json.dumps(values, indent=2))
         if folder is not None:
             _write_report(results, folder)
-    except errors.KumquatridgeError as error:
-        _fail(error)
     judged = [one for one in results if one.version is versions[0]]
     sys.exit(0 if all(one.holds for one in judged) else 1)
 
@@ -134,8 +132,3 @@
 ) -> Iterator[tuple[scenario.Scenario, list[runner.RunResult]]]:
     for script, group in itertools.groupby(results, lambda one: one.script):
         yield script, list(group)
-
-
-def _fail(error: errors.KumquatridgeError) -> None:
-    click.echo(f"kumquatridge: {error}", err=True)
-    sys.exit(1)
--- /dev/null
+++ b/tests/bench/test_measures.py
@@ -0,0 +1,173 @@
+"""Figures and promises, from records that are made by hand."""
+
+import dataclasses
+import math
+
+import pytest
+
+from kumquatridge.bench import capacity
+from kumquatridge.bench import jobs
+from kumquatridge.bench import measures
+from kumquatridge.bench import records as bench_records
+from kumquatridge.bench import scenario
+from kumquatridge.calls import body as call_body
+from kumquatridge.calls import outcomes
+from kumquatridge.calls import refusals
+
+LEAF = scenario.Step("GET", "leaf", "/l", 1.0, (), is_parallel=False)
+ROOT = scenario.Step("POST", "root", "/r", 1.0, (LEAF, LEAF), is_parallel=False)
+CHAIN = scenario.Chain("c", ROOT)
+DEPLOYMENT = scenario.Deployment(
+    "d",
+    ("here",),
+    1.0,
+    1.0,
+    1.0,
+    (
+        scenario.Service("root", 1, 10, 20.0),
+        scenario.Service("leaf", 2, 2, 40.0),
+    ),
+    (CHAIN,),
+)
+MIX = (scenario.Share("c", 1.0),)
+
+
+@pytest.mark.parametrize(
+    ("service", "held_ms"), [("root", 100.8), ("leaf", 80.0)]
+)
+def test_a_slot_is_held_while_children_run(
+    service: str, held_ms: float
+) -> None:
+    assert capacity.get_slot_times(CHAIN, DEPLOYMENT)[service] == held_ms
+
+
+def test_parallel_children_hold_the_slot_for_the_longest() -> None:
+    step = dataclasses.replace(ROOT, is_parallel=True)
+    assert capacity.get_hold_ms(step, DEPLOYMENT) == 60.4
+
+
+def test_capacity_is_that_of_the_fullest_service() -> None:
+    assert capacity.get_rate_per_s(DEPLOYMENT, MIX) == pytest.approx(50.0)
+
+
+def measure(
+    bound: scenario.Bound, records: bench_records.Records
+) -> measures.Measured:
+    """Measures one bound of a scenario of 20 s."""
+    script = scenario.Scenario(
+        "s", "t", DEPLOYMENT, 20_000.0, (), scenario.Callers(), (), (bound,)
+    )
+    return measures.RunMeasures(script, records).measure_all()[0]
+
+
+def make_records(
+    good_per_s: int, bad_per_s: int, slow_from_s: int = 99, slow_to_s: int = 99
+) -> bench_records.Records:
+    """Returns requests spread evenly over 20 s, slow ones in a stretch."""
+    records = bench_records.Records()
+    for second in range(20):
+        is_slow = slow_from_s <= second < slow_to_s
+        latency_ms = 900.0 if is_slow else 100.0
+        for number in range(good_per_s + bad_per_s):
+            at_ms = second * 1000.0 + number
+            records.finished.append(
+                bench_records.Finished(
+                    "c",
+                    at_ms,
+                    at_ms + latency_ms,
+                    number < good_per_s,
+                    1,
+                    "",
+                )
+            )
+    return records
+
+
+SPAN = scenario.Span(0.0, 20_000.0)
+QUIET = scenario.Span(0.0, 5000.0)
+FIGURES = [
+    pytest.param(
+        scenario.Goodput(SPAN, 0.9), make_records(50, 50), "1.0000", True
+    ),
+    pytest.param(
+        scenario.Goodput(SPAN, 0.9), make_records(25, 75), "0.5000", False
+    ),
+    pytest.param(
+        scenario.Goodput(SPAN, 0.9), make_records(20, 0), "1.0000", True
+    ),
+    pytest.param(
+        scenario.Success(("c",), SPAN, 0.9),
+        make_records(3, 1),
+        "0.7500",
+        False,
+    ),
+    pytest.param(
+        scenario.TailLatency("c", scenario.Span(5000.0, 9000.0), QUIET, 1.3),
+        make_records(50, 0, 5, 9),
+        "9 times",
+        False,
+    ),
+    pytest.param(
+        scenario.Recovery(("c",), 8000.0, QUIET, 3000.0),
+        make_records(50, 0, 5, 9),
+        "0.25 s",
+        True,
+    ),
+    pytest.param(
+        scenario.Recovery(("c",), 8000.0, QUIET, 3000.0),
+        make_records(50, 0, 5, 20),
+        "inf s",
+        False,
+    ),
+    pytest.param(
+        scenario.Standstill(SPAN, 1000.0),
+        make_records(1, 0),
+        "1 s",
+        True,
+    ),
+]
+
+
+@pytest.mark.parametrize(("bound", "records", "figure", "holds"), FIGURES)
+def test_figures(
+    bound: scenario.Bound,
+    records: bench_records.Records,
+    figure: str,
+    holds: bool,
+) -> None:
+    measured = measure(bound, records)
+    assert (measured.figure, measured.holds) == (figure, holds)
+
+
+def test_p99_of_no_success_is_infinite() -> None:
+    assert measures.get_p99_ms([]) == math.inf
+
+
+JOB = jobs.Job(1, "key", ROOT, "/r/1", is_poison=False)
+NOT_RUN = outcomes.NotRun(refusals.Draining("x"))
+OTHER_ANSWER = outcomes.Completed(200, (), call_body.BufferedBody(b"2"))
+
+
+def test_a_key_that_runs_twice_is_counted() -> None:
+    records = bench_records.Records()
+    records.note_run(JOB)
+    assert records.count_repeated_keys() == 0
+    records.note_run(dataclasses.replace(JOB, call_id=2))
+    assert records.count_repeated_keys() == 1
+
+
+@pytest.mark.parametrize("runs", [0, 1])
+def test_a_false_not_run_is_counted(runs: int) -> None:
+    records = bench_records.Records()
+    records.note_outcome(JOB, NOT_RUN)
+    for _ in range(runs):
+        records.note_run(JOB)
+    assert records.count_false_not_run() == runs
+
+
+def test_an_answer_of_another_call_is_counted() -> None:
+    records = bench_records.Records()
+    records.note_outcome(JOB, jobs.make_answer(JOB, 200))
+    assert records.wrong_answers == 0
+    records.note_outcome(JOB, OTHER_ANSWER)
+    assert records.wrong_answers == 1
--- /dev/null
+++ b/tests/bench/test_scenario_text.py
@@ -0,0 +1,132 @@
+"""Scenario texts: what is understood, and errors that say where."""
+
+import dataclasses
+
+import pytest
+
+from kumquatridge.bench import errors
+from kumquatridge.bench import library
+from kumquatridge.bench import scenario
+from kumquatridge.bench import scenario_text
+
+HEAD = 'title "t"\ndeployment milchdienst\nduration 5 s\n'
+DEMAND = "demand from 0 s to 1 s 0.5 x lookup 1\n"
+
+
+def decode(text: str) -> scenario.Scenario:
+    """Decodes a text over the examples."""
+    return scenario_text.decode_scenario("s", "s", text, library.EXAMPLES)
+
+
+@dataclasses.dataclass(frozen=True)
+class BadText:
+    """A text that is refused, and what the error says."""
+
+    text: str
+    says: str
+
+
+BAD_TEXTS = {
+    "empty": BadText("", "s:1:1: "),
+    "unknown word": BadText(HEAD + DEMAND + "fauld", "s:5:1: "),
+    "no unit": BadText(HEAD + "demand from 0 to 1 s", "s:4:15: got 'to'"),
+    "no demand": BadText(HEAD, "expected"),
+    "bound without a figure": BadText(
+        HEAD + DEMAND + "bound goodput from 0 s to 1 s", "expected " >= ""
+    ),
+    "unknown chain": BadText(
+        HEAD + "demand from 0 s to 1 s 1 x lookout 1", "no chain 'lookout'"
+    ),
+    "unknown service": BadText(
+        HEAD + DEMAND + "fault from 0 s to 1 s stall worker orders 1",
+        "no service 'orders'",
+    ),
+    "unknown data centre": BadText(
+        HEAD + DEMAND + "fault from 0 s to 1 s cut berlin",
+        "no data centre 'berlin'",
+    ),
+    "worker that is not there": BadText(
+        HEAD + DEMAND + "fault from 0 s to 1 s stall worker ordering 5",
+        "ordering has 4 workers",
+    ),
+    "unknown deployment": BadText(
+        'title "t"\ndeployment nowhere\nduration 5 s\n' + DEMAND,
+        "can't be read",
+    ),
+}
+
+
+@pytest.mark.parametrize("bad", BAD_TEXTS.values(), ids=BAD_TEXTS.keys())
+def test_error_says_where_and_what(bad: BadText) -> None:
+    with pytest.raises(errors.BenchError) as raised:
+        decode(bad.text)
+    assert bad.says in str(raised.value)
+
+
+RATES: dict[str, scenario.Rate] = {
+    "2 x": scenario.OfCapacity(2.0),
+    "90 per second": scenario.Absolute(90.0),
+    "0.5 x to 2 x within 4 s": scenario.Swing(0.5, 2.0, 4000.0),
+}
+
+
+@pytest.mark.parametrize(("text", "rate"), RATES.items(), ids=RATES.keys())
+def test_rates(text: str, rate: scenario.Rate) -> None:
+    script = decode(HEAD + f"demand from 0 s to 1 s {text} lookup 1")
+    assert script.demands[0].rate == rate
+
+
+BOUNDS: dict[str, scenario.Bound] = {
+    "goodput from 1 s to 2 s >= 90 %": scenario.Goodput(
+        scenario.Span(1000.0, 2000.0), 0.9
+    ),
+    "success lookup stock from 1 s to 2 s >= 50 %": scenario.Success(
+        ("lookup", "stock"), scenario.Span(1000.0, 2000.0), 0.5
+    ),
+    "p99 lookup from 1 s to 2 s <= 1.5 x from 0 s to 1 s": (
+        scenario.TailLatency(
+            "lookup",
+            scenario.Span(1000.0, 2000.0),
+            scenario.Span(0.0, 1000.0),
+            1.5,
+        )
+    ),
+    "recovery lookup after 2 s against from 0 s to 1 s <= 3 s": (
+        scenario.Recovery(
+            ("lookup",), 2000.0, scenario.Span(0.0, 1000.0), 3000.0
+        )
+    ),
+    "crashes ordering <= 3": scenario.Crashes("ordering", 3),
+}
+
+
+@pytest.mark.parametrize(("text", "bound"), BOUNDS.items(), ids=BOUNDS.keys())
+def test_bounds(text: str, bound: scenario.Bound) -> None:
+    assert decode(HEAD + DEMAND + f"bound {text}").bounds == (bound,)
+
+
+def test_chain_with_children() -> None:
+    text = "chain c GET ordering /a work 2 { GET ordering /b GET ordering /c }"
+    script = decode(HEAD + text + "\n" + DEMAND)
+    root = script.deployment.chains[-1].root
+    assert root.work_ratio == 2.0
+    assert [child.path for child in root.children] == ["/b", "/c"]
+    assert not root.is_parallel
+
+
+@pytest.mark.parametrize("name", library.find_scenarios())
+def test_shipped_scenarios_are_valid(name: str) -> None:
+    file = library.find_file(name)
+    assert scenario_text.read_scenario(file, library.EXAMPLES).demands
+
+
+@pytest.mark.parametrize(
+    ("name", "workers", "data_centres"),
+    [("milchdienst", 16, 3), ("botellas", 17, 4)],
+)
+def test_sizes_of_the_deployments(
+    name: str, workers: int, data_centres: int
+) -> None:
+    deployment = scenario_text.read_deployment(library.EXAMPLES, name)
+    assert sum(one.workers for one in deployment.services) == workers
+    assert len(deployment.data_centres) == data_centres
