--- a/tests/bench/test_scenario_text.py
+++ b/tests/bench/test_scenario_text.py
@@ -32,7 +32,7 @@
     "no unit": BadText(HEAD + "demand from 0 to 1 s", "s:4:15: got 'to'"),
     "no demand": BadText(HEAD, "expected"),
     "bound without a figure": BadText(
-        HEAD + DEMAND + "bound goodput from 0 s to 1 s", "expected " >= ""
+        HEAD + DEMAND + "bound goodput from 0 s to 1 s", 'expected ">="'
     ),
     "unknown chain": BadText(
         HEAD + "demand from 0 s to 1 s 1 x lookout 1", "no chain 'lookout'"
