--- a/kumquatridge/bench/callers.py
+++ b/kumquatridge/bench/callers.py
@@ -12,6 +12,7 @@
 from kumquatridge.bench import process
 from kumquatridge.bench import records as bench_records
 from kumquatridge.bench import scenario
+from kumquatridge.bench import virtual_time
 from kumquatridge.calls import outcomes
 
 ATTEMPT_TIMEOUT_S = 10.0
@@ -26,6 +27,14 @@
     is_good: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Origin:
+    """Where a request comes from and since when it is wanted."""
+
+    made_ms: float
+    data_centre: str
+
+
 _UNFINISHED = Ending("unfinished", is_good=False)
 _REFUSED = Ending("connection refused", is_good=False)
 _LOST = Ending("connection lost", is_good=False)
@@ -48,12 +57,18 @@
         self._random = random.Random(f"{environment.seed}/callers")
         self._chains = {one.name: one for one in script.deployment.chains}
         self._number = 0
+        self._reachable = {
+            centre: [
+                one for one in fleet.instances if one.data_centre == centre
+            ]
+            for centre in script.deployment.data_centres
+        }
 
     async def run(self) -> None:
         """Sends all demand; cuts off what has not ended with the run."""
         with contextlib.suppress(TimeoutError):
             async with (
-                asyncio.timeout(self._script.duration_ms / 1000.0),
+                asyncio.timeout_at(self._script.duration_ms / 1000.0),
                 asyncio.TaskGroup() as requests,
             ):
                 for demand in self._script.demands:
@@ -62,7 +77,7 @@
     async def _run_demand(
         self, demand: scenario.Demand, requests: asyncio.TaskGroup
     ) -> None:
-        await asyncio.sleep(demand.span.starts_ms / 1000.0)
+        await virtual_time.sleep_until(demand.span.starts_ms)
         capacity_per_s = capacity.get_rate_per_s(
             self._script.deployment, demand.mix
         )
@@ -79,6 +94,8 @@
 
     async def _request(self, chain: scenario.Chain, number: int) -> None:
         arrived_ms = clock.get_now_ms()
+        centres = self._script.deployment.data_centres
+        origin = _Origin(arrived_ms, self._random.choice(centres))
         callers = self._script.callers
         attempts = 0
         ending = _UNFINISHED
@@ -87,7 +104,7 @@
                 if attempts:
                     await self._pause(callers)
                 attempts += 1
-                ending = await self._attempt(chain, number)
+                ending = await self._attempt(chain, number, origin)
         finally:
             self._records.finished.append(
                 bench_records.Finished(
@@ -106,18 +123,23 @@
         )
         await asyncio.sleep(callers.pause_ms * spread / 1000.0)
 
-    async def _attempt(self, chain: scenario.Chain, number: int) -> Ending:
+    async def _attempt(
+        self, chain: scenario.Chain, number: int, origin: _Origin
+    ) -> Ending:
         is_double = self._script.callers.double_ratio > self._random.random()
         if not is_double:
-            return await self._send(chain, number)
+            return await self._send(chain, number, origin)
         endings = await asyncio.gather(
-            self._send(chain, number), self._send(chain, number)
+            self._send(chain, number, origin),
+            self._send(chain, number, origin),
         )
         return max(endings, key=lambda ending: ending.is_good)
 
-    async def _send(self, chain: scenario.Chain, number: int) -> Ending:
-        job = self._book.make_root(chain, number)
-        instance = self._random.choice(self._fleet.instances)
+    async def _send(
+        self, chain: scenario.Chain, number: int, origin: _Origin
+    ) -> Ending:
+        job = self._book.make_root(chain, number, origin.made_ms)
+        instance = self._random.choice(self._reachable[origin.data_centre])
         delay_s = self._script.deployment.caller_delay_ms / 1000.0
         try:
             async with asyncio.timeout(ATTEMPT_TIMEOUT_S):
--- a/kumquatridge/bench/faults.py
+++ b/kumquatridge/bench/faults.py
@@ -6,6 +6,7 @@
 from kumquatridge import clock
 from kumquatridge.bench import fleets
 from kumquatridge.bench import scenario
+from kumquatridge.bench import virtual_time
 
 MEMBERSHIP_DELAY_S = 2.0
 
@@ -27,7 +28,7 @@
                 group.create_task(self._run_fault(fault))
 
     async def _run_fault(self, fault: scenario.Fault) -> None:
-        await asyncio.sleep(fault.span.starts_ms / 1000.0)
+        await virtual_time.sleep_until(fault.span.starts_ms)
         match fault.trouble:
             case scenario.Slow(service, workers_ratio, slowdown_ratio):
                 self._slow(
@@ -97,8 +98,7 @@
         self, instance: fleets.Instance, fault: scenario.Fault
     ) -> None:
         instance.process.lose()
-        await asyncio.sleep(0)
-        instance.restart_daemon()
+        await instance.restart_daemon()
         await _wait(fault)
         instance.process.start()
         self._fleet.note_reachability()
--- a/kumquatridge/bench/fleets.py
+++ b/kumquatridge/bench/fleets.py
@@ -1,7 +1,8 @@
 """What a scenario needs of a fleet, whether the product or the naive one."""
 
 import dataclasses
-from typing import Protocol
+import types
+from typing import Protocol, Self
 
 from kumquatridge.bench import jobs
 from kumquatridge.bench import network as bench_network
@@ -51,13 +52,26 @@
         """Serves a call of an outside caller."""
         ...
 
-    def restart_daemon(self) -> None:
+    async def restart_daemon(self) -> None:
         """Replaces the daemon by one that remembers nothing."""
         ...
 
 
 class Fleet(Protocol):
-    """All instances of a deployment."""
+    """All instances of a deployment, running while the context is open."""
+
+    async def __aenter__(self) -> Self:
+        """Starts the instances."""
+        ...
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        """Stops the instances."""
+        ...
 
     @property
     def network(self) -> bench_network.FakeNetwork:
--- a/kumquatridge/bench/jobs.py
+++ b/kumquatridge/bench/jobs.py
@@ -2,7 +2,9 @@
 
 import dataclasses
 import itertools
+import math
 
+from kumquatridge import clock
 from kumquatridge.bench import scenario
 from kumquatridge.callpath import intake
 from kumquatridge.calls import body as call_body
@@ -18,7 +20,8 @@
     """One call, made by a caller or by a worker.
 
     `call_id` is the call's own, even when the same request is sent again;
-    `key` is the idempotency key, the same on every resend.
+    `key` is the idempotency key, the same on every resend; it was made at
+    `key_made_ms`.
     """
 
     call_id: int
@@ -26,6 +29,7 @@
     step: scenario.Step
     path: str
     is_poison: bool
+    key_made_ms: float
 
 
 class JobBook:
@@ -35,7 +39,9 @@
         self._ids = itertools.count(1)
         self._jobs: dict[int, Job] = {}
 
-    def make_root(self, chain: scenario.Chain, number: int) -> Job:
+    def make_root(
+        self, chain: scenario.Chain, number: int, made_ms: float
+    ) -> Job:
         """Makes the first call of a whole request, or sends it again."""
         job = Job(
             next(self._ids),
@@ -43,6 +49,7 @@
             chain.root,
             f"{chain.root.path}/{'poison' if chain.is_poison else number}",
             chain.is_poison,
+            made_ms,
         )
         self._jobs[job.call_id] = job
         return job
@@ -58,6 +65,7 @@
             step,
             f"{step.path}/{number}",
             is_poison=False,
+            key_made_ms=parent.key_made_ms,
         )
         self._jobs[job.call_id] = job
         return job
@@ -79,16 +87,25 @@
         caller="bench",
         request_key=job.key,
         token=token,
+        key_age_ms=math.ceil(clock.get_now_ms() - job.key_made_ms),
     )
 
 
 def make_answer(job: Job, status: int) -> outcomes.Completed:
-    """Returns the answer of a worker, which names the call it answers."""
+    """Returns the answer of a worker, which names the request it answers."""
     return outcomes.Completed(
-        status, (), call_body.BufferedBody(str(job.call_id).encode())
+        status, (), call_body.BufferedBody(get_signature(job))
     )
 
 
+def get_signature(job: Job) -> bytes:
+    """Returns what the answer to a call must hold.
+
+    Resends of one key share an answer; other calls have their own.
+    """
+    return (job.key or str(job.call_id)).encode()
+
+
 def is_success(outcome: outcomes.Outcome) -> bool:
     """Tells whether a worker answered that all went well."""
     match outcome:
--- a/kumquatridge/bench/naive.py
+++ b/kumquatridge/bench/naive.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import random
+import types
+from typing import Self
 
 from kumquatridge.bench import fleets
 from kumquatridge.bench import jobs
@@ -42,6 +44,18 @@
             for service in environment.deployment.services
         }
 
+    async def __aenter__(self) -> Self:
+        """Starts nothing."""
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        """Stops nothing."""
+
     def note_reachability(self) -> None:
         """Does nothing: the naive version keeps no membership."""
 
@@ -61,7 +75,7 @@
         """The worker's process."""
         return self.worker.process
 
-    def restart_daemon(self) -> None:
+    async def restart_daemon(self) -> None:
         """Restarts the worker: there is no daemon."""
 
     async def send(self, job: jobs.Job) -> outcomes.Outcome:
--- /dev/null
+++ b/kumquatridge/bench/news.py
@@ -0,0 +1,72 @@
+"""Stands in for the news between the daemons of a service.
+
+The messages and their loss are left out; who can't be reached or stands
+still learns nothing. What is told and learned is the product's.
+"""
+
+import asyncio
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from kumquatridge.bench import product
+
+ROUND_S = 0.5
+MESSAGE_S = 0.01
+
+
+async def exchange_for_ever(fleet: "product.ProductFleet") -> None:
+    """Lets all daemons exchange news, round after round."""
+    while True:
+        for instance in fleet.instances:
+            tell(instance)
+        await asyncio.sleep(ROUND_S)
+
+
+def tell_later(instance: "product.ProductInstance") -> None:
+    """Has a daemon tell at once what changed."""
+    asyncio.get_running_loop().call_later(MESSAGE_S, tell, instance)
+
+
+def tell(instance: "product.ProductInstance") -> None:
+    """Exchanges a daemon's news with the others of its service."""
+    peers = tuple(_iter_peers(instance))
+    roster = instance.roster
+    roster.meet(peer.name for peer in peers)
+    roster.join(may_found=instance.knows_all())
+    for peer in peers:
+        if _can_talk(instance, peer):
+            _exchange(instance, peer)
+
+
+def _iter_peers(
+    instance: "product.ProductInstance",
+) -> Iterator["product.ProductInstance"]:
+    for other in instance.fleet.instances:
+        if (
+            other is not instance
+            and other.data_centre == instance.data_centre
+            and other.worker.service == instance.worker.service
+        ):
+            yield other
+
+
+def _can_talk(
+    instance: "product.ProductInstance", peer: "product.ProductInstance"
+) -> bool:
+    return all(
+        one.process.is_up and not one.process.is_paused
+        for one in (instance, peer)
+    )
+
+
+def _exchange(
+    instance: "product.ProductInstance", peer: "product.ProductInstance"
+) -> None:
+    for source, target in ((instance, peer), (peer, instance)):
+        target.roster.learn(source.roster.seats)
+        target.crashes.merge(source.crashes.export())
+    if instance.roster.own in peer.roster.seats:
+        instance.roster.acknowledge(
+            peer.roster.own, is_established=peer.roster.is_established
+        )
--- a/kumquatridge/bench/process.py
+++ b/kumquatridge/bench/process.py
@@ -4,7 +4,9 @@
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
+from kumquatridge import clock
 from kumquatridge.bench import errors
+from kumquatridge.idempotency import stalls
 
 T = TypeVar("T")
 
@@ -27,6 +29,8 @@
         self._lost: set[asyncio.Task[Any]] = set()
         self._going = asyncio.Event()
         self._going.set()
+        self._paused_ms = 0.0
+        self._resumed_ms = float("-inf")
 
     async def run(self, work: Coroutine[Any, Any, T]) -> T:
         """Runs work to its end.
@@ -66,10 +70,23 @@
     def pause(self) -> None:
         """Makes the process stand still."""
         self._going.clear()
+        self._paused_ms = clock.get_now_ms()
 
     def resume(self) -> None:
         """Lets the process go on."""
         self._going.set()
+        self._resumed_ms = clock.get_now_ms()
+
+    @property
+    def is_paused(self) -> bool:
+        """Whether the process stands still."""
+        return not self._going.is_set()
+
+    def get_lost_ms(self) -> float:
+        """Returns the length of a pause that ended just now, or 0."""
+        if clock.get_now_ms() - self._resumed_ms > stalls.RECENT_MS:
+            return 0.0
+        return self._resumed_ms - self._paused_ms
 
     async def wait_while_paused(self) -> None:
         """Returns once the process does not stand still."""
--- a/kumquatridge/bench/product.py
+++ b/kumquatridge/bench/product.py
@@ -1,28 +1,38 @@
 """The product's fleet: real decisions between stand-ins."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable, Coroutine
 import contextlib
 import dataclasses
 import itertools
+import math
 import random
+import types
+from typing import Any, Self
 
 from kumquatridge import clock
 from kumquatridge.admission import guard as admission_guard
 from kumquatridge.bench import fleets
 from kumquatridge.bench import jobs
+from kumquatridge.bench import news
 from kumquatridge.bench import placement
 from kumquatridge.bench import process as bench_process
 from kumquatridge.bench import scenario
 from kumquatridge.bench import workers
+from kumquatridge.callpath import homes
 from kumquatridge.callpath import inbound
 from kumquatridge.callpath import intake as call_intake
+from kumquatridge.callpath import keyed
 from kumquatridge.callpath import outbound
 from kumquatridge.calls import call as calls
 from kumquatridge.calls import outcomes
 from kumquatridge.calls import refusals
 from kumquatridge.chain import ledger as chain_ledger
 from kumquatridge.chain import ratio as retry_ratio
+from kumquatridge.idempotency import keys
+from kumquatridge.idempotency import memory as key_memory
+from kumquatridge.idempotency import roster as home_roster
+from kumquatridge.idempotency import settings as key_settings
 from kumquatridge.membership import member as members
 from kumquatridge.membership import table
 from kumquatridge.quarantine import register as crash_register
@@ -30,7 +40,7 @@
 
 LOST_S = 3600.0
 CHOOSER_SEED_BITS = 64
-PEER_NEWS_MS = 100.0
+PEER_KEY = "bench"
 
 
 class _RunRecorder:
@@ -101,6 +111,9 @@
             )
 
 
+_Serve = Callable[[calls.Call], Coroutine[Any, Any, outcomes.Outcome]]
+
+
 class FakePeerLink:
     """Carries calls to the daemons of other stand-in instances."""
 
@@ -113,27 +126,47 @@
     ) -> AsyncIterator[outcomes.Outcome]:
         """Sends a call; see `callpath.links.PeerLink`."""
         target = self._source.fleet.find(member.instance)
+        async with self._deliver(call, target, target.serve) as outcome:
+            yield outcome
+
+    @contextlib.asynccontextmanager
+    async def send_home(
+        self, call: calls.Call, member: members.Member
+    ) -> AsyncIterator[outcomes.Outcome]:
+        """Sends a call to its home; see `callpath.links.PeerLink`."""
+        target = self._source.fleet.find(member.instance)
+        held_ms = math.ceil(clock.get_now_ms() - call.received_ms)
+        aged = dataclasses.replace(
+            call, key_age_ms=(call.key_age_ms or 0) + held_ms
+        )
+        async with self._deliver(aged, target, target.serve_home) as outcome:
+            yield outcome
+
+    @contextlib.asynccontextmanager
+    async def _deliver(
+        self, call: calls.Call, target: "ProductInstance", serve: _Serve
+    ) -> AsyncIterator[outcomes.Outcome]:
         try:
             async with asyncio.timeout(call.chain.get_remaining_ms() / 1000.0):
-                outcome = await self._carry(call, target)
+                outcome = await self._carry(call, target, serve)
         except TimeoutError:
             outcome = outcomes.Unknown("no answer before the deadline")
         except bench_process.ProcessDownError:
             outcome = outcomes.NotRun(
-                refusals.Unreachable(member.instance), call.chain.retries
+                refusals.Unreachable(target.name), call.chain.retries
             )
         except bench_process.ProcessLostError:
             outcome = outcomes.Unknown("connection lost after sending")
         yield outcome
 
     async def _carry(
-        self, call: calls.Call, target: "ProductInstance"
+        self, call: calls.Call, target: "ProductInstance", serve: _Serve
     ) -> outcomes.Outcome:
         here, there = self._source.data_centre, target.data_centre
         carry = self._source.environment.network.carry
         if not await carry(here, there, scenario.Half.CALLS):
             await _wait_for_ever()
-        outcome = await target.process.run(target.serve(call))
+        outcome = await target.process.run(serve(call))
         if not await carry(there, here, scenario.Half.ANSWERS):
             await _wait_for_ever()
         return outcome
@@ -181,7 +214,9 @@
             self.environment.policies, ledger, recorder
         )
         self.crashes = crash_register.CrashRegister(
-            crash_register.QuarantineSettings(), self.name, self._tell_crashes
+            crash_register.QuarantineSettings(),
+            self.name,
+            lambda: news.tell_later(self),
         )
         self._inbound = inbound.InboundPath(
             self.members,
@@ -199,6 +234,31 @@
             _RunRecorder(self.environment, None),
             ratio=retry_ratio.RetryRatio(retry_ratio.RatioSettings()),
         )
+        self._keyed = self._make_keyed_path()
+
+    def _make_keyed_path(self) -> keyed.KeyedPath:
+        settings = key_settings.KeySettings()
+        own = self.members.own
+        self.roster = home_roster.HomeRoster(
+            settings, self.name, own.incarnation
+        )
+        home = keys.HomeId(self.name, str(own.incarnation))
+        return keyed.KeyedPath(
+            self.members,
+            self._inbound,
+            self._outbound,
+            FakePeerLink(self),
+            _RunRecorder(self.environment, None),
+            home_finder=homes.Homes(
+                settings,
+                home,
+                keys.KeyIssuer(home, PEER_KEY),
+                self.roster,
+                self.members,
+                stalls=self.process,
+            ),
+            memory=key_memory.KeyMemory(settings),
+        )
 
     def _make_member(self) -> members.Member:
         service = self._place.service
@@ -240,7 +300,7 @@
                 case calls.Call():
                     if token is None:
                         self.environment.records.note_root(opened)
-                    async with self._outbound.dispatch(opened) as outcome:
+                    async with self._keyed.dispatch(opened) as outcome:
                         self._intake.settle(request, outcome)
                         return outcome
                 case refusal:
@@ -252,16 +312,25 @@
         async with self._inbound.serve(call) as outcome:
             return outcome
 
-    def restart_daemon(self) -> None:
+    async def serve_home(self, call: calls.Call) -> outcomes.Outcome:
+        """Serves a call whose sender takes this daemon for its home."""
+        await self.process.wait_while_paused()
+        received = dataclasses.replace(call, received_ms=clock.get_now_ms())
+        async with self._keyed.serve(received) as outcome:
+            return outcome
+
+    async def restart_daemon(self) -> None:
         """Replaces the daemon by one that remembers nothing."""
+        await self.close()
         self._assemble()
 
-    def _tell_crashes(self) -> None:
-        """Tells the data centre of crashes, as the peers' messages do."""
-        entries = self.crashes.export()
-        asyncio.get_running_loop().call_later(
-            PEER_NEWS_MS / 1000.0, self.fleet.share_crashes, self, entries
-        )
+    async def close(self) -> None:
+        """Cuts off what the daemon still runs."""
+        await self._keyed.__aexit__(None, None, None)
+
+    def knows_all(self) -> bool:
+        """Tells whether this daemon has heard of every other one."""
+        return sum(1 for _ in self.members) == len(self.fleet.instances)
 
     def refute(self) -> None:
         """Raises the incarnation, so that others take it for alive again."""
@@ -281,20 +350,28 @@
         self._unreachable: set[tuple[str, str]] = set()
         self._by_name = {one.name: one for one in self.instances}
         self.note_reachability()
+        self._news: asyncio.Task[None] | None = None
 
-    def find(self, name: str) -> ProductInstance:
-        """Returns an instance by its name."""
-        return self._by_name[name]
+    async def __aenter__(self) -> Self:
+        """Starts the news between the daemons."""
+        self._news = asyncio.create_task(news.exchange_for_ever(self))
+        return self
 
-    def share_crashes(
+    async def __aexit__(
         self,
-        source: ProductInstance,
-        entries: tuple[crash_register.CrashEntry, ...],
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: types.TracebackType | None,
     ) -> None:
-        """Carries news of crashes to the daemons of a data centre."""
+        """Stops the news and the daemons."""
+        if self._news is not None:
+            self._news.cancel()
         for instance in self.instances:
-            if instance.data_centre == source.data_centre:
-                instance.crashes.merge(entries)
+            await instance.close()
+
+    def find(self, name: str) -> ProductInstance:
+        """Returns an instance by its name."""
+        return self._by_name[name]
 
     def note_reachability(self) -> None:
         """Lets each daemon know which others it can reach now.
@@ -306,7 +383,7 @@
             (observer.name, seen.name)
             for observer in self.instances
             for seen in self.instances
-            if not self._is_reachable(observer, seen)
+            if not self.is_reachable(observer, seen)
         }
         for name in {seen for _, seen in self._unreachable - unreachable}:
             self.find(name).refute()
@@ -315,9 +392,10 @@
             for seen in self.instances:
                 observer.members.learn(self._observe(observer, seen))
 
-    def _is_reachable(
+    def is_reachable(
         self, observer: ProductInstance, seen: ProductInstance
     ) -> bool:
+        """Tells whether messages pass between two instances."""
         if not seen.process.is_up:
             return False
         return not self.network.is_cut(observer.data_centre, seen.data_centre)
@@ -325,7 +403,7 @@
     def _observe(
         self, observer: ProductInstance, seen: ProductInstance
     ) -> members.Member:
-        if self._is_reachable(observer, seen):
+        if self.is_reachable(observer, seen):
             return seen.members.own
         return dataclasses.replace(
             seen.members.own, state=members.Dead(clock.get_now_ms())
--- a/kumquatridge/bench/records.py
+++ b/kumquatridge/bench/records.py
@@ -120,7 +120,7 @@
                 self.not_run[job.call_id] = refusal.code
                 self._note_quarantine(job, refusal)
             case outcomes.Completed(body=call_body.BufferedBody(data)):
-                self.wrong_answers += data != str(job.call_id).encode()
+                self.wrong_answers += data != jobs.get_signature(job)
             case _:
                 pass
 
--- a/kumquatridge/bench/runner.py
+++ b/kumquatridge/bench/runner.py
@@ -6,8 +6,6 @@
 import pathlib
 import time
 
-import looptime
-
 from kumquatridge.bench import callers
 from kumquatridge.bench import entropy
 from kumquatridge.bench import faults
@@ -19,12 +17,11 @@
 from kumquatridge.bench import product
 from kumquatridge.bench import records as bench_records
 from kumquatridge.bench import scenario
+from kumquatridge.bench import virtual_time
 from kumquatridge.encoding import settings_text
 from kumquatridge.settings import policy as settings_policy
 
 TREE_FILE = "tree.jsonc"
-CLOCK_RESOLUTION_S = 1e-4
-IDLE_CYCLES = 1
 
 
 class Version(enum.Enum):
@@ -63,7 +60,7 @@
     started_s = time.monotonic()
     with (
         entropy.seed_secrets(str(seed)),
-        asyncio.Runner(loop_factory=_make_loop) as runner,
+        asyncio.Runner(loop_factory=virtual_time.make_loop) as runner,
     ):
         records = runner.run(_run(script, policies, version, str(seed)))
     return RunResult(
@@ -76,13 +73,6 @@
     )
 
 
-def _make_loop() -> asyncio.AbstractEventLoop:
-    loop: asyncio.AbstractEventLoop = looptime.new_event_loop(
-        start=0, resolution=CLOCK_RESOLUTION_S, noop_cycles=IDLE_CYCLES
-    )
-    return loop
-
-
 async def _run(
     script: scenario.Scenario,
     policies: settings_policy.PolicyLookup,
@@ -98,7 +88,7 @@
         seed,
     )
     fleet = _make_fleet(version, environment)
-    async with asyncio.TaskGroup() as group:
+    async with fleet, asyncio.TaskGroup() as group:
         group.create_task(faults.FaultInjector(script, fleet, seed).run())
         group.create_task(callers.Callers(script, fleet, environment).run())
     return environment.records
--- a/tests/bench/test_measures.py
+++ b/tests/bench/test_measures.py
@@ -143,7 +143,7 @@
     assert measures.get_p99_ms([]) == math.inf
 
 
-JOB = jobs.Job(1, "key", ROOT, "/r/1", is_poison=False)
+JOB = jobs.Job(1, "key", ROOT, "/r/1", is_poison=False, key_made_ms=0.0)
 NOT_RUN = outcomes.NotRun(refusals.Draining("x"))
 OTHER_ANSWER = outcomes.Completed(200, (), call_body.BufferedBody(b"2"))
 
