--- a/kumquatridge/callpath/outbound.py
+++ b/kumquatridge/callpath/outbound.py
@@ -4,9 +4,11 @@
 import contextlib
 import dataclasses
 
+from kumquatridge.callpath import hedging
 from kumquatridge.callpath import inbound
 from kumquatridge.callpath import links
 from kumquatridge.callpath import retries
+from kumquatridge.calls import body as call_body
 from kumquatridge.calls import call as calls
 from kumquatridge.calls import outcomes
 from kumquatridge.chain import account as chain_account
@@ -17,6 +19,7 @@
 from kumquatridge.routing import chooser as routing
 from kumquatridge.telemetry import recorder as telemetry
 
+HEDGE_REASON = "hedge"
 ALLOWANCE_SPENT = "allowance_spent"
 RATIO_EXCEEDED = "ratio_exceeded"
 
@@ -56,15 +59,18 @@
         while choice is not None:
             match choice:
                 case choices.NoneLeft(refusal):
+                    self._recorder.record_refusal(call, refusal)
                     yield outcomes.NotRun(refusal, account.settle())
                     return
                 case choices.Chosen(member):
                     tried.add(member.instance)
-            async with self._send(call, member, account) as outcome:
+            async with self._open(call, member, account, tried) as outcome:
                 choice = self._choose_next(call, outcome, tried, account)
                 if choice is None:
                     yield dataclasses.replace(
-                        outcome, unspent_retries=account.settle()
+                        outcome,
+                        unspent_retries=account.settle(),
+                        report=None,
                     )
 
     def _choose_next(
@@ -97,6 +103,49 @@
         self._recorder.record_retry(call, reason)
         return chosen
 
+    def _open(
+        self,
+        call: calls.Call,
+        member: members.Member,
+        account: chain_account.RetryAccount,
+        tried: set[str],
+    ) -> hedging.Attempt:
+        if (
+            account.left > 0
+            and len(tried) == 1
+            and call.policy.idempotent
+            and call_body.is_resendable(call.body)
+        ):
+            delay_ms = self._chooser.get_hedge_delay_ms(call)
+            if delay_ms is not None:
+                return self._send_hedged(call, member, account, tried, delay_ms)
+        return self._send(call, member, account)
+
+    @contextlib.asynccontextmanager
+    async def _send_hedged(
+        self,
+        call: calls.Call,
+        member: members.Member,
+        account: chain_account.RetryAccount,
+        tried: set[str],
+        delay_ms: float,
+    ) -> AsyncIterator[outcomes.Outcome]:
+        def make_second() -> hedging.Attempt | None:
+            if account.left == 0 or not self._chooser.take_hedge_credit():
+                return None
+            match self._chooser.choose(call, tried):
+                case choices.Chosen(other):
+                    tried.add(other.instance)
+                    account.spend()
+                    self._recorder.record_retry(call, HEDGE_REASON)
+                    return self._send(call, other, account)
+                case choices.NoneLeft():
+                    return None
+
+        first = self._send(call, member, account)
+        async with hedging.Hedge(first, make_second, delay_ms) as hedge:
+            yield hedge.outcome
+
     @contextlib.asynccontextmanager
     async def _send(
         self,
@@ -113,14 +162,12 @@
         sent = dataclasses.replace(
             call, chain=dataclasses.replace(call.chain, retries=granted)
         )
-        with self._chooser.track(member.instance):
-            async with self._open(sent, member) as outcome:
+        with self._chooser.track(call, member.instance) as record:
+            if member.instance == self._members.own.instance:
+                attempt: hedging.Attempt = self._own.serve(sent)
+            else:
+                attempt = self._peers.send(sent, member)
+            async with attempt as outcome:
+                record.finish(outcome)
                 account.give_back(min(granted, outcome.unspent_retries))
                 yield outcome
-
-    def _open(
-        self, call: calls.Call, member: members.Member
-    ) -> contextlib.AbstractAsyncContextManager[outcomes.Outcome]:
-        if member.instance == self._members.own.instance:
-            return self._own.serve(call)
-        return self._peers.send(call, member)
--- a/kumquatridge/calls/outcomes.py
+++ b/kumquatridge/calls/outcomes.py
@@ -4,6 +4,7 @@
 
 from kumquatridge.calls import body as call_body
 from kumquatridge.calls import refusals
+from kumquatridge.calls import reports
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -21,6 +22,7 @@
     headers: Headers
     body: call_body.Body
     unspent_retries: int = 0
+    report: reports.InstanceReport | None = None
     shed: bool = False
 
 
@@ -30,6 +32,7 @@
 
     refusal: refusals.Refusal
     unspent_retries: int = 0
+    report: reports.InstanceReport | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,6 +41,7 @@
 
     detail: str
     unspent_retries: int = 0
+    report: reports.InstanceReport | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,6 +53,7 @@
 
     detail: str
     unspent_retries: int = 0
+    report: reports.InstanceReport | None = None
     worker_lost: bool = False
 
 
--- a/kumquatridge/http/answers.py
+++ b/kumquatridge/http/answers.py
@@ -8,6 +8,7 @@
 from kumquatridge.calls import outcomes
 from kumquatridge.calls import refusals
 from kumquatridge.encoding import refusal_codec
+from kumquatridge.encoding import report_codec
 from kumquatridge.http import headers
 
 STATUS_UNKNOWN = 502
@@ -65,6 +66,7 @@
             if outcome.worker_lost:
                 answer.headers[headers.WORKER_LOST] = headers.TRUE
     answer.headers[headers.ROOT_ID] = root_id
+    _add_report(answer, outcome)
     return answer
 
 
@@ -130,3 +132,13 @@
     response.headers[headers.UNSPENT_RETRIES] = str(outcome.unspent_retries)
     if outcome.shed:
         response.headers[headers.WORKER_SHED] = headers.TRUE
+    _add_report(response, outcome)
+
+
+def _add_report(
+    response: web.StreamResponse, outcome: outcomes.Outcome
+) -> None:
+    if outcome.report is not None:
+        response.headers[headers.REPORT] = report_codec.encode_report(
+            outcome.report
+        )
