--- a/kumquatridge/demo/load.py
+++ b/kumquatridge/demo/load.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import dataclasses
-import uuid
 
 import aiohttp
 
 from kumquatridge.demo import deployment
+from kumquatridge.http import caller_server
 from kumquatridge.http import headers
 
 LOOKUP = "lookup"
@@ -73,14 +73,20 @@
         if delay_s > 0:
             await asyncio.sleep(delay_s)
 
+    async def _fetch_key(self, address: str) -> str:
+        """Asks a daemon for a request key that names its home."""
+        url = f"http://{address}{caller_server.KEYS_PATH}"
+        async with self._session.post(url) as answer:
+            return (await answer.text()).strip()
+
     async def _call(self, number: int, started_s: float, due_s: float) -> None:
         addresses = self._target.caller_addresses
         address = addresses[number % len(addresses)]
         kind = BOOKING if number % BOOKING_EVERY == 0 else LOOKUP
-        method, path = ("POST", "bookings")
-        marks = {headers.REQUEST_KEY: uuid.uuid4().hex}
-        if kind == LOOKUP:
-            method, path, marks = ("GET", "rounds", {})
+        method, path, marks = ("GET", "rounds", {})
+        if kind == BOOKING:
+            method, path = ("POST", "bookings")
+            marks = {headers.REQUEST_KEY: await self._fetch_key(address)}
         url = f"http://{address}/{deployment.SERVICE}/{path}/{number}"
         async with self._session.request(method, url, headers=marks) as answer:
             await answer.read()
