--- a/kumquatridge/daemon/runtime.py
+++ b/kumquatridge/daemon/runtime.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import pathlib
 import random
 import signal
 import time
@@ -18,7 +17,7 @@
 from kumquatridge.chain import ratio as retry_ratio
 from kumquatridge.daemon import home_parts
 from kumquatridge.daemon import settings as daemon_settings
-from kumquatridge.encoding import settings_text
+from kumquatridge.daemon import settings_plane
 from kumquatridge.http import caller_server
 from kumquatridge.http import client
 from kumquatridge.http import peer_client
@@ -45,15 +44,16 @@
 
     def __init__(self, settings: daemon_settings.DaemonSettings) -> None:
         self._settings = settings
-        tree = settings_text.read_tree(pathlib.Path(settings.tree_file))
         self._members = table.MemberTable(_make_own_member(settings))
         self._guard = admission_guard.AdmissionGuard(slots=0)
         self._ledger = chain_ledger.Ledger()
+        self._plane = settings_plane.SettingsPlane(settings, self._members)
         self._decisions = decisions.DecisionLog()
         self._recorder = metrics.MetricRecorder(self._decisions)
         self._intake = call_intake.Intake(
-            tree.compile(), self._ledger, self._recorder
+            self._plane.store.policies, self._ledger, self._recorder
         )
+        self._plane.attach(self._intake)
         self._homes = home_parts.HomeParts(settings, self._members)
         self._news: service_news.ServiceNewsExchange | None = None
         self._peers: control.ControlPlane | None = None
@@ -67,6 +67,7 @@
         recorder = self._recorder
         exporter = self._stack.enter_context(metrics.MetricExporter(recorder))
         self._add_gauges(exporter)
+        self._plane.add_metrics(exporter)
         session = await enter(client.make_session())
         crashes = crash_register.CrashRegister(
             crash_register.QuarantineSettings(),
@@ -117,6 +118,7 @@
         peers = await enter(
             control.ControlPlane(settings, self._members, exporter.provider)
         )
+        await enter(self._plane)
         self._registry = worker_registry.WorkerRegistry(
             self._members, self._guard, self._announce_member
         )
@@ -148,6 +150,7 @@
                         self._members,
                         self._decisions,
                         exporter,
+                        self._plane.store,
                     )
                 ),
             )
--- a/kumquatridge/ui/main.py
+++ b/kumquatridge/ui/main.py
@@ -3,9 +3,11 @@
 import click
 
 import kumquatridge
+from kumquatridge.ui import bench
 from kumquatridge.ui import check
 from kumquatridge.ui import demo
 from kumquatridge.ui import explain
+from kumquatridge.ui import settings
 
 
 @click.group()
@@ -14,6 +16,8 @@
     """Operates and explains an overload control layer."""
 
 
+main.add_command(bench.bench)
 main.add_command(check.check)
+main.add_command(settings.settings)
 main.add_command(demo.demo)
 main.add_command(explain.explain)
