--- a/kumquatridge/bench/news.py
+++ b/kumquatridge/bench/news.py
@@ -37,6 +37,21 @@
     for peer in peers:
         if _can_talk(instance, peer):
             _exchange(instance, peer)
+    for remote in _iter_remote(instance):
+        if _can_talk(instance, remote):
+            remote.crashes.merge(instance.crashes.export())
+
+
+def _iter_remote(
+    instance: "product.ProductInstance",
+) -> Iterator["product.ProductInstance"]:
+    for other in instance.fleet.instances:
+        if (
+            other.data_centre != instance.data_centre
+            and other.worker.service == instance.worker.service
+            and instance.fleet.is_reachable(instance, other)
+        ):
+            yield other
 
 
 def _iter_peers(
--- a/kumquatridge/callpath/hedging.py
+++ b/kumquatridge/callpath/hedging.py
@@ -88,8 +88,11 @@
     ) -> outcomes.Outcome:
         assert self._second_outcome is not None
         second = await self._second_outcome
-        if not _is_good(second):
-            return first
+        match first, second:
+            case outcomes.NotRun(), outcomes.Failed() | outcomes.Unknown():
+                return second
+            case _ if not _is_good(second):
+                return first
         return dataclasses.replace(
             second,
             unspent_retries=second.unspent_retries + first.unspent_retries,
--- a/kumquatridge/callpath/outbound.py
+++ b/kumquatridge/callpath/outbound.py
@@ -5,7 +5,6 @@
 import dataclasses
 
 from kumquatridge.callpath import hedging
-from kumquatridge.callpath import inbound
 from kumquatridge.callpath import links
 from kumquatridge.callpath import retries
 from kumquatridge.calls import body as call_body
@@ -31,7 +30,7 @@
         self,
         members_table: table.MemberTable,
         chooser: routing.InstanceChooser,
-        own: inbound.InboundPath,
+        own: links.Server,
         peers: links.PeerLink,
         recorder: telemetry.Recorder,
         *,
@@ -55,6 +54,7 @@
         account = chain_account.RetryAccount(call.chain.retries)
         self._ratio.record_first_try()
         tried = set(excluded)
+        may_have_run = False
         choice: choices.Choice | None = self._chooser.choose(call, tried)
         while choice is not None:
             match choice:
@@ -67,11 +67,11 @@
             async with self._open(call, member, account, tried) as outcome:
                 choice = self._choose_next(call, outcome, tried, account)
                 if choice is None:
+                    told = _hide_refusal(outcome) if may_have_run else outcome
                     yield dataclasses.replace(
-                        outcome,
-                        unspent_retries=account.settle(),
-                        report=None,
+                        told, unspent_retries=account.settle(), report=None
                     )
+            may_have_run = may_have_run or not _is_refusal(outcome)
 
     def _choose_next(
         self,
@@ -171,3 +171,23 @@
                 record.finish(outcome)
                 account.give_back(min(granted, outcome.unspent_retries))
                 yield outcome
+
+
+def _is_refusal(outcome: outcomes.Outcome) -> bool:
+    """Tells whether an attempt surely ran nothing."""
+    match outcome:
+        case outcomes.NotRun():
+            return True
+        case _:
+            return False
+
+
+def _hide_refusal(outcome: outcomes.Outcome) -> outcomes.Outcome:
+    """Takes back that nothing ran, when an earlier attempt may have."""
+    match outcome:
+        case outcomes.NotRun(refusal):
+            return outcomes.Unknown(
+                f"an earlier attempt may have run; the last: {refusal.code}"
+            )
+        case _:
+            return outcome
--- a/kumquatridge/http/service_news.py
+++ b/kumquatridge/http/service_news.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import itertools
 import types
 from typing import Self
 
@@ -30,6 +31,7 @@
     """What a daemon tells the others of its service."""
 
     service: str
+    data_centre: str
     homes: handover.HomeNews
     crashes: tuple[crash_register.CrashEntry, ...]
 
@@ -42,7 +44,8 @@
     """Tells the daemons of the own service while its context is open.
 
     One task follows the members, and one for each peer sends what changed
-    until the peer has answered.
+    until the peer has answered. Daemons of other data centres are told of
+    crashes only; the homes of keys are each data centre's own.
     """
 
     def __init__(
@@ -102,6 +105,9 @@
             return None
         if news.service != service:
             return self._encode(service, self._homes.ask())
+        if news.data_centre != self._members.own.data_centre:
+            self._take_remote(news)
+            return self._encode(service, self._homes.ask())
         seats = self._roster.seats
         answer = self._homes.answer(news.homes)
         self._take_crashes(news, seats)
@@ -128,7 +134,7 @@
                 pass
             case _:
                 self._roster.join(may_found=self._knows_seeds())
-        for member in peers:
+        for member in (*peers, *self._members.get_remote(service)):
             task = self._peers.get(member.instance)
             if task is None or task.done():
                 self._peers[member.instance] = asyncio.create_task(
@@ -162,7 +168,8 @@
             await _wait(changed, REPEAT_S if is_done else RETRY_S)
 
     def _find_address(self, instance: str) -> str | None:
-        for member in self._members:
+        remote = self._members.get_remote(self._get_service() or "")
+        for member in itertools.chain(self._members, remote):
             if member.instance == instance:
                 return member.call_address
         return None
@@ -183,11 +190,19 @@
             return False
         if news.service != self._get_service():
             return False
+        if news.data_centre != self._members.own.data_centre:
+            self._take_remote(news)
+            return True
         seats = self._roster.seats
         self._homes.conclude(news.homes)
         self._take_crashes(news, seats)
         return True
 
+    def _take_remote(self, news: ServiceNews) -> None:
+        """Takes the crashes of another data centre and passes them on."""
+        if self._crashes.merge(news.crashes):
+            self.announce()
+
     def _take_crashes(
         self, news: ServiceNews, seats: tuple[home_roster.Seat, ...]
     ) -> None:
@@ -198,7 +213,12 @@
 
     def _encode(self, service: str, homes: handover.HomeNews) -> bytes:
         return _encoder.encode(
-            ServiceNews(service, homes, self._crashes.export())
+            ServiceNews(
+                service,
+                self._members.own.data_centre,
+                homes,
+                self._crashes.export(),
+            )
         )
 
     def _get_service(self) -> str | None:
--- a/kumquatridge/quarantine/register.py
+++ b/kumquatridge/quarantine/register.py
@@ -159,13 +159,14 @@
             for fingerprint, known in self._known.items()
         )
 
-    def merge(self, entries: Iterable[CrashEntry]) -> None:
-        """Takes in what a peer knows."""
+    def merge(self, entries: Iterable[CrashEntry]) -> bool:
+        """Takes in what a peer knows; returns whether any was news."""
         now_ms = clock.get_now_ms()
+        changed = False
         for entry in entries:
             if entry.age_ms >= self._settings.expiry_ms:
                 continue
-            self._take(
+            changed |= self._take(
                 entry.fingerprint,
                 _Known(
                     frozenset(entry.crashes),
@@ -173,18 +174,24 @@
                     now_ms - entry.age_ms,
                 ),
             )
+        return changed
 
-    def _take(self, fingerprint: str, news: _Known) -> None:
+    def _take(self, fingerprint: str, news: _Known) -> bool:
         known = self._known.get(fingerprint)
         if known is None:
             self._make_room()
             self._known[fingerprint] = news
-            return
-        self._known[fingerprint] = _Known(
+            return True
+        merged = _Known(
             known.crashes | news.crashes,
             known.cleared | news.cleared,
             max(known.last_ms, news.last_ms),
         )
+        self._known[fingerprint] = merged
+        return (merged.crashes, merged.cleared) != (
+            known.crashes,
+            known.cleared,
+        )
 
     def _get_wait_ms(self, known: _Known) -> float:
         settings = self._settings
--- a/tests/callpath/graph.py
+++ b/tests/callpath/graph.py
@@ -96,13 +96,11 @@
         )
         self.outbound = outbound.OutboundPath(
             self.members,
-            routing.InstanceChooser(self.members, world.random.getrandbits(32)),
+            make_chooser(self.members, world.random.getrandbits(32)),
             self.inbound,
             PeerFake(world),
             world.recorder,
-            ratio=retry_ratio.RetryRatio(
-                retry_ratio.RatioSettings(floor=10**6)
-            ),
+            ratio=make_ratio(),
         )
 
     @contextlib.asynccontextmanager
@@ -290,3 +288,15 @@
 def readdress(call: calls.Call, service: str) -> calls.Call:
     """Returns a call to another service."""
     return dataclasses.replace(call, service=service)
+
+
+def make_chooser(
+    members_table: table.MemberTable, seed: int
+) -> routing.InstanceChooser:
+    """Returns a chooser over some members."""
+    return routing.InstanceChooser(members_table, seed)
+
+
+def make_ratio() -> retry_ratio.RetryRatio:
+    """Returns a ratio that allows every retry."""
+    return retry_ratio.RetryRatio(retry_ratio.RatioSettings(floor=10**6))
