Make one piece of free addresses, daemon settings and announcements

Cause: the same code stood in tests, benchmarks and the demo, and sample workers announced themselves once, which no real worker does. Change: shared stand-ins; an announcer that renews and withdraws.

--- a/kumquatridge/benchmarks/hops.py
+++ b/kumquatridge/benchmarks/hops.py
@@ -23,9 +23,13 @@
 
 from kumquatridge.benchmarks import bare_hops
 from kumquatridge.benchmarks import processes
+from kumquatridge.membership import member as members
+from kumquatridge.standins import announcer
+from kumquatridge.standins import loopback
 
 SERVICE = "bench"
 SLOTS = 1000
+DRAIN_MS = 100
 TREE = """{
   "settings": {"importance": "normal", "idempotent": true,
     "deadline_ms": 5000, "retry_allowance": 0, "long_running": false,
@@ -155,7 +159,7 @@
 @contextlib.asynccontextmanager
 async def run_bare(kind: str, worker_address: str) -> AsyncIterator[Target]:
     """Runs one bare hop in front of the worker."""
-    address = processes.get_free_address()
+    address = loopback.get_free_address()
     async with processes.run_module(
         "kumquatridge.benchmarks.bare_hops",
         kind,
@@ -178,8 +182,11 @@
         seeds: tuple[str, ...] = ()
         hops = []
         for number in range(count):
-            settings = processes.make_settings(
-                f"daemon-{count}-{number}", tree_file, *seeds
+            settings = loopback.make_daemon_settings(
+                f"daemon-{count}-{number}",
+                tree_file,
+                *seeds,
+                drain_ms=DRAIN_MS,
             )
             seeds = (settings.control_address,)
             started.append(settings)
@@ -188,8 +195,11 @@
                     processes.run_daemon(settings, folder)
                 )
             )
-        await processes.announce_worker(
-            started[-1], SERVICE, worker_address, SLOTS
+        announcement = members.Announcement(
+            SERVICE, worker_address, SLOTS, SLOTS
+        )
+        await stack.enter_async_context(
+            announcer.Announcer(started[-1].operator_address, announcement)
         )
         await processes.wait_for_service(started[0], SERVICE)
         yield Target(
@@ -201,7 +211,7 @@
 
 async def measure_all(load: LoadSettings) -> list[Figures]:
     """Measures every candidate and the daemons, one after the other."""
-    worker_address = processes.get_free_address()
+    worker_address = loopback.get_free_address()
     direct_url = f"http://{worker_address}/"
     found = []
     with tempfile.TemporaryDirectory() as name:
--- a/kumquatridge/benchmarks/processes.py
+++ b/kumquatridge/benchmarks/processes.py
@@ -6,7 +6,6 @@
 import dataclasses
 import json
 import pathlib
-import socket
 import sys
 
 import aiohttp
@@ -16,16 +15,6 @@
 
 START_TIMEOUT_S = 20.0
 START_POLL_S = 0.05
-LOOPBACK = "127.0.0.1"
-FIRST_PORT = 20000
-LAST_PORT = 30000
-
-
-def get_free_address() -> str:
-    """Returns a loopback address that nothing listens on now."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return f"{LOOPBACK}:{probe.getsockname()[1]}"
 
 
 @contextlib.asynccontextmanager
@@ -63,24 +52,6 @@
                 return
 
 
-def make_settings(
-    instance: str, tree_file: pathlib.Path, *seeds: str
-) -> daemon_settings.DaemonSettings:
-    """Returns settings of a daemon on free loopback addresses."""
-    return daemon_settings.DaemonSettings(
-        instance=instance,
-        data_centre="local",
-        caller_address=get_free_address(),
-        call_address=get_free_address(),
-        control_address=get_free_address(),
-        operator_address=get_free_address(),
-        peer_key="benchmark",
-        tree_file=str(tree_file),
-        seeds=seeds,
-        drain_ms=100,
-    )
-
-
 @contextlib.asynccontextmanager
 async def run_daemon(
     settings: daemon_settings.DaemonSettings, folder: pathlib.Path
@@ -97,27 +68,6 @@
         yield process
 
 
-async def announce_worker(
-    settings: daemon_settings.DaemonSettings,
-    service: str,
-    address: str,
-    slots: int,
-) -> None:
-    """Announces a worker to its daemon."""
-    announcement = {
-        "service": service,
-        "address": address,
-        "slots": slots,
-        "connections": slots,
-    }
-    url = f"http://{settings.operator_address}/v1/announcement"
-    async with (
-        aiohttp.ClientSession() as session,
-        session.post(url, json=announcement) as answer,
-    ):
-        answer.raise_for_status()
-
-
 async def wait_for_service(
     settings: daemon_settings.DaemonSettings, service: str
 ) -> None:
--- a/kumquatridge/demo/deployment.py
+++ b/kumquatridge/demo/deployment.py
@@ -4,15 +4,14 @@
 import contextlib
 import dataclasses
 import pathlib
-import socket
-
-import httpx
 
 from kumquatridge.daemon import runtime
 from kumquatridge.daemon import settings as daemon_settings
+from kumquatridge.membership import member as members
+from kumquatridge.standins import announcer
+from kumquatridge.standins import loopback
 from kumquatridge.standins import worker as worker_standin
 
-LOOPBACK = "127.0.0.1"
 SERVICE = "round-planning"
 TREE_FILE = pathlib.Path(__file__).parent / "tree.jsonc"
 DRAIN_MS = 50
@@ -49,31 +48,6 @@
         return sum(1 for count in runs.values() if count > 1)
 
 
-def get_free_address() -> str:
-    """Returns a loopback address that nothing listens on now."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return f"{LOOPBACK}:{probe.getsockname()[1]}"
-
-
-def make_daemon_settings(
-    instance: str, tree_file: pathlib.Path, *seeds: str
-) -> daemon_settings.DaemonSettings:
-    """Returns settings of a daemon on free loopback addresses."""
-    return daemon_settings.DaemonSettings(
-        instance=instance,
-        data_centre="local",
-        caller_address=get_free_address(),
-        call_address=get_free_address(),
-        control_address=get_free_address(),
-        operator_address=get_free_address(),
-        peer_key="loopback",
-        tree_file=str(tree_file),
-        seeds=seeds,
-        drain_ms=DRAIN_MS,
-    )
-
-
 @contextlib.asynccontextmanager
 async def run_deployment(
     settings: DeploymentSettings,
@@ -84,40 +58,27 @@
     async with contextlib.AsyncExitStack() as stack:
         for number in range(settings.workers):
             seeds = (daemons[0].control_address,) if daemons else ()
-            daemon = make_daemon_settings(
-                f"planning-{number + 1}", TREE_FILE, *seeds
+            daemon = loopback.make_daemon_settings(
+                f"planning-{number + 1}", TREE_FILE, *seeds, drain_ms=DRAIN_MS
             )
             await stack.enter_async_context(runtime.Daemon(daemon))
             worker = worker_standin.WorkerSettings(
-                get_free_address(), settings.service_ms, settings.slots
+                loopback.get_free_address(), settings.service_ms, settings.slots
             )
             workers.append(
                 await stack.enter_async_context(
                     worker_standin.SampleWorker(worker)
                 )
             )
-            await _announce(daemon, worker)
+            announcement = members.Announcement(
+                SERVICE, worker.address, worker.slots, worker.slots
+            )
+            await stack.enter_async_context(
+                announcer.Announcer(daemon.operator_address, announcement)
+            )
             daemons.append(daemon)
         yield Deployment(
             tuple(daemon.caller_address for daemon in daemons),
             tuple(daemon.operator_address for daemon in daemons),
             tuple(workers),
         )
-
-
-async def _announce(
-    daemon: daemon_settings.DaemonSettings,
-    worker: worker_standin.WorkerSettings,
-) -> None:
-    announcement = {
-        "service": SERVICE,
-        "address": worker.address,
-        "slots": worker.slots,
-        "connections": worker.slots,
-    }
-    async with httpx.AsyncClient() as client:
-        answer = await client.post(
-            f"http://{daemon.operator_address}/v1/announcement",
-            json=announcement,
-        )
-        answer.raise_for_status()
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -7,40 +7,32 @@
 import json
 import pathlib
 import signal
-import socket
 import sys
 
 import httpx
 
 from kumquatridge.daemon import settings as daemon_settings
+from kumquatridge.membership import member as members
+from kumquatridge.standins import announcer
+from kumquatridge.standins import loopback
 
 TREE_FILE = (
     pathlib.Path(__file__).parent.parent / "examples/milchdienst/tree.jsonc"
 )
 START_TIMEOUT_S = 20.0
 POLL_S = 0.05
+DRAIN_MS = 500
 
 
 def get_free_address() -> str:
     """Returns a loopback address that nothing listens on now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    return loopback.get_free_address()
 
 
 def make_settings(instance: str, *seeds: str) -> daemon_settings.DaemonSettings:
     """Returns settings of a daemon on free addresses."""
-    return daemon_settings.DaemonSettings(
-        instance=instance,
-        data_centre="landshut",
-        caller_address=get_free_address(),
-        call_address=get_free_address(),
-        control_address=get_free_address(),
-        operator_address=get_free_address(),
-        peer_key="test-key",
-        tree_file=str(TREE_FILE),
-        seeds=seeds,
-        drain_ms=500,
+    return loopback.make_daemon_settings(
+        instance, TREE_FILE, *seeds, drain_ms=DRAIN_MS
     )
 
 
@@ -93,17 +85,8 @@
     slots: int,
 ) -> None:
     """Announces a worker to its daemon."""
-    async with httpx.AsyncClient() as client:
-        answer = await client.post(
-            f"http://{settings.operator_address}/v1/announcement",
-            json={
-                "service": service,
-                "address": address,
-                "slots": slots,
-                "connections": slots * 4,
-            },
-        )
-        answer.raise_for_status()
+    announcement = members.Announcement(service, address, slots, slots)
+    await announcer.announce(settings.operator_address, announcement)
 
 
 async def wait_for_instances(
