Keep full garbage collections off the data path

Cause: with the objects of the start in the collector's reach, a full collection stopped a daemon for 60 to 66 ms, five times in 6,000 calls, which no p99 of 0.94 ms survives. Ruled out: the young generations, 0.3 ms each. Change: the daemon excludes what is alive once it serves.

--- a/kumquatridge/daemon/runtime.py
+++ b/kumquatridge/daemon/runtime.py
@@ -15,6 +15,7 @@
 from kumquatridge.callpath import outbound
 from kumquatridge.chain import ledger as chain_ledger
 from kumquatridge.chain import ratio as retry_ratio
+from kumquatridge.daemon import garbage
 from kumquatridge.daemon import home_parts
 from kumquatridge.daemon import settings as daemon_settings
 from kumquatridge.daemon import settings_plane
@@ -233,5 +234,6 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     async with Daemon(settings) as daemon:
+        garbage.exclude_startup_objects()
         await stopping.wait()
         await daemon.drain()
