--- a/tests/encoding/test_settings_text.py
+++ b/tests/encoding/test_settings_text.py
@@ -1,61 +1,142 @@
-"""Wrong settings get an error that names what to mend."""
+"""What a settings text may say, and what is said of a wrong one."""
 
 import pytest
 
+from kumquatridge.calls import importance as call_importance
 from kumquatridge.encoding import settings_text
 from kumquatridge.settings import errors
+from kumquatridge.settings import node as settings_node
 
-ROOT = (
-    '"settings": {"importance": "normal", "idempotent": false,'
-    ' "deadline_ms": 1000, "retry_allowance": 2, "long_running": false,'
-    ' "max_body_bytes": 1000, "queue_wait_ms": 100}'
-)
+SOURCE = "tree.jsonc"
+DEEP = "[" * 100_000
 
 
-def wrap(child: str) -> str:
-    """Returns a tree text with one child below the root."""
-    return f'{{{ROOT}, "children": {{"team": {child}}}}}'
+def in_team(settings: str, root: str = "") -> str:
+    return (
+        f'{{"settings": {{{root}}}, '
+        f'"children": {{"a": {{"settings": {{{settings}}}}}}}}}'
+    )
 
 
 @pytest.mark.parametrize(
     ("text", "parts"),
     [
-        pytest.param("{", ["tree", "not JSON"], id="not JSON"),
-        pytest.param("[]", ["at /", "an object"], id="not an object"),
         pytest.param(
-            wrap('{"settings": {"dead_line": 1}}'),
-            ["at /team settings", "'dead_line'", "deadline_ms"],
+            in_team('"retries": 3'),
+            ["/a settings", "'retries'", "retry_allowance"],
             id="unknown key",
         ),
         pytest.param(
-            wrap('{"settings": {"deadline_s": 1}}'),
-            ["at /team settings", "'deadline_s'", "deadline_ms"],
-            id="wrong unit",
+            in_team('"deadline_s": 2'),
+            ["/a settings", "'deadline_s'", "did you mean 'deadline_ms'"],
+            id="key with another unit",
+        ),
+        pytest.param(
+            in_team('"deadline_ms": "2 parsecs"'),
+            ["/a deadline_ms", "'2 parsecs'", "a whole number of milliseconds"],
+            id="value with a bad unit",
         ),
         pytest.param(
-            wrap('{"settings": {"deadline_ms": "2 parsecs"}}'),
-            ["at /team deadline_ms", "'2 parsecs'", "milliseconds"],
-            id="unit in the value",
+            in_team('"deadline_ms": 1.5'),
+            ["/a deadline_ms", "1.5", "a whole number"],
+            id="fraction",
         ),
         pytest.param(
-            wrap('{"settings": {"idempotent": 1}}'),
-            ["at /team idempotent", "1", "true or false"],
+            in_team('"idempotent": 1'),
+            ["/a idempotent", "1", "true or false"],
             id="wrong type",
         ),
         pytest.param(
-            wrap('{"settings": {"deadline_ms": 1001}}'),
-            ["at /team deadline_ms", "1001", "at most 1000"],
-            id="looser than the node above",
+            in_team('"importance": "Critical"'),
+            ["/a importance", "'Critical'", '"critical"'],
+            id="wrong case",
+        ),
+        pytest.param(
+            in_team('"deadline_ms": 300', '"deadline_ms": 200'),
+            ["/a deadline_ms", "300", "at most 200"],
+            id="looser than its parent",
+        ),
+        pytest.param(
+            in_team('"deadline_ms": 20000'),
+            ["/a deadline_ms", "20000", "at most 10000"],
+            id="looser than the defaults of the root",
+        ),
+        pytest.param(
+            '{"children": {"a": {"children": {"s": {}}},'
+            '"b": {"children": {"s": {}}}}}',
+            ["/b/s", "'s'", "/a/s"],
+            id="service in two teams",
+        ),
+        pytest.param(
+            in_team('"deadline_ms": 2, "deadline_ms": 3'),
+            ["'deadline_ms' stands twice"],
+            id="key that stands twice",
+        ),
+        pytest.param(
+            '{"children": {"a/b": {}}}',
+            ["/ children", "'a/b'", "letters"],
+            id="name with a slash",
         ),
         pytest.param(
-            wrap('{"settings": {"importance": "Critical"}}'),
-            ["at /team importance", "'Critical'", '"critical"'],
-            id="importance in capitals",
+            '{"children": {"a": {"children": {"s": {"children": '
+            '{"r": {"children": {"x": {}}}}}}}}}',
+            ["/a/s/r children", "none below a route"],
+            id="node below a route",
         ),
+        pytest.param("{", ["not JSON with comments", "line 1"], id="no JSON"),
+        pytest.param("[]", ["at /", "an object"], id="no object"),
+        pytest.param("", ["not JSON with comments"], id="empty"),
+        pytest.param(DEEP, ["not JSON with comments"], id="absurd nesting"),
+        pytest.param(in_team('"deadline_ms": NaN'), ["NaN"], id="not a number"),
+        pytest.param('{"settings": {} /* }', ["not JSON"], id="open comment"),
     ],
 )
-def test_wrong_settings(text: str, parts: list[str]) -> None:
+def test_wrong_text_is_refused_with_what_to_mend(
+    text: str, parts: list[str]
+) -> None:
     with pytest.raises(errors.SettingsError) as caught:
-        settings_text.decode_tree("tree", text)
-    for part in parts:
-        assert part in str(caught.value)
+        settings_text.decode_tree(SOURCE, text)
+    message = str(caught.value)
+    assert message.startswith(SOURCE)
+    assert "\n" not in message
+    assert [part for part in parts if part not in message] == []
+
+
+@pytest.mark.parametrize(
+    ("text", "deadline_ms"),
+    [
+        pytest.param(in_team('"deadline_ms": 7'), 7, id="own value"),
+        pytest.param(in_team("", '"deadline_ms": 8'), 8, id="inherited"),
+        pytest.param(in_team(""), 10_000, id="default"),
+        pytest.param(
+            in_team('"deadline_ms": 7, // not 8 "deadline_ms": 8\n'),
+            7,
+            id="comment and comma at the end",
+        ),
+        pytest.param(
+            in_team('"path_prefix": "/a//b,}/*", "deadline_ms": 7'),
+            7,
+            id="string that looks like a comment",
+        ),
+    ],
+)
+def test_value_in_force(text: str, deadline_ms: int) -> None:
+    tree = settings_text.decode_tree(SOURCE, text)
+    assert tree.get_effective("/a").deadline_ms == deadline_ms
+
+
+def test_encoded_tree_decodes_to_the_same_nodes() -> None:
+    nodes = [
+        settings_node.Node("/", settings_node.NodeSettings()),
+        settings_node.Node(
+            "/a",
+            settings_node.NodeSettings(
+                importance=call_importance.Importance.NORMAL,
+                idempotent=False,
+                methods=("GET", "PUT"),
+            ),
+        ),
+        settings_node.Node("/a/s", settings_node.NodeSettings(deadline_ms=5)),
+    ]
+    text = settings_text.encode_nodes(nodes)
+    assert settings_text.decode_nodes(SOURCE, text) == nodes
--- /dev/null
+++ b/tests/settings/test_relay.py
@@ -0,0 +1,176 @@
+"""Relays bring every change to all daemons at a bounded cost."""
+
+import asyncio
+import dataclasses
+
+import pytest
+
+from kumquatridge.settings import in_force
+from kumquatridge.settings import node as settings_node
+from kumquatridge.settings import record as settings_record
+from kumquatridge.settings import writer
+from kumquatridge.standins import platform_store
+from tests.settings import fixtures
+from tests.settings import fleet as fleets
+
+PATH = "/team"
+START_S = 10.0
+IN_FORCE_S = 2.0
+WATCH_WINDOW_S = 6.0
+LISTING_S = 90.0
+RELAYS = 2
+
+Faults = platform_store.PlatformFaults
+
+
+async def write(
+    platform: platform_store.PlatformStore, number: int = 1
+) -> settings_record.NodeRecord:
+    """Writes the next version of the node; returns its record."""
+    found = await fixtures.connect(platform).read(PATH)
+    settings = settings_node.NodeSettings(deadline_ms=number)
+    await fixtures.make_writer(platform).write(
+        writer.Change(PATH, settings, found)
+    )
+    match await fixtures.connect(platform).read(PATH):
+        case settings_record.StoredNode(record=record):
+            return record
+        case _:
+            raise AssertionError(f"{PATH} was not written")
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("daemons", [1, 2, 8, 64])
+async def test_change_is_in_force_everywhere_soon(daemons: int) -> None:
+    platform = platform_store.PlatformStore()
+    platform.set_faults(Faults(delay_ms=5))
+    async with fleets.Fleet(platform, daemons, 1) as fleet:
+        await asyncio.sleep(START_S)
+        for number in range(1, 4):
+            record = await write(platform, number)
+            async with asyncio.timeout(IN_FORCE_S):
+                await fleet.wait_until_in_force(record)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FaultCase:
+    """Faults before a change, those after it, and the time it may take."""
+
+    before: platform_store.PlatformFaults
+    after: platform_store.PlatformFaults
+    bound_s: float
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(
+    "case",
+    [
+        pytest.param(
+            FaultCase(Faults(silent_watches=True), Faults(), WATCH_WINDOW_S),
+            id="watches silent until opened anew",
+        ),
+        pytest.param(
+            FaultCase(
+                Faults(silent_watches=True),
+                Faults(silent_watches=True),
+                LISTING_S,
+            ),
+            id="watches silent for good",
+        ),
+        pytest.param(
+            FaultCase(Faults(stale_reads=True), Faults(), WATCH_WINDOW_S),
+            id="reads stale for a while",
+        ),
+        pytest.param(
+            FaultCase(Faults(delay_ms=1_500), Faults(delay_ms=1_500), 10.0),
+            id="slow",
+        ),
+    ],
+)
+async def test_change_is_found_in_spite_of(case: FaultCase) -> None:
+    platform = platform_store.PlatformStore()
+    async with fleets.Fleet(platform, 8, 1) as fleet:
+        await asyncio.sleep(START_S)
+        platform.set_faults(case.before)
+        await asyncio.sleep(LISTING_S)
+        platform.set_faults(dataclasses.replace(case.before, stale_reads=False))
+        record = await write(platform)
+        platform.set_faults(case.after)
+        async with asyncio.timeout(case.bound_s):
+            await fleet.wait_until_in_force(record)
+
+
+@pytest.mark.looptime
+async def test_outage_of_an_hour_changes_nothing_and_ends_without_storm() -> (
+    None
+):
+    platform = platform_store.PlatformStore()
+    async with fleets.Fleet(platform, 8, 1) as fleet:
+        record = await write(platform)
+        await asyncio.sleep(START_S)
+        platform.set_faults(Faults(down=True))
+        await asyncio.sleep(3600)
+        for daemon in fleet.daemons.values():
+            assert fleets.has_version(daemon.store, record)
+        platform.set_faults(platform_store.NO_FAULTS)
+        before = platform.meter
+        record = await write(platform, 2)
+        await asyncio.sleep(60)
+        assert all(
+            fleets.has_version(daemon.store, record)
+            for daemon in fleet.daemons.values()
+        )
+        assert platform.meter.reads - before.reads < 20
+        assert platform.meter.watches - before.watches < 60 / 2
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("daemons", [2, 8, 64])
+async def test_calls_at_rest_do_not_grow_with_the_daemons(
+    daemons: int,
+) -> None:
+    platform = platform_store.PlatformStore()
+    async with fleets.Fleet(platform, daemons, 1):
+        await write(platform)
+        await asyncio.sleep(120)
+        before = platform.meter
+        await asyncio.sleep(600)
+        after = platform.meter
+    assert after.most_waiting_watches == RELAYS
+    assert after.watches - before.watches <= RELAYS * 600 / 4
+    assert after.reads - before.reads <= RELAYS * 600 / 48
+    assert after.writes == before.writes
+
+
+@pytest.mark.looptime
+async def test_report_names_who_is_behind() -> None:
+    platform = platform_store.PlatformStore()
+    async with fleets.Fleet(platform, 8, 1) as fleet:
+        await write(platform)
+        await asyncio.sleep(START_S)
+        late = next(
+            daemon for daemon in fleet.daemons.values() if not daemon.is_relay()
+        )
+        late.store.merge = lambda entries: None  # type: ignore[method-assign]
+        record = await write(platform, 2)
+        await asyncio.sleep(60)
+        reports = await fixtures.connect(platform).list_reports()
+        digest = reports[0].digest
+        assert in_force.find_missing(
+            reports, digest, {PATH: record.version}
+        ) == (
+            in_force.NotYet(
+                fleets.DATA_CENTRE, f"{late.instance} has other versions"
+            ),
+        )
+
+
+@pytest.mark.looptime
+async def test_damaged_object_is_left_out_and_counted() -> None:
+    platform = platform_store.PlatformStore()
+    await platform.connect().put("settings/bad", b'{"path": 1}', 0)
+    async with fleets.Fleet(platform, 1, 1) as fleet:
+        record = await write(platform)
+        await fleet.wait_until_in_force(record)
+        (daemon,) = fleet.daemons.values()
+        assert daemon.counts.rejections == {"damaged": 1}
