--- a/tests/settings/fleet.py
+++ b/tests/settings/fleet.py
@@ -46,6 +46,7 @@
         self.rng = random.Random(f"{fleet.seed} {instance}")
         self._stack = contextlib.AsyncExitStack()
         self._gossip: asyncio.Task[None] | None = None
+        self._pulled: dict[str, object] = {}
 
     async def __aenter__(self) -> Self:
         """Starts relay, reporter and gossip."""
@@ -111,8 +112,17 @@
                 self._pull(self.rng.choice(peers))
 
     def _pull(self, peer: "FleetDaemon") -> None:
+        state = (self.revisions, peer.revisions)
+        if self._pulled.get(peer.instance) == state:
+            return
         pull(self.store, peer.store)
         pull(self.table, peer.table)
+        self._pulled[peer.instance] = state
+
+    @property
+    def revisions(self) -> tuple[int, int]:
+        """Changes whenever there is something to pull."""
+        return self.store.revision, self.table.revision
 
 
 def pull(
