--- a/kumquatridge/daemon/runtime.py
+++ b/kumquatridge/daemon/runtime.py
@@ -117,6 +117,7 @@
         peers = await enter(
             control.ControlPlane(settings, self._members, exporter.provider)
         )
+        self._plane.spread(peers.gossip)
         await enter(self._plane)
         self._registry = worker_registry.WorkerRegistry(
             self._members, self._guard, self._announce_member
--- a/kumquatridge/daemon/settings_plane.py
+++ b/kumquatridge/daemon/settings_plane.py
@@ -10,13 +10,16 @@
 from kumquatridge.callpath import intake as call_intake
 from kumquatridge.daemon import settings as daemon_settings
 from kumquatridge.encoding import settings_text
-from kumquatridge.membership import member as members
+from kumquatridge.membership import gossip as membership_gossip
 from kumquatridge.membership import relays
 from kumquatridge.membership import table as member_table
+from kumquatridge.membership import topics
+from kumquatridge.peers import topic_codec
 from kumquatridge.platform import client as platform_client
 from kumquatridge.platform import repository as platform_repository
 from kumquatridge.settings import credentials
 from kumquatridge.settings import instances
+from kumquatridge.settings import record as settings_record
 from kumquatridge.settings import relay
 from kumquatridge.settings import reporter
 from kumquatridge.settings import store as settings_store
@@ -47,19 +50,7 @@
 
     def list_instances(self) -> tuple[str, ...]:
         """Returns the other live members of the data centre."""
-        return tuple(
-            member.instance
-            for member in self._table
-            if member.instance != self._table.own.instance and _is_live(member)
-        )
-
-
-def _is_live(member: members.Member) -> bool:
-    match member.state:
-        case members.Alive() | members.Suspected():
-            return True
-        case members.Leaving() | members.Dead():
-            return False
+        return tuple(member.instance for member in self._table.get_live())
 
 
 class SettingsPlane:
@@ -98,6 +89,20 @@
         """Hands every new version to the intake."""
         self.store.on_applied(lambda: intake.set_policies(self.store.policies))
 
+    def spread(self, gossip: membership_gossip.Gossip) -> None:
+        """Exchanges versions with the other daemons of the data centre."""
+        gossip.add_topic(
+            topic_codec.make_topic(
+                topics.SETTINGS, self.store, settings_record.NodeRecord
+            )
+        )
+        gossip.add_topic(
+            topic_codec.make_topic(
+                topics.IN_FORCE, self.table, instances.InstanceVersions
+            )
+        )
+        self.store.on_applied(gossip.announce_now)
+
     def add_metrics(self, exporter: metrics.MetricExporter) -> None:
         """Adds counters and gauges to what is exported."""
         self._counts.expose(exporter)
--- a/kumquatridge/settings/instances.py
+++ b/kumquatridge/settings/instances.py
@@ -10,6 +10,8 @@
 
 from kumquatridge.settings import store as settings_store
 
+MAX_INSTANCES = 512
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class InstanceVersions:
@@ -27,7 +29,11 @@
 
 
 class InstanceTable:
-    """The newest entry of each instance, this one's included."""
+    """The newest entry of each instance, this one's included.
+
+    Of more than `MAX_INSTANCES` those that changed last are kept, in the same
+    way at every daemon, so that instances long gone don't pile up.
+    """
 
     def __init__(self, own: str, store: settings_store.NodeStore) -> None:
         self._own = own
@@ -56,11 +62,6 @@
             if entry.instance != self._own:
                 self._take(entry)
 
-    def forget(self, instance: str) -> None:
-        """Drops the entry of an instance that is gone."""
-        if self._entries.pop(instance, None) is not None:
-            self._revision += 1
-
     def find_behind(self, instances: Iterable[str]) -> tuple[str, ...]:
         """Returns the instances that have other versions, or never said."""
         return tuple(
@@ -80,6 +81,7 @@
         if known is not None and known.version >= entry.version:
             return
         self._put(entry)
+        self._drop_oldest()
         if entry.complete and entry.digest == self._store.digest:
             self._store.mark_complete()
         self._store.changes.notify()
@@ -101,6 +103,15 @@
             if entry.complete and entry.digest == self._store.digest:
                 self._store.mark_complete()
 
+    def _drop_oldest(self) -> None:
+        if len(self._entries) <= MAX_INSTANCES:
+            return
+        others = (
+            one for one in self._entries.values() if one.instance != self._own
+        )
+        oldest = min(others, key=lambda one: (one.version, one.instance))
+        del self._entries[oldest.instance]
+
     def _put(self, entry: InstanceVersions) -> None:
         self._entries[entry.instance] = entry
         self._revision += 1
--- /dev/null
+++ b/tests/settings/test_real_daemons.py
@@ -0,0 +1,107 @@
+"""Settings applied by the command-line tool reach real daemons."""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import pathlib
+import sys
+
+import httpx
+import pytest
+
+from kumquatridge.daemon import settings as daemon_settings
+from kumquatridge.standins import platform as platform_standin
+from kumquatridge.standins import platform_store
+from tests import processes
+from tests.settings import fixtures
+
+IN_FORCE_S = 14.0
+TREE: dict[str, object] = {
+    "children": {
+        "rounds": {"children": {"round-planning": {}, "new-service": {}}}
+    }
+}
+
+
+async def run_tool(*arguments: str) -> tuple[int, str]:
+    """Runs `kumquatridge settings`; returns exit code and output."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-c",
+        "from kumquatridge.ui import main; main.main()",
+        "settings",
+        *arguments,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT,
+    )
+    output, _ = await process.communicate()
+    return process.returncode or 0, output.decode()
+
+
+async def ask_status(settings: daemon_settings.DaemonSettings) -> int:
+    """Returns the status with which a daemon answers for the new service."""
+    async with httpx.AsyncClient() as client:
+        answer = await client.get(
+            f"http://{settings.caller_address}/new-service/"
+        )
+        return answer.status_code
+
+
+@pytest.mark.parametrize("count", [1, 3])
+async def test_applied_tree_is_in_force_at_every_daemon(
+    tmp_path: pathlib.Path, count: int
+) -> None:
+    platform = processes.get_free_address()
+    tree_file = tmp_path / "tree.jsonc"
+    tree_file.write_text(json.dumps(TREE))
+    credential_file = tmp_path / "credential.jsonc"
+    credential_file.write_text(
+        json.dumps({"owner": "/", "key": fixtures.ROOT_KEY})
+    )
+    started = make_fleet(platform, count)
+    async with contextlib.AsyncExitStack() as stack:
+        await stack.enter_async_context(
+            platform_standin.PlatformServer(
+                platform, platform_store.PlatformStore()
+            )
+        )
+        for settings in started:
+            await stack.enter_async_context(
+                processes.run_daemon(settings, tmp_path)
+            )
+        assert await ask_status(started[0]) == httpx.codes.NOT_FOUND
+        code, output = await run_tool(
+            "apply",
+            str(tree_file),
+            "--platform",
+            platform,
+            "--credential-file",
+            str(credential_file),
+        )
+        assert code == 0, output
+        code, output = await run_tool(
+            "wait", "--platform", platform, "--timeout-s", str(IN_FORCE_S)
+        )
+        assert (code, output) == (0, "in force everywhere\n")
+        for settings in started:
+            assert await ask_status(settings) != httpx.codes.NOT_FOUND
+
+
+def make_fleet(
+    platform: str, count: int
+) -> list[daemon_settings.DaemonSettings]:
+    """Returns the settings of daemons that watch a platform."""
+    first = processes.make_settings("planning-0")
+    others = [
+        processes.make_settings(f"planning-{number}", first.control_address)
+        for number in range(1, count)
+    ]
+    return [
+        dataclasses.replace(
+            settings,
+            platform_address=platform,
+            settings_key=fixtures.ROOT_KEY,
+        )
+        for settings in (first, *others)
+    ]
