--- a/kumquatridge/membership/conversation.py
+++ b/kumquatridge/membership/conversation.py
@@ -100,7 +100,8 @@
         due_ms = clock.get_now_ms() + self._settings.answer_timeout_ms * 3
         helpers = self._pick_helpers()
         reached = await asyncio.gather(
-            *(self._ask_to_probe(helper) for helper in helpers)
+            self._talk(member),
+            *(self._ask_to_probe(helper) for helper in helpers),
         )
         if self._health.is_late(due_ms):
             return
--- a/kumquatridge/membership/exchange.py
+++ b/kumquatridge/membership/exchange.py
@@ -13,6 +13,7 @@
 from kumquatridge.membership import recorder as membership_recorder
 from kumquatridge.membership import settings as gossip_settings
 from kumquatridge.membership import table
+from kumquatridge.membership import topics as gossip_topics
 
 
 class Exchange:
@@ -116,12 +117,19 @@
                 continue
             self._pulled_at_ms[topic.number] = clock.get_now_ms()
             if await self.board.pull(self.link, address, topic):
-                self._pulled_at_ms.pop(topic.number, None)
-                self._on_content()
+                self._on_pulled(topic.number)
+
+    def _on_pulled(self, number: int) -> None:
+        """Passes on what came; members' news spreads by itself."""
+        if number != gossip_topics.MEMBERS:
+            self._pulled_at_ms.pop(number, None)
+            self._on_content()
 
     def _may_pull(self, number: int) -> bool:
         pulled_at_ms = self._pulled_at_ms.get(number)
         if pulled_at_ms is None:
             return True
-        since_ms = clock.get_now_ms() - pulled_at_ms
-        return since_ms >= self.settings.pull_interval_ms
+        interval_ms = self.settings.pull_interval_ms
+        if number == gossip_topics.MEMBERS:
+            interval_ms = self.settings.member_pull_interval_ms
+        return clock.get_now_ms() - pulled_at_ms >= interval_ms
--- a/kumquatridge/membership/settings.py
+++ b/kumquatridge/membership/settings.py
@@ -14,14 +14,15 @@
     """
 
     heartbeat_ms: int = 500
-    answer_timeout_ms: int = 500
+    answer_timeout_ms: int = 300
     indirect_peers: int = 3
     max_indirect_probes: int = 8
-    suspicion_ms: int = 2000
+    suspicion_ms: int = 1200
     news_per_message: int = 8
     urgent_peers: int = 3
-    urgent_per_s: int = 4
+    urgent_per_s: int = 2
     pull_interval_ms: int = 1000
+    member_pull_interval_ms: int = 3000
     keys_per_message: int = 64
     dead_retry_ms: int = 30_000
     dead_retention_ms: int = 3_600_000
--- /dev/null
+++ b/tests/membership/fleet.py
@@ -0,0 +1,221 @@
+"""Daemons' control planes on a link that loses, delays and repeats."""
+
+import asyncio
+import collections
+from collections.abc import Iterable
+import contextlib
+import dataclasses
+import random
+
+from kumquatridge.membership import errors
+from kumquatridge.membership import gossip as membership_gossip
+from kumquatridge.membership import member as members
+from kumquatridge.membership import member_source
+from kumquatridge.membership import messages
+from kumquatridge.membership import recorder
+from kumquatridge.membership import remote_exchange
+from kumquatridge.membership import settings as gossip_settings
+from kumquatridge.membership import table
+from kumquatridge.membership import topics
+from kumquatridge.peers import messages as codec
+from kumquatridge.peers import topic_codec
+
+SERVICE = "stock"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Faults:
+    """What the link does to messages, each way by itself."""
+
+    delay_min_ms: float = 0.5
+    delay_max_ms: float = 2.0
+    drop_ratio: float = 0.0
+    repeat_ratio: float = 0.0
+
+
+class Network:
+    """Carries messages between the nodes of a test."""
+
+    def __init__(self, seed: int, faults: Faults | None = None) -> None:
+        self.random = random.Random(seed)
+        self.faults = faults or Faults()
+        self.handlers: dict[str, membership_gossip.Gossip] = {}
+        self.running: dict[str, asyncio.Event] = {}
+        self.cut: set[frozenset[str]] = set()
+        self.sent: collections.Counter[str] = collections.Counter()
+        self.sent_bytes: collections.Counter[str] = collections.Counter()
+
+    def cut_between(self, one: Iterable[str], other: Iterable[str]) -> None:
+        """Cuts every pair of the two sides off from each other."""
+        others = tuple(other)
+        self.cut |= {frozenset((a, b)) for a in one for b in others}
+
+    async def carry(
+        self, sender: str, address: str, request: messages.Request
+    ) -> messages.Answer:
+        """Delivers a request and its answer, or waits for ever."""
+        self.sent[sender] += 1
+        await self._travel(sender, address, codec.encode(request))
+        handler = self.handlers.get(address)
+        if handler is None:
+            await asyncio.Event().wait()
+        assert handler is not None
+        answer = await handler.answer(request)
+        if self.random.random() < self.faults.repeat_ratio:
+            answer = await handler.answer(request)
+        await self._travel(address, sender, codec.encode(answer))
+        return answer
+
+    async def _travel(self, sender: str, to: str, data: bytes) -> None:
+        self.sent_bytes[sender] += len(data)
+        await asyncio.sleep(
+            self.random.uniform(
+                self.faults.delay_min_ms, self.faults.delay_max_ms
+            )
+            / 1000.0
+        )
+        lost = self.random.random() < self.faults.drop_ratio
+        if lost or frozenset((sender, to)) in self.cut:
+            await asyncio.Event().wait()
+        for end in (sender, to):
+            if end in self.running:
+                await self.running[end].wait()
+
+
+class FakeLink:
+    """One node's end of the network; addresses are the nodes' names."""
+
+    def __init__(self, network: Network, own: str) -> None:
+        self._network = network
+        self._own = own
+
+    async def ask(
+        self, address: str, request: messages.Request, timeout_ms: int
+    ) -> messages.Answer:
+        """Sends a request; see `membership.links.ControlLink`."""
+        try:
+            async with asyncio.timeout(timeout_ms / 1000.0):
+                return await self._network.carry(self._own, address, request)
+        except TimeoutError as error:
+            await self._network.running[self._own].wait()
+            raise errors.PeerSilentError(address) from error
+
+    def forget(self, address: str) -> None:
+        """Keeps nothing open."""
+
+
+class Node:
+    """The control plane of one daemon."""
+
+    def __init__(
+        self,
+        network: Network,
+        name: str,
+        incarnation: int = 1,
+        data_centre: str = "landshut",
+        settings: gossip_settings.GossipSettings | None = None,
+    ) -> None:
+        self.name = name
+        self.network = network
+        self.table = table.MemberTable(
+            members.Member(
+                name,
+                incarnation,
+                data_centre,
+                f"call-{name}",
+                name,
+                members.Announcement(SERVICE, f"worker-{name}", 10, 40),
+            )
+        )
+        settings = settings or gossip_settings.GossipSettings()
+        link = FakeLink(network, name)
+        counts = recorder.NoRecorder()
+        self.gossip = membership_gossip.Gossip(
+            settings, self.table, link, counts, network.random.getrandbits(64)
+        )
+        self.remote = remote_exchange.RemoteExchange(
+            settings, self.table, link, counts, network.random.getrandbits(64)
+        )
+        self._add_topics()
+        self._stack = contextlib.AsyncExitStack()
+
+    async def start(
+        self, seeds: Iterable[str] = (), remote_seeds: Iterable[str] = ()
+    ) -> None:
+        """Opens the control plane."""
+        self.network.handlers[self.name] = self.gossip
+        self.network.running[self.name] = asyncio.Event()
+        self.network.running[self.name].set()
+        await self._stack.enter_async_context(self.gossip)
+        await self._stack.enter_async_context(self.remote)
+        self.gossip.join(seeds)
+        self.remote.join(remote_seeds)
+
+    async def crash(self) -> None:
+        """Ends without a word."""
+        self.network.handlers.pop(self.name, None)
+        await self._stack.aclose()
+
+    def pause(self) -> None:
+        """Stops messages of the node from coming and going."""
+        self.network.running[self.name].clear()
+
+    def resume(self) -> None:
+        """Lets the node go on, with everything that waited meanwhile."""
+        self.network.running[self.name].set()
+
+    def leave(self) -> None:
+        """Says that the node leaves."""
+        own = self.table.own
+        self.table.set_own(
+            dataclasses.replace(
+                own, incarnation=own.incarnation + 1, state=members.Leaving()
+            )
+        )
+        self.gossip.announce_now()
+
+    def get_routable(self) -> set[str]:
+        """Returns the instances that this node would send calls to."""
+        return {one.instance for one in self.table.get_instances(SERVICE)}
+
+    def _add_topics(self) -> None:
+        self.gossip.add_topic(
+            topic_codec.EncodedTopic(
+                topics.MEMBERS,
+                member_source.MemberSource(self.table, self.gossip.learn),
+                codec.encode_member,
+                codec.decode_member,
+            )
+        )
+        self.gossip.add_topic(
+            topic_codec.EncodedTopic(
+                topics.REMOTE,
+                self.table.remote,
+                codec.encode_remote,
+                codec.decode_remote,
+            )
+        )
+
+
+@contextlib.asynccontextmanager
+async def run_fleet(network, count, **kwargs):
+    """Runs nodes that know each other."""
+    nodes = [Node(network, f"n{index}", **kwargs) for index in range(count)]
+    try:
+        for node in nodes:
+            await node.start(seeds=("n0",))
+        yield nodes
+    finally:
+        for node in nodes:
+            await node.crash()
+
+
+async def wait_until(condition, timeout_s: float) -> float:
+    """Returns after how many seconds a condition held."""
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    while not condition():
+        if loop.time() - started > timeout_s:
+            raise AssertionError(f"not so after {timeout_s} s")
+        await asyncio.sleep(0.05)
+    return loop.time() - started
