--- a/kumquatridge/membership/gossip.py
+++ b/kumquatridge/membership/gossip.py
@@ -5,7 +5,6 @@
 import types
 from typing import Self
 
-from kumquatridge import clock
 from kumquatridge.membership import conversation
 from kumquatridge.membership import errors
 from kumquatridge.membership import exchange
@@ -47,13 +46,14 @@
         )
         self._conversations: dict[str, conversation.Conversation] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        self._urged_at_ms: list[float] = []
+        self._announced = asyncio.Event()
         self._probing = 0
         self._open = False
 
     async def __aenter__(self) -> Self:
         """Starts a task for each member that is known already."""
         self._open = True
+        self._start_task(self._announce())
         for member in self._members:
             self._start_conversation(member.instance)
         return self
@@ -90,22 +90,8 @@
                 self._start_task(self._talk_to_seed(address))
 
     def announce_now(self) -> None:
-        """Tells some peers at once; they pass it on."""
-        now_ms = clock.get_now_ms()
-        self._urged_at_ms = [
-            at_ms for at_ms in self._urged_at_ms if now_ms - at_ms < 1000
-        ]
-        if len(self._urged_at_ms) >= self._settings.urgent_per_s:
-            return
-        self._urged_at_ms.append(now_ms)
-        live = [
-            self._conversations[one.instance]
-            for one in self._members.get_live()
-            if one.instance in self._conversations
-        ]
-        count = min(self._settings.urgent_peers, len(live))
-        for one in self._shared.random.sample(live, count):
-            one.urge()
+        """Tells some peers as soon as the rate allows; they pass it on."""
+        self._announced.set()
 
     def get_heard_digest(self, instance: str, topic: int) -> int | None:
         """Returns the digest of a topic that a peer told last."""
@@ -158,6 +144,23 @@
             self._probing -= 1
         return True
 
+    async def _announce(self) -> None:
+        while True:
+            await self._announced.wait()
+            self._announced.clear()
+            self._urge_some()
+            await asyncio.sleep(1.0 / self._settings.urgent_per_s)
+
+    def _urge_some(self) -> None:
+        live = [
+            self._conversations[one.instance]
+            for one in self._members.get_live()
+            if one.instance in self._conversations
+        ]
+        count = min(self._settings.urgent_peers, len(live))
+        for one in self._shared.random.sample(live, count):
+            one.urge()
+
     async def _talk_to_seed(self, address: str) -> None:
         """Talks to an address until a member of that address is known."""
         while self._open:
--- a/kumquatridge/membership/settings.py
+++ b/kumquatridge/membership/settings.py
@@ -19,7 +19,7 @@
     max_indirect_probes: int = 8
     suspicion_ms: int = 1200
     news_per_message: int = 8
-    urgent_peers: int = 3
+    urgent_peers: int = 4
     urgent_per_s: int = 2
     pull_interval_ms: int = 1000
     member_pull_interval_ms: int = 3000
