--- a/kumquatridge/daemon/runtime.py
+++ b/kumquatridge/daemon/runtime.py
@@ -2,23 +2,19 @@
 
 import asyncio
 import contextlib
-import pathlib
 import random
 import signal
 import time
 import types
 from typing import Self
 
-from opentelemetry.exporter import prometheus
-from opentelemetry.sdk import metrics as sdk_metrics
-
 from kumquatridge.admission import guard as admission_guard
 from kumquatridge.callpath import inbound
 from kumquatridge.callpath import intake as call_intake
 from kumquatridge.callpath import outbound
 from kumquatridge.chain import ledger as chain_ledger
 from kumquatridge.daemon import settings as daemon_settings
-from kumquatridge.encoding import settings_text
+from kumquatridge.daemon import settings_plane
 from kumquatridge.http import caller_server
 from kumquatridge.http import client
 from kumquatridge.http import peer_client
@@ -32,7 +28,9 @@
 from kumquatridge.operators import worker_registry
 from kumquatridge.peers import control
 from kumquatridge.routing import chooser as routing
+from kumquatridge.telemetry import decisions
 from kumquatridge.telemetry import events
+from kumquatridge.telemetry import gauges
 from kumquatridge.telemetry import metrics
 
 
@@ -41,11 +39,15 @@
 
     def __init__(self, settings: daemon_settings.DaemonSettings) -> None:
         self._settings = settings
-        tree = settings_text.read_tree(pathlib.Path(settings.tree_file))
         self._members = table.MemberTable(_make_own_member(settings))
         self._guard = admission_guard.AdmissionGuard(slots=0)
         self._ledger = chain_ledger.Ledger()
-        self._intake = call_intake.Intake(tree.compile(), self._ledger)
+        self._plane = settings_plane.SettingsPlane(settings, self._members)
+        self._intake = call_intake.Intake(
+            self._plane.store.policies, self._ledger
+        )
+        self._plane.attach(self._intake)
+        self._decisions = decisions.DecisionLog()
         self._stack = contextlib.AsyncExitStack()
         self._registry: worker_registry.WorkerRegistry | None = None
 
@@ -53,10 +55,10 @@
         """Opens the connections and listeners."""
         settings = self._settings
         enter = self._stack.enter_async_context
-        provider = sdk_metrics.MeterProvider(
-            [prometheus.PrometheusMetricReader()]
-        )
-        recorder = metrics.MetricRecorder(provider)
+        recorder = metrics.MetricRecorder(self._decisions)
+        exporter = self._stack.enter_context(metrics.MetricExporter(recorder))
+        self._add_gauges(exporter)
+        self._plane.add_metrics(exporter)
         session = await enter(client.make_session())
         own_path = inbound.InboundPath(
             self._members,
@@ -73,18 +75,21 @@
             recorder,
         )
         peers = await enter(
-            control.ControlPlane(settings, self._members, provider)
+            control.ControlPlane(settings, self._members, exporter.provider)
         )
+        await enter(self._plane)
         self._registry = worker_registry.WorkerRegistry(
             self._members, self._guard, peers.gossip.announce_now
         )
         peer_handler = peer_server.PeerHandler(
-            self._intake, own_path, settings.peer_key
+            self._intake, own_path, settings.peer_key, recorder
         )
         await enter(
             server.HttpServer(settings.call_address, peer_handler.handle)
         )
-        caller_handler = caller_server.CallerHandler(self._intake, path)
+        caller_handler = caller_server.CallerHandler(
+            self._intake, path, recorder
+        )
         await enter(
             server.HttpServer(settings.caller_address, caller_handler.handle)
         )
@@ -92,7 +97,14 @@
             operators_server.OperatorServer(
                 settings.operator_address,
                 operators_app.make_app(
-                    self._registry, self._guard, self._members
+                    operators_app.OperatorState(
+                        self._registry,
+                        self._guard,
+                        self._members,
+                        self._decisions,
+                        exporter,
+                        self._plane.store,
+                    )
                 ),
             )
         )
@@ -119,6 +131,15 @@
             )
         )
 
+    def _add_gauges(self, exporter: metrics.MetricExporter) -> None:
+        guard = self._guard
+        exporter.add_gauge(gauges.IN_PROGRESS, lambda: guard.in_progress)
+        exporter.add_gauge(gauges.QUEUED, lambda: guard.queued)
+        exporter.add_gauge(gauges.LIMIT, lambda: guard.limit)
+        exporter.add_gauge(
+            gauges.MEMBERS, lambda: sum(1 for _ in self._members)
+        )
+
     async def drain(self) -> None:
         """Says that the instance leaves and waits for calls in progress."""
         events.log(
--- a/kumquatridge/membership/news.py
+++ b/kumquatridge/membership/news.py
@@ -12,7 +12,7 @@
 RETRANSMIT_FACTOR = 3
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class _Item:
     member: members.Member
     sent: int = 0
@@ -44,9 +44,11 @@
         chosen = sorted(self._items.values(), key=_get_order)
         retransmits = get_retransmits(member_count)
         for item in chosen[:limit]:
-            item.sent += 1
-            if item.sent >= retransmits:
-                del self._items[item.member.instance]
+            instance = item.member.instance
+            if item.sent + 1 >= retransmits:
+                del self._items[instance]
+            else:
+                self._items[instance] = _Item(item.member, item.sent + 1)
         return [item.member for item in chosen[:limit]]
 
 
--- /dev/null
+++ b/kumquatridge/telemetry/gauges.py
@@ -0,0 +1,91 @@
+"""The metrics that a daemon exposes, by name."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CounterSpec:
+    """A counter and its labels."""
+
+    name: str
+    labels: tuple[str, ...]
+    description: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GaugeSpec:
+    """A gauge without labels."""
+
+    name: str
+    description: str
+
+
+REFUSALS = CounterSpec(
+    "kumquatridge_refusals",
+    ("reason", "service", "importance"),
+    "Calls that were not run.",
+)
+RETRIES = CounterSpec(
+    "kumquatridge_retries",
+    ("reason", "service"),
+    "Further attempts at calls.",
+)
+REJECTIONS = CounterSpec(
+    "kumquatridge_rejections",
+    ("reason",),
+    "Requests that were refused before they became calls.",
+)
+
+IN_PROGRESS = GaugeSpec(
+    "kumquatridge_in_progress", "Calls that hold a slot of the own worker."
+)
+QUEUED = GaugeSpec(
+    "kumquatridge_queued", "Calls that wait for a slot of the own worker."
+)
+LIMIT = GaugeSpec(
+    "kumquatridge_limit", "Calls that may hold a slot of the own worker."
+)
+MEMBERS = GaugeSpec(
+    "kumquatridge_members", "Members that the daemon knows, itself included."
+)
+
+SETTINGS_REJECTIONS = CounterSpec(
+    "kumquatridge_settings_rejections",
+    ("reason",),
+    "Versions of settings nodes that were not taken.",
+)
+PLATFORM_FAILURES = CounterSpec(
+    "kumquatridge_platform_failures",
+    ("operation",),
+    "Calls of this relay that the platform did not answer.",
+)
+MISSED_CHANGES = CounterSpec(
+    "kumquatridge_settings_missed_changes",
+    ("found_by",),
+    "Changes that the platform's watch did not tell.",
+)
+SETTINGS_NODES = GaugeSpec(
+    "kumquatridge_settings_nodes",
+    "Nodes of which a version is known, deleted ones included.",
+)
+SETTINGS_ORIGIN = GaugeSpec(
+    "kumquatridge_settings_origin",
+    "0: only the settings file, 1: some versions, 2: all versions known.",
+)
+
+COUNTERS = (
+    REFUSALS,
+    RETRIES,
+    REJECTIONS,
+    SETTINGS_REJECTIONS,
+    PLATFORM_FAILURES,
+    MISSED_CHANGES,
+)
+GAUGES = (
+    IN_PROGRESS,
+    QUEUED,
+    LIMIT,
+    MEMBERS,
+    SETTINGS_NODES,
+    SETTINGS_ORIGIN,
+)
--- a/kumquatridge/ui/main.py
+++ b/kumquatridge/ui/main.py
@@ -4,6 +4,9 @@
 
 import kumquatridge
 from kumquatridge.ui import check
+from kumquatridge.ui import demo
+from kumquatridge.ui import explain
+from kumquatridge.ui import settings
 
 
 @click.group()
@@ -13,3 +16,6 @@
 
 
 main.add_command(check.check)
+main.add_command(settings.settings)
+main.add_command(demo.demo)
+main.add_command(explain.explain)
