--- a/kumquatridge/callpath/inbound.py
+++ b/kumquatridge/callpath/inbound.py
@@ -1,9 +1,11 @@
 """The inbound side: guards the worker beside this daemon."""
 
+import asyncio
 from collections.abc import AsyncIterator
 import contextlib
 import dataclasses
 
+from kumquatridge import clock
 from kumquatridge.admission import guard as admission_guard
 from kumquatridge.admission import verdicts
 from kumquatridge.callpath import links
@@ -13,8 +15,13 @@
 from kumquatridge.calls import refusals
 from kumquatridge.chain import ledger as chain_ledger
 from kumquatridge.membership import table
+from kumquatridge.quarantine import isolation as suspect_isolation
+from kumquatridge.quarantine import register as crash_register
 from kumquatridge.telemetry import recorder as telemetry
 
+RETRY_AFTER_MS = 1000
+SHED_STATUSES = frozenset((429, 503))
+
 
 class InboundPath:
     """Takes calls for the own worker and answers with an outcome."""
@@ -26,12 +33,16 @@
         ledger: chain_ledger.Ledger,
         worker: links.WorkerLink,
         recorder: telemetry.Recorder,
+        *,
+        crashes: crash_register.CrashRegister,
     ) -> None:
         self._members = members
         self._guard = guard
         self._ledger = ledger
         self._worker = worker
         self._recorder = recorder
+        self._crashes = crashes
+        self._isolation = suspect_isolation.Isolation()
 
     @contextlib.asynccontextmanager
     async def serve(self, call: calls.Call) -> AsyncIterator[outcomes.Outcome]:
@@ -40,6 +51,52 @@
         if refusal is not None:
             yield self._refuse(call, refusal)
             return
+        match self._crashes.judge(call):
+            case crash_register.Clear():
+                async with self._admit(call) as outcome:
+                    yield outcome
+            case crash_register.Refuse(refusal):
+                yield self._refuse(call, refusal)
+            case crash_register.Suspect() as suspect:
+                async with self._run_apart(call, suspect) as outcome:
+                    yield outcome
+
+    @contextlib.asynccontextmanager
+    async def _run_apart(
+        self, call: calls.Call, suspect: crash_register.Suspect
+    ) -> AsyncIterator[outcomes.Outcome]:
+        """Runs a suspect apart from other suspects."""
+        async with contextlib.AsyncExitStack() as stack:
+            remaining_s = call.chain.get_remaining_ms() / 1000.0
+            try:
+                async with asyncio.timeout(remaining_s):
+                    await stack.enter_async_context(
+                        self._isolation.hold(suspect)
+                    )
+            except TimeoutError:
+                yield self._refuse(call, refusals.DeadlineExceeded(0))
+                return
+            match self._crashes.judge(call):
+                case crash_register.Refuse(refusal):
+                    yield self._refuse(call, refusal)
+                    return
+                case crash_register.Suspect(crashes=crashes) as now if (
+                    crashes > suspect.crashes
+                ):
+                    await stack.aclose()
+                    async with self._run_apart(call, now) as outcome:
+                        yield outcome
+                    return
+                case _:
+                    pass
+            outcome = await stack.enter_async_context(self._admit(call))
+            match outcome:
+                case outcomes.Completed():
+                    self._crashes.record_answer(suspect.fingerprint)
+            yield outcome
+
+    @contextlib.asynccontextmanager
+    async def _admit(self, call: calls.Call) -> AsyncIterator[outcomes.Outcome]:
         async with self._guard.admit(call) as verdict:
             match verdict:
                 case verdicts.Refused(refusal):
@@ -51,7 +108,7 @@
     def _check(self, call: calls.Call) -> refusals.Refusal | None:
         announcement = self._members.own.announcement
         if announcement is None or announcement.service != call.service:
-            return refusals.NoInstance(call.service, retry_after_ms=1000)
+            return refusals.NoInstance(call.service, RETRY_AFTER_MS)
         length_bytes = call_body.get_length_bytes(call.body)
         limit_bytes = call.policy.max_body_bytes
         if length_bytes is not None and length_bytes > limit_bytes:
@@ -65,16 +122,45 @@
     async def _run(self, call: calls.Call) -> AsyncIterator[outcomes.Outcome]:
         announcement = self._members.own.announcement
         assert announcement is not None
-        with self._ledger.record(call.chain) as record:
+        started_ms = clock.get_now_ms()
+        with self._ledger.record(call.chain, call.caller) as record:
             async with self._worker.send(
                 call, announcement.address, record.token
             ) as outcome:
-                yield dataclasses.replace(
-                    outcome, unspent_retries=record.retries.left
+                latency_ms = clock.get_now_ms() - started_ms
+                self._guard.record_answer(call, latency_ms, outcome)
+                yield await self._conclude(call, record, outcome)
+
+    async def _conclude(
+        self,
+        call: calls.Call,
+        record: chain_ledger.InboundRecord,
+        outcome: outcomes.Outcome,
+    ) -> outcomes.Outcome:
+        """Settles the record once the answer's head is here, or is lost."""
+        match outcome:
+            case outcomes.Completed(status) if status in SHED_STATUSES:
+                outcome = dataclasses.replace(
+                    outcome, shed=not record.child_was_refused
                 )
+            case outcomes.Completed():
+                pass
+            case outcomes.Unknown(worker_lost=True):
+                record.cut_off()
+                self._crashes.record_crash(call)
+                await asyncio.sleep(self._crashes.share_ms / 1000.0)
+            case _:
+                record.cut_off()
+        return dataclasses.replace(
+            outcome,
+            unspent_retries=record.retries.settle(),
+            report=self._guard.make_report(),
+        )
 
     def _refuse(
         self, call: calls.Call, refusal: refusals.Refusal
     ) -> outcomes.Outcome:
         self._recorder.record_refusal(call, refusal)
-        return outcomes.NotRun(refusal, unspent_retries=call.chain.retries)
+        return outcomes.NotRun(
+            refusal, call.chain.retries, self._guard.make_report()
+        )
--- a/kumquatridge/calls/outcomes.py
+++ b/kumquatridge/calls/outcomes.py
@@ -4,6 +4,7 @@
 
 from kumquatridge.calls import body as call_body
 from kumquatridge.calls import refusals
+from kumquatridge.calls import reports
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -14,12 +15,15 @@
 
     The answer is the worker's own, whatever its status; a status of 503 by
     the worker is a completed call too, because the worker saw the call.
+    `shed` tells that the worker itself refused for overload.
     """
 
     status: int
     headers: Headers
     body: call_body.Body
     unspent_retries: int = 0
+    report: reports.InstanceReport | None = None
+    shed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,6 +32,7 @@
 
     refusal: refusals.Refusal
     unspent_retries: int = 0
+    report: reports.InstanceReport | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,14 +41,20 @@
 
     detail: str
     unspent_retries: int = 0
+    report: reports.InstanceReport | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unknown:
-    """The call may or may not have run; `detail` says what was lost."""
+    """The call may or may not have run; `detail` says what was lost.
+
+    `worker_lost` tells that the connection to the worker broke.
+    """
 
     detail: str
     unspent_retries: int = 0
+    report: reports.InstanceReport | None = None
+    worker_lost: bool = False
 
 
 Outcome = Completed | NotRun | Failed | Unknown
--- a/kumquatridge/daemon/settings.py
+++ b/kumquatridge/daemon/settings.py
@@ -15,6 +15,10 @@
     with one of `previous_peer_keys` are still accepted. `platform_token` is
     shown to the platform. With `settings_key`, the platform operators' key,
     the daemon checks the signature of every node.
+
+    Callers may resend a request key of their own making for at most
+    `bare_key_max_age_ms`; `bare_key_transit_ms` more is allowed for requests
+    that are held up on their way.
     """
 
     instance: str
@@ -33,3 +37,5 @@
     settings_key: str | None = None
     drain_ms: int = 3000
     stop_timeout_ms: int = 60000
+    bare_key_max_age_ms: int = 60000
+    bare_key_transit_ms: int = 10000
--- a/kumquatridge/http/answers.py
+++ b/kumquatridge/http/answers.py
@@ -8,6 +8,7 @@
 from kumquatridge.calls import outcomes
 from kumquatridge.calls import refusals
 from kumquatridge.encoding import refusal_codec
+from kumquatridge.encoding import report_codec
 from kumquatridge.http import headers
 
 STATUS_UNKNOWN = 502
@@ -27,8 +28,12 @@
             return 504
         case refusals.Quarantined():
             return 429
-        case refusals.DuplicateInProgress():
+        case refusals.KeyMemoryFull() | refusals.NotHome():
+            return 503
+        case refusals.DuplicateInProgress() | refusals.ParentEnded():
             return 409
+        case refusals.KeyReused():
+            return 422
         case refusals.UnknownService():
             return 404
         case refusals.BodyTooLarge():
@@ -58,7 +63,10 @@
             answer = _make_plain(
                 STATUS_UNKNOWN, headers.OUTCOME_UNKNOWN, detail, outcome
             )
+            if outcome.worker_lost:
+                answer.headers[headers.WORKER_LOST] = headers.TRUE
     answer.headers[headers.ROOT_ID] = root_id
+    _add_report(answer, outcome)
     return answer
 
 
@@ -122,3 +130,15 @@
         response.headers.add(name, value)
     response.headers[headers.OUTCOME] = headers.OUTCOME_COMPLETED
     response.headers[headers.UNSPENT_RETRIES] = str(outcome.unspent_retries)
+    if outcome.shed:
+        response.headers[headers.WORKER_SHED] = headers.TRUE
+    _add_report(response, outcome)
+
+
+def _add_report(
+    response: web.StreamResponse, outcome: outcomes.Outcome
+) -> None:
+    if outcome.report is not None:
+        response.headers[headers.REPORT] = report_codec.encode_report(
+            outcome.report
+        )
--- a/kumquatridge/telemetry/gauges.py
+++ b/kumquatridge/telemetry/gauges.py
@@ -30,6 +30,11 @@
     ("reason", "service"),
     "Further attempts at calls.",
 )
+RETRIES_DENIED = CounterSpec(
+    "kumquatridge_retries_denied",
+    ("reason", "service"),
+    "Further attempts that would have helped but were not allowed.",
+)
 REJECTIONS = CounterSpec(
     "kumquatridge_rejections",
     ("reason",),
@@ -76,6 +81,7 @@
 COUNTERS = (
     REFUSALS,
     RETRIES,
+    RETRIES_DENIED,
     REJECTIONS,
     SETTINGS_REJECTIONS,
     PLATFORM_FAILURES,
--- a/kumquatridge/telemetry/recorder.py
+++ b/kumquatridge/telemetry/recorder.py
@@ -19,6 +19,10 @@
         """Counts another attempt at a call and why."""
         ...
 
+    def record_retry_denied(self, call: calls.Call, reason: str) -> None:
+        """Counts an attempt that would have helped but wasn't allowed."""
+        ...
+
 
 class RejectionRecorder(Protocol):
     """Counts requests that never became calls."""
--- a/kumquatridge/ui/main.py
+++ b/kumquatridge/ui/main.py
@@ -3,6 +3,7 @@
 import click
 
 import kumquatridge
+from kumquatridge.ui import bench
 from kumquatridge.ui import check
 from kumquatridge.ui import demo
 from kumquatridge.ui import explain
@@ -15,6 +16,7 @@
     """Operates and explains an overload control layer."""
 
 
+main.add_command(bench.bench)
 main.add_command(check.check)
 main.add_command(settings.settings)
 main.add_command(demo.demo)
