Watch the worker beside the daemon; prove membership under faults

Cause: a worker that died without a word stayed announced, one that left could not come back, and two relays that counted alike never agreed.

--- a/kumquatridge/daemon/runtime.py
+++ b/kumquatridge/daemon/runtime.py
@@ -25,14 +25,19 @@
 from kumquatridge.http import server
 from kumquatridge.http import service_news
 from kumquatridge.http import worker_client
+from kumquatridge.membership import gossip as membership_gossip
 from kumquatridge.membership import member as members
 from kumquatridge.membership import table
+from kumquatridge.membership import topics
 from kumquatridge.operators import app as operators_app
 from kumquatridge.operators import server as operators_server
 from kumquatridge.operators import worker_registry
 from kumquatridge.peers import control
+from kumquatridge.peers import topic_codec
 from kumquatridge.quarantine import register as crash_register
 from kumquatridge.routing import chooser as routing
+from kumquatridge.settings import instances
+from kumquatridge.settings import record
 from kumquatridge.telemetry import decisions
 from kumquatridge.telemetry import events
 from kumquatridge.telemetry import gauges
@@ -118,8 +123,11 @@
             control.ControlPlane(settings, self._members, exporter.provider)
         )
         await enter(self._plane)
-        self._registry = worker_registry.WorkerRegistry(
-            self._members, self._guard, self._announce_member
+        self._add_settings_topics(peers.gossip)
+        self._registry = await enter(
+            worker_registry.WorkerRegistry(
+                self._members, self._guard, self._announce_member
+            )
         )
         self._peers = peers
         peer_handler = peer_server.PeerHandler(
@@ -197,6 +205,20 @@
             gauges.MEMBERS, lambda: sum(1 for _ in self._members)
         )
 
+    def _add_settings_topics(self, gossip: membership_gossip.Gossip) -> None:
+        plane = self._plane
+        gossip.add_topic(
+            topic_codec.make_topic(
+                topics.SETTINGS, plane.store, record.NodeRecord
+            )
+        )
+        gossip.add_topic(
+            topic_codec.make_topic(
+                topics.IN_FORCE, plane.table, instances.InstanceVersions
+            )
+        )
+        plane.store.on_applied(gossip.announce_now)
+
     async def drain(self) -> None:
         """Says that the instance leaves and waits for calls in progress."""
         events.log(
--- a/kumquatridge/membership/member.py
+++ b/kumquatridge/membership/member.py
@@ -36,7 +36,9 @@
 class Announcement:
     """What a worker tells its daemon about itself.
 
-    `address` is the worker's HTTP address as "host:port" by IP number.
+    `address` is the worker's HTTP address as "host:port" by IP number. A
+    worker that does not announce itself again within `lease_ms` is
+    withdrawn; 0 stands for no lease.
     """
 
     service: str
@@ -44,6 +46,7 @@
     slots: int
     connections: int
     warm_up_ms: int = 0
+    lease_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kumquatridge/membership/remote.py
+++ b/kumquatridge/membership/remote.py
@@ -2,11 +2,14 @@
 
 from collections.abc import Iterable, Mapping
 import dataclasses
+import hashlib
 
 from kumquatridge import clock
 from kumquatridge.membership import member as members
 from kumquatridge.membership import messages
 
+CONTENT_BITS = 32
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reachable:
@@ -25,8 +28,9 @@
 class RemoteDataCentre:
     """What is known of another data centre.
 
-    `version` grows at each change and decides between two relays' words;
-    `contacts` are control addresses of some of its daemons.
+    `version` is a count of changes, then a hash of the content, so that two
+    relays that counted alike still agree on one word. `contacts` are control
+    addresses of some of its daemons.
     """
 
     name: str
@@ -79,15 +83,15 @@
             services = known.services if known is not None else ()
         news = RemoteDataCentre(
             answer.data_centre,
-            known.version + 1 if known is not None else 1,
+            known.version if known is not None else 0,
             answer.digest,
             Reachable(),
             services,
             answer.contacts,
         )
-        if known is not None and _is_same(news, known):
+        if news == known:
             return False
-        self._put(news)
+        self._put(_number(news))
         return True
 
     def record_silence(self, name: str) -> bool:
@@ -95,11 +99,7 @@
         known = self._known.get(name)
         if known is None or known.reach == CutOff():
             return False
-        self._put(
-            dataclasses.replace(
-                known, version=known.version + 1, reach=CutOff()
-            )
-        )
+        self._put(_number(dataclasses.replace(known, reach=CutOff())))
         return True
 
     def get_versions(self) -> Mapping[str, int]:
@@ -141,8 +141,15 @@
         }
 
 
-def _is_same(news: RemoteDataCentre, known: RemoteDataCentre) -> bool:
-    return dataclasses.replace(news, version=known.version) == known
+def _number(news: RemoteDataCentre) -> RemoteDataCentre:
+    """Returns the same content under the next version."""
+    count = (news.version >> CONTENT_BITS) + 1
+    content = repr((news.digest, news.reach, news.services, news.contacts))
+    digest = hashlib.blake2b(
+        content.encode(), digest_size=CONTENT_BITS // 8
+    ).digest()
+    version = count << CONTENT_BITS | int.from_bytes(digest, "big")
+    return dataclasses.replace(news, version=version)
 
 
 def _make_members(
--- a/kumquatridge/peers/messages.py
+++ b/kumquatridge/peers/messages.py
@@ -1,6 +1,5 @@
 """The bytes of control messages, in MessagePack."""
 
-import dataclasses
 from typing import TypeVar
 
 import msgspec
@@ -306,14 +305,23 @@
         member.data_centre,
         member.call_address,
         member.control_address,
-        None
-        if announcement is None
-        else _Announcement(**dataclasses.asdict(announcement)),
+        None if announcement is None else _make_announcement(announcement),
         number,
         reason,
     )
 
 
+def _make_announcement(announcement: members.Announcement) -> _Announcement:
+    """Returns what peers are told; the lease concerns the own daemon only."""
+    return _Announcement(
+        announcement.service,
+        announcement.address,
+        announcement.slots,
+        announcement.connections,
+        announcement.warm_up_ms,
+    )
+
+
 def _get_state_number(state: members.State) -> tuple[int, str]:
     match state:
         case members.Alive():
--- a/tests/membership/fleet.py
+++ b/tests/membership/fleet.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import collections
-from collections.abc import Iterable
+from collections.abc import AsyncIterator, Callable, Iterable
 import contextlib
 import dataclasses
 import random
@@ -200,9 +200,9 @@
 
 
 @contextlib.asynccontextmanager
-async def run_fleet(network, count, **kwargs):
-    """Runs nodes that know each other."""
-    nodes = [Node(network, f"n{index}", **kwargs) for index in range(count)]
+async def run_fleet(network: Network, count: int) -> AsyncIterator[list[Node]]:
+    """Runs nodes that get to know each other."""
+    nodes = [Node(network, f"n{index}") for index in range(count)]
     try:
         for node in nodes:
             await node.start(seeds=("n0",))
@@ -212,7 +212,7 @@
             await node.crash()
 
 
-async def wait_until(condition, timeout_s: float) -> float:
+async def wait_until(condition: Callable[[], bool], timeout_s: float) -> float:
     """Returns after how many seconds a condition held."""
     loop = asyncio.get_running_loop()
     started = loop.time()
--- /dev/null
+++ b/tests/membership/test_gossip.py
@@ -0,0 +1,215 @@
+"""Members of a data centre under loss, crashes, pauses and partitions."""
+
+import asyncio
+import dataclasses
+
+import pytest
+
+from kumquatridge.membership import member as members
+from tests.membership import fleet
+
+DEAD_BOUND_S = 5.0
+LEAVING_BOUND_S = 3.0
+CONVERGENCE_BOUND_S = 30.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Case:
+    """A fleet and what its link does."""
+
+    nodes: int
+    drop_ratio: float
+    repeat_ratio: float
+    seed: int
+
+
+CASES = [
+    pytest.param(Case(2, 0.0, 0.0, 1), id="two nodes"),
+    pytest.param(Case(5, 0.1, 0.1, 2), id="a data centre of today, losses"),
+    pytest.param(Case(16, 0.05, 0.05, 3), id="16 nodes, losses"),
+    pytest.param(Case(24, 0.0, 0.0, 4), id="24 nodes"),
+]
+
+
+def knows(nodes: list[fleet.Node], expected: set[str]) -> bool:
+    return all(node.get_routable() == expected for node in nodes)
+
+
+def make_network(case: Case) -> fleet.Network:
+    faults = fleet.Faults(
+        drop_ratio=case.drop_ratio, repeat_ratio=case.repeat_ratio
+    )
+    return fleet.Network(case.seed, faults)
+
+
+async def settle(nodes: list[fleet.Node]) -> None:
+    expected = {node.name for node in nodes}
+    await fleet.wait_until(lambda: knows(nodes, expected), CONVERGENCE_BOUND_S)
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("case", CASES)
+async def test_dead_member_gets_no_calls(case: Case) -> None:
+    async with fleet.run_fleet(make_network(case), case.nodes) as nodes:
+        await settle(nodes)
+        victim, *rest = reversed(nodes)
+        await victim.crash()
+        await fleet.wait_until(
+            lambda: all(victim.name not in one.get_routable() for one in rest),
+            DEAD_BOUND_S,
+        )
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("case", CASES)
+async def test_leaving_member_gets_no_calls(case: Case) -> None:
+    async with fleet.run_fleet(make_network(case), case.nodes) as nodes:
+        await settle(nodes)
+        leaver, *rest = reversed(nodes)
+        leaver.leave()
+        await fleet.wait_until(
+            lambda: all(leaver.name not in one.get_routable() for one in rest),
+            LEAVING_BOUND_S,
+        )
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(
+    "pause_s", [pytest.param(2.0, id="short"), pytest.param(60.0, id="long")]
+)
+async def test_paused_member_that_wakes_does_no_harm(pause_s: float) -> None:
+    async with fleet.run_fleet(fleet.Network(5), 8) as nodes:
+        await settle(nodes)
+        sleeper, *rest = nodes
+        expected = {one.name for one in nodes}
+        sleeper.pause()
+        await asyncio.sleep(pause_s)
+        sleeper.resume()
+        for _ in range(100):
+            await asyncio.sleep(0.05)
+            others = expected - {sleeper.name}
+            assert all(others <= one.get_routable() for one in rest)
+        await settle(nodes)
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(
+    "cut_s",
+    [
+        pytest.param(10.0, id="seconds"),
+        pytest.param(3600.0 / 2, id="half an hour"),
+    ],
+)
+async def test_halves_find_each_other_after_a_cut(cut_s: float) -> None:
+    network = fleet.Network(6)
+    async with fleet.run_fleet(network, 8) as nodes:
+        await settle(nodes)
+        names = [one.name for one in nodes]
+        network.cut_between(names[:4], names[4:])
+        await asyncio.sleep(cut_s)
+        assert knows(nodes[:4], set(names[:4]))
+        assert knows(nodes[4:], set(names[4:]))
+        network.cut.clear()
+        await fleet.wait_until(lambda: knows(nodes, set(names)), 60.0)
+
+
+@pytest.mark.looptime
+async def test_restarted_member_replaces_its_older_self() -> None:
+    network = fleet.Network(7)
+    async with fleet.run_fleet(network, 5) as nodes:
+        await settle(nodes)
+        await nodes[3].crash()
+        nodes[3] = fleet.Node(network, "n3", incarnation=1)
+        await nodes[3].start(seeds=("n1",))
+        await fleet.wait_until(
+            lambda: knows(nodes, {one.name for one in nodes}), 60.0
+        )
+        stale = nodes[3].table.own.incarnation
+        assert all(
+            (known := one.table.get("n3")) and known.incarnation == stale
+            for one in nodes
+        )
+
+
+@pytest.mark.looptime
+async def test_traffic_at_rest_stays_in_the_budget() -> None:
+    network = fleet.Network(8)
+    async with fleet.run_fleet(network, 24) as nodes:
+        await settle(nodes)
+        await asyncio.sleep(60.0)
+        network.sent_bytes.clear()
+        await asyncio.sleep(30.0)
+        assert max(network.sent_bytes.values()) / 30.0 < 3000 / 2
+
+
+@pytest.mark.looptime
+async def test_data_centres_exchange_summaries_and_notice_cuts() -> None:
+    network = fleet.Network(9)
+    here = [fleet.Node(network, f"a{index}") for index in range(3)]
+    there = [
+        fleet.Node(network, f"b{index}", data_centre="passau")
+        for index in range(3)
+    ]
+    for node in here:
+        await node.start(seeds=("a0",), remote_seeds=("b0",))
+    for node in there:
+        await node.start(seeds=("b0",), remote_seeds=("a0",))
+    await fleet.wait_until(
+        lambda: all(
+            len(one.table.get_remote(fleet.SERVICE)) == 3
+            for one in (*here, *there)
+        ),
+        120.0,
+    )
+    network.cut_between([one.name for one in here], [one.name for one in there])
+    await fleet.wait_until(
+        lambda: (
+            not any(
+                one.table.get_remote(fleet.SERVICE) for one in (*here, *there)
+            )
+        ),
+        120.0,
+    )
+    network.cut.clear()
+    await fleet.wait_until(
+        lambda: all(
+            one.table.get_remote(fleet.SERVICE) for one in (*here, *there)
+        ),
+        120.0,
+    )
+    for node in (*here, *there):
+        await node.crash()
+
+
+@pytest.mark.parametrize(
+    ("known", "news", "replaces"),
+    [
+        pytest.param((1, "alive"), (1, "alive"), False, id="the same"),
+        pytest.param((1, "alive"), (1, "suspected"), True, id="suspicion"),
+        pytest.param((1, "suspected"), (2, "alive"), True, id="refutation"),
+        pytest.param((1, "dead"), (1, "alive"), False, id="no resurrection"),
+        pytest.param((1, "dead"), (1, "suspected"), False, id="late word"),
+        pytest.param((2, "alive"), (1, "dead"), False, id="older death"),
+        pytest.param((1, "leaving"), (1, "alive"), False, id="stays leaving"),
+        pytest.param((1, "dead"), (2, "alive"), True, id="restarted"),
+    ],
+)
+async def test_table_takes_only_newer_news(
+    known: tuple[int, str], news: tuple[int, str], replaces: bool
+) -> None:
+    node = fleet.Node(fleet.Network(1), "own")
+    node.table.learn(make_member(*known[:1], "alive"))
+    node.table.learn(make_member(*known))
+    assert node.table.learn(make_member(*news)) is replaces
+
+
+def make_member(incarnation: int, state: str) -> members.Member:
+    states: dict[str, members.State] = {
+        "alive": members.Alive(),
+        "suspected": members.Suspected(0.0, "test"),
+        "leaving": members.Leaving(),
+        "dead": members.Dead(0.0, "test"),
+    }
+    return members.Member(
+        "other", incarnation, "landshut", "c", "o", None, states[state]
+    )
