--- /dev/null
+++ b/tests/peers/test_control.py
@@ -0,0 +1,80 @@
+"""Control planes over real sockets on loopback."""
+
+import asyncio
+import contextlib
+
+from opentelemetry import metrics as otel_metrics
+import pytest
+
+from kumquatridge.membership import errors
+from kumquatridge.membership import member as members
+from kumquatridge.membership import messages
+from kumquatridge.membership import recorder
+from kumquatridge.membership import settings as gossip_settings
+from kumquatridge.membership import table
+from kumquatridge.peers import control
+from kumquatridge.peers import credential
+from kumquatridge.peers import link
+from tests import processes
+from tests.membership import fleet
+
+HASTY = gossip_settings.GossipSettings(heartbeat_ms=1, urgent_per_s=1000)
+OPEN_CLOSE_ROUNDS = 10
+CLOSE_TIMEOUT_S = 5.0
+
+
+def make_plane(
+    name: str, *seeds: str
+) -> tuple[control.ControlPlane, table.MemberTable]:
+    settings = processes.make_settings(name, *seeds)
+    own = members.Member(
+        name, 1, "landshut", "c", settings.control_address, None
+    )
+    known = table.MemberTable(own)
+    provider = otel_metrics.NoOpMeterProvider()
+    return control.ControlPlane(settings, known, provider, HASTY), known
+
+
+async def test_open_and_close_under_traffic() -> None:
+    """A cancellation that the library drops must not keep a task alive."""
+    first, known = make_plane("n0")
+    async with first:
+        for index in range(OPEN_CLOSE_ROUNDS):
+            planes = [
+                make_plane(f"n{index}-{place}", known.own.control_address)
+                for place in range(3)
+            ]
+            async with contextlib.AsyncExitStack() as stack:
+                for plane, _ in planes:
+                    await stack.enter_async_context(plane)
+                tables = [one for _, one in planes]
+                await fleet.wait_until(
+                    lambda tables=tables: all(  # type: ignore[misc]
+                        len(one.get_live()) >= 3 for one in tables
+                    ),
+                    CLOSE_TIMEOUT_S,
+                )
+                async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                    await stack.aclose()
+
+
+@pytest.mark.parametrize("key", ["wrong", ""])
+async def test_wrong_key_is_refused(key: str) -> None:
+    plane, known = make_plane("n0")
+    stranger = link.NngLink(credential.Credential(key), recorder.NoRecorder())
+    async with plane, stranger:
+        with pytest.raises(errors.PeerRefusedError, match="wrong key"):
+            await stranger.ask(
+                known.own.control_address,
+                messages.Heartbeat("x", (), ()),
+                2000,
+            )
+
+
+async def test_silent_address_is_reported() -> None:
+    stranger = link.NngLink(credential.Credential("k"), recorder.NoRecorder())
+    async with stranger:
+        with pytest.raises(errors.PeerSilentError):
+            await stranger.ask(
+                processes.get_free_address(), messages.ProbeRequest("x"), 200
+            )
--- /dev/null
+++ b/tests/peers/test_messages.py
@@ -0,0 +1,68 @@
+"""Every control message survives its encoding; noise does not pass."""
+
+import pytest
+
+from kumquatridge.membership import member as members
+from kumquatridge.membership import messages
+from kumquatridge.membership import remote
+from kumquatridge.peers import errors
+from kumquatridge.peers import messages as codec
+
+MEMBER = members.Member(
+    "n1",
+    7,
+    "landshut",
+    "10.0.0.1:1",
+    "10.0.0.1:2",
+    members.Announcement("stock", "10.0.0.1:3", 10, 40, 500),
+)
+SERVICE = messages.ServiceSummary(
+    "stock", 2, 20, (messages.Gateway("n1", "10.0.0.1:1"),)
+)
+
+
+@pytest.mark.parametrize(
+    "request_",
+    [
+        messages.Heartbeat("n1", (MEMBER,), (messages.TopicDigest(1, 2**63),)),
+        messages.ProbeRequest("n2"),
+        messages.VersionsRequest(2, (1, 2, 3)),
+        messages.EntriesRequest(2, ("a", "b")),
+        messages.SummaryRequest("passau", 2**64 - 1),
+    ],
+    ids=lambda one: type(one).__name__,
+)
+def test_requests(request_: messages.Request) -> None:
+    assert codec.decode_request(codec.encode(request_)) == request_
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        messages.Heartbeat("n1", (), ()),
+        messages.ProbeAnswer(True),
+        messages.VersionsAnswer((messages.KeyVersion("a", 1),)),
+        messages.EntriesAnswer((b"x",)),
+        messages.SummaryAnswer("passau", 1, (SERVICE,), ("10.0.0.1:2",)),
+        messages.SummaryAnswer("passau", 1, None),
+    ],
+    ids=lambda one: type(one).__name__,
+)
+def test_answers(answer: messages.Answer) -> None:
+    assert codec.decode_answer(codec.encode(answer)) == answer
+
+
+@pytest.mark.parametrize("reach", [remote.Reachable(), remote.CutOff()])
+def test_remote_data_centres(reach: remote.Reach) -> None:
+    known = remote.RemoteDataCentre("passau", 1, 2, reach, (SERVICE,), ("a",))
+    assert codec.decode_remote(codec.encode_remote(known)) == known
+
+
+@pytest.mark.parametrize("data", [b"", b"\xff\xff", b"\x91\x63"])
+def test_noise_is_refused(data: bytes) -> None:
+    with pytest.raises(errors.MalformedMessageError):
+        codec.decode_request(data)
+    with pytest.raises(errors.MalformedMessageError):
+        codec.decode_answer(data)
+    with pytest.raises(errors.MalformedMessageError):
+        codec.decode_member(data)
