--- /dev/null
+++ b/tests/membership/test_machine.py
@@ -0,0 +1,140 @@
+"""Any order of faults; afterwards all members agree on who lives."""
+
+import asyncio
+from collections.abc import Coroutine
+import os
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import looptime
+
+from kumquatridge.membership import member as members
+from tests.membership import fleet
+
+NODES = 5
+HEAL_BOUND_S = 120.0
+EXAMPLES = int(os.environ.get("KUMQUATRIDGE_MEMBERSHIP_EXAMPLES", "10"))
+STEPS = 12
+
+indexes = strategies.integers(0, NODES - 1)
+
+
+class MembershipMachine(stateful.RuleBasedStateMachine):
+    """Crashes, restarts, pauses, leaves, cuts and loses messages."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = looptime.new_event_loop()
+        self.network = fleet.Network(1)
+        self.seen: dict[tuple[str, str], int] = {}
+        self.nodes: dict[str, fleet.Node] = {}
+        self.lives = 0
+        for index in range(NODES):
+            self.start(f"n{index}")
+        self.run(asyncio.sleep(3.0))
+
+    def run(self, work: Coroutine[None, None, None]) -> None:
+        """Runs work in virtual time."""
+        asyncio.set_event_loop(self.loop)
+        self.loop.run_until_complete(work)
+
+    def start(self, name: str) -> None:
+        """Starts a node in a new life."""
+        self.lives += 1
+        for key in [key for key in self.seen if key[0] == name]:
+            del self.seen[key]
+        node = fleet.Node(self.network, name, incarnation=self.lives)
+        self.nodes[name] = node
+        self.run(node.start(seeds=("n0", "n1")))
+
+    @stateful.rule(index=indexes)
+    def crash(self, index: int) -> None:
+        """Ends a node without a word."""
+        node = self.nodes.pop(f"n{index}", None)
+        if node is not None:
+            self.run(node.crash())
+
+    @stateful.rule(index=indexes)
+    def restart(self, index: int) -> None:
+        """Starts a node that ended."""
+        if f"n{index}" not in self.nodes:
+            self.start(f"n{index}")
+
+    @stateful.rule(index=indexes, pause_s=strategies.floats(0.1, 20.0))
+    def pause(self, index: int, pause_s: float) -> None:
+        """Stops a node for a while."""
+        node = self.nodes.get(f"n{index}")
+        if node is not None:
+            node.pause()
+            self.run(asyncio.sleep(pause_s))
+            node.resume()
+
+    @stateful.rule(side=strategies.sets(indexes, min_size=1, max_size=2))
+    def cut(self, side: set[int]) -> None:
+        """Cuts some nodes off from the others."""
+        names = {f"n{index}" for index in range(NODES)}
+        one = {f"n{index}" for index in side}
+        self.network.cut_between(one, names - one)
+
+    @stateful.rule()
+    def heal(self) -> None:
+        """Ends all cuts."""
+        self.network.cut.clear()
+
+    @stateful.rule(ratio=strategies.sampled_from((0.0, 0.1, 0.3)))
+    def lose(self, ratio: float) -> None:
+        """Sets how many messages are lost; some come twice."""
+        self.network.faults = fleet.Faults(drop_ratio=ratio, repeat_ratio=0.1)
+
+    @stateful.rule(wait_s=strategies.floats(0.1, 30.0))
+    def wait(self, wait_s: float) -> None:
+        """Lets time pass."""
+        self.run(asyncio.sleep(wait_s))
+
+    @stateful.invariant()
+    def never_takes_older_news(self) -> None:
+        """An incarnation that was seen never goes back."""
+        for node in self.nodes.values():
+            for member in node.table:
+                key = (node.name, member.instance)
+                assert member.incarnation >= self.seen.get(key, 0)
+                self.seen[key] = member.incarnation
+
+    def teardown(self) -> None:
+        """Ends all faults, then expects agreement."""
+        self.network.cut.clear()
+        self.network.faults = fleet.Faults()
+        expected = set(self.nodes)
+        try:
+            self.run(self.check_agreement(expected))
+        finally:
+            for node in self.nodes.values():
+                self.run(node.crash())
+            self.loop.close()
+
+    async def check_agreement(self, expected: set[str]) -> None:
+        """Waits until every node knows exactly who lives."""
+        await fleet.wait_until(
+            lambda: all(
+                self.list_alive(node) == expected
+                for node in self.nodes.values()
+            ),
+            HEAL_BOUND_S,
+        )
+
+    def list_alive(self, node: fleet.Node) -> set[str]:
+        """Returns the members that a node takes for alive."""
+        return {
+            one.instance for one in node.table if one.state == members.Alive()
+        }
+
+
+TestMembership = MembershipMachine.TestCase
+TestMembership.settings = hypothesis.settings(
+    max_examples=EXAMPLES,
+    stateful_step_count=STEPS,
+    deadline=None,
+    derandomize=True,
+    database=None,
+)
