--- a/kumquatridge/operators/app.py
+++ b/kumquatridge/operators/app.py
@@ -10,22 +10,13 @@
 from kumquatridge.membership import member as members
 from kumquatridge.membership import table
 from kumquatridge.operators import explanations
+from kumquatridge.operators import fleet_status
 from kumquatridge.operators import worker_registry
 from kumquatridge.settings import store as settings_store
 from kumquatridge.telemetry import decisions
 from kumquatridge.telemetry import metrics
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class MemberStatus:
-    """One member as an operator sees it."""
-
-    instance: str
-    incarnation: int
-    service: str | None
-    state: str
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class DaemonStatus:
     """What a daemon does at the moment."""
@@ -35,8 +26,9 @@
     in_progress: int
     queued: int
     limit: int
-    members: tuple[MemberStatus, ...]
+    members: tuple[fleet_status.MemberStatus, ...]
     settings: settings_store.StoreStatus
+    data_centres: tuple[fleet_status.DataCentreStatus, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,8 +75,9 @@
         guard.in_progress,
         guard.queued,
         guard.limit,
-        tuple(_describe(member) for member in daemon.members),
+        fleet_status.describe_members(daemon.members),
         daemon.settings.get_status(),
+        fleet_status.describe_data_centres(daemon.members),
     )
 
 
@@ -109,16 +102,6 @@
     return [explanations.explain(instance, one) for one in found]
 
 
-def _describe(member: members.Member) -> MemberStatus:
-    announcement = member.announcement
-    return MemberStatus(
-        member.instance,
-        member.incarnation,
-        announcement.service if announcement else None,
-        type(member.state).__name__.lower(),
-    )
-
-
 def make_app(daemon: OperatorState) -> litestar.Litestar:
     """Returns the application with what its routes need."""
     return litestar.Litestar(
--- a/kumquatridge/ui/main.py
+++ b/kumquatridge/ui/main.py
@@ -8,6 +8,7 @@
 from kumquatridge.ui import demo
 from kumquatridge.ui import explain
 from kumquatridge.ui import settings
+from kumquatridge.ui import status
 
 
 @click.group()
@@ -21,3 +22,4 @@
 main.add_command(settings.settings)
 main.add_command(demo.demo)
 main.add_command(explain.explain)
+main.add_command(status.status)
--- /dev/null
+++ b/kumquatridge/ui/status.py
@@ -0,0 +1,69 @@
+"""`kumquatridge status`: what a daemon does and knows of the fleet."""
+
+from collections.abc import Iterator
+import json
+from typing import Any
+
+import click
+
+from kumquatridge.ui import failures
+from kumquatridge.ui import operator_client
+
+
+@click.command()
+@click.option(
+    "--operator",
+    required=True,
+    metavar="ADDRESS",
+    help="The operators' address of a daemon; may be given again.",
+    multiple=True,
+)
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def status(operator: tuple[str, ...], as_json: bool) -> None:
+    """Shows members, why any is doubted, settings, and what is cut off."""
+    with failures.report_errors():
+        found = [
+            operator_client.fetch(address, "/v1/status") for address in operator
+        ]
+    if as_json:
+        click.echo(json.dumps(found, indent=2))
+        return
+    for one in found:
+        for line in render(one):
+            click.echo(line)
+
+
+def render(one: dict[str, Any]) -> Iterator[str]:
+    """Yields the lines that describe one daemon."""
+    yield (
+        f"{one['instance']} in {one['data_centre']}: "
+        f"{one['in_progress']} of {one['limit']} in progress, "
+        f"{one['queued']} queued"
+    )
+    settings = one["settings"]
+    yield (
+        f"  settings: {settings['origin']}, {settings['nodes']} nodes, "
+        f"digest {settings['digest']:x}"
+    )
+    if settings.get("fault"):
+        yield f"  settings fault: {settings['fault']}"
+    for member in one["members"]:
+        yield f"  {_render_member(member)}"
+    for data_centre in one["data_centres"]:
+        yield f"  {_render_data_centre(data_centre)}"
+
+
+def _render_member(member: dict[str, Any]) -> str:
+    service = member["service"] or "no worker"
+    line = f"{member['instance']} ({service}): {member['state']}"
+    if member["since_s"] is not None:
+        line += f" for {member['since_s']} s: {member['reason']}"
+    return line
+
+
+def _render_data_centre(data_centre: dict[str, Any]) -> str:
+    reach = "reachable" if data_centre["reachable"] else "cut off"
+    return (
+        f"data centre {data_centre['name']}: {reach} for "
+        f"{data_centre['since_s']} s, {data_centre['instances']} instances"
+    )
--- /dev/null
+++ b/tests/ui/test_status.py
@@ -0,0 +1,63 @@
+"""What `kumquatridge status` prints."""
+
+import json
+from typing import Any
+
+from click import testing
+import pytest
+
+from kumquatridge.ui import main
+from kumquatridge.ui import operator_client
+
+STATUS: dict[str, Any] = {
+    "instance": "n1",
+    "data_centre": "landshut",
+    "in_progress": 1,
+    "queued": 0,
+    "limit": 35,
+    "settings": {"origin": "complete", "nodes": 3, "digest": 255},
+    "members": [
+        {
+            "instance": "n2",
+            "service": None,
+            "state": "suspected",
+            "reason": "no answer to n1",
+            "since_s": 1.5,
+        }
+    ],
+    "data_centres": [
+        {"name": "passau", "reachable": False, "since_s": 60, "instances": 2}
+    ],
+}
+
+
+@pytest.mark.parametrize(
+    "expected",
+    [
+        "n1 in landshut: 1 of 35 in progress",
+        "settings: complete, 3 nodes, digest ff",
+        "n2 (no worker): suspected for 1.5 s: no answer to n1",
+        "data centre passau: cut off for 60 s",
+    ],
+)
+def test_text(expected: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(operator_client, "fetch", lambda *_: STATUS)
+    result = testing.CliRunner().invoke(main.main, ["status", "--operator=x"])
+    assert result.exit_code == 0
+    assert expected in result.output
+
+
+def test_json(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(operator_client, "fetch", lambda *_: STATUS)
+    result = testing.CliRunner().invoke(
+        main.main, ["status", "--json", "--operator=x"]
+    )
+    assert json.loads(result.output) == [STATUS]
+
+
+def test_unreachable_daemon_is_one_line() -> None:
+    result = testing.CliRunner().invoke(
+        main.main, ["status", "--operator=127.0.0.1:1"]
+    )
+    assert result.exit_code == 1
+    assert result.output.count("\n") == 1
