--- a/kumquatridge/daemon/runtime.py
+++ b/kumquatridge/daemon/runtime.py
@@ -34,6 +34,7 @@
 from kumquatridge.operators import worker_registry
 from kumquatridge.peers import control
 from kumquatridge.peers import topic_codec
+from kumquatridge.platform import contact_repository
 from kumquatridge.quarantine import register as crash_register
 from kumquatridge.routing import chooser as routing
 from kumquatridge.settings import instances
@@ -124,6 +125,9 @@
         )
         await enter(self._plane)
         self._add_settings_topics(peers.gossip)
+        if self._plane.client is not None:
+            contacts = contact_repository.PlatformContacts(self._plane.client)
+            await enter(peers.make_bootstrap(contacts))
         self._registry = await enter(
             worker_registry.WorkerRegistry(
                 self._members, self._guard, self._announce_member
--- a/kumquatridge/daemon/settings_plane.py
+++ b/kumquatridge/daemon/settings_plane.py
@@ -93,6 +93,7 @@
         self._duty = MemberDuty(members_table)
         self._stack = contextlib.AsyncExitStack()
         self._notice: asyncio.Task[None] | None = None
+        self.client: platform_client.PlatformClient | None = None
 
     def attach(self, intake: call_intake.Intake) -> None:
         """Hands every new version to the intake."""
@@ -144,6 +145,7 @@
                 platform_client.ClientSettings(address, settings.platform_token)
             )
         )
+        self.client = client
         nodes = platform_repository.PlatformRepository(client)
         await enter(
             relay.SettingsRelay(
--- /dev/null
+++ b/kumquatridge/membership/bootstrap.py
@@ -0,0 +1,163 @@
+"""First contact through the platform, for daemons that no seed answers.
+
+The platform keeps one object for each data centre with the control addresses
+of a few members. One member writes it, and only when those addresses change;
+only a daemon that knows nobody reads it again and again.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable
+import dataclasses
+import random
+import types
+from typing import Protocol, Self
+
+from kumquatridge import clock
+from kumquatridge.membership import errors
+from kumquatridge.membership import recorder as membership_recorder
+from kumquatridge.membership import relays
+from kumquatridge.membership import table
+
+PURPOSE = "bootstrap"
+NOT_STORED = 0
+
+
+class BootstrapError(errors.MembershipError):
+    """The platform did not answer."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Contacts:
+    """Control addresses of some members, and the object's version."""
+
+    addresses: tuple[str, ...]
+    version: int
+
+
+class ContactRepository(Protocol):
+    """Keeps the contacts of each data centre.
+
+    Every method raises BootstrapError when the platform does not answer.
+    """
+
+    async def read(self, data_centre: str) -> Contacts:
+        """Returns the contacts; none with version 0 if never written."""
+        ...
+
+    async def write(self, data_centre: str, contacts: Contacts) -> bool:
+        """Replaces the contacts if the version is still that given."""
+        ...
+
+    async def list_others(self, data_centre: str) -> tuple[str, ...]:
+        """Returns contacts in all other data centres."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BootstrapSettings:
+    """How often the platform may be called.
+
+    The first call comes at a random moment within `spread_ms`, so that a
+    restart of all daemons is spread out; failures double the interval up to
+    `retry_max_ms`.
+    """
+
+    spread_ms: int = 10_000
+    interval_ms: int = 10_000
+    retry_max_ms: int = 60_000
+    others_interval_ms: int = 300_000
+    contacts: int = 8
+
+
+class Bootstrap:
+    """Reads and writes contacts while its context is open.
+
+    `meet` tries addresses of the own data centre, `join_remote` takes those
+    of others.
+    """
+
+    def __init__(
+        self,
+        settings: BootstrapSettings,
+        members_table: table.MemberTable,
+        repository: ContactRepository,
+        recorder: membership_recorder.Recorder,
+        seed: int,
+        *,
+        meet: Callable[[Iterable[str]], Awaitable[None]],
+        join_remote: Callable[[Iterable[str]], None],
+    ) -> None:
+        self._settings = settings
+        self._members = members_table
+        self._repository = repository
+        self._recorder = recorder
+        self._random = random.Random(seed)
+        self._meet = meet
+        self._join_remote = join_remote
+        self._published: tuple[str, ...] = ()
+        self._read_others_at_ms = float("-inf")
+        self._task: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> Self:
+        """Starts the task that calls the platform."""
+        self._task = asyncio.create_task(self._run())
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        """Stops calling the platform."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        settings = self._settings
+        await asyncio.sleep(self._random.random() * settings.spread_ms / 1000.0)
+        interval_ms = settings.interval_ms
+        while True:
+            try:
+                await self._call_if_due()
+                interval_ms = settings.interval_ms
+            except BootstrapError:
+                self._recorder.record_peer_failure("platform")
+                interval_ms = min(interval_ms * 2, settings.retry_max_ms)
+            spread = 0.5 + self._random.random()
+            await asyncio.sleep(interval_ms * spread / 1000.0)
+
+    async def _call_if_due(self) -> None:
+        own = self._members.own
+        if not self._members.get_live():
+            contacts = await self._repository.read(own.data_centre)
+            await self._meet(contacts.addresses)
+        if not relays.is_relay(own, self._members, 1, PURPOSE):
+            return
+        await self._publish()
+        await self._read_others()
+
+    async def _publish(self) -> None:
+        picked = relays.pick_relays(
+            self._members, self._settings.contacts, PURPOSE
+        )
+        addresses = tuple(sorted(one.control_address for one in picked))
+        if addresses == self._published:
+            return
+        data_centre = self._members.own.data_centre
+        known = await self._repository.read(data_centre)
+        if set(known.addresses) - set(addresses):
+            await self._meet(set(known.addresses) - set(addresses))
+        contacts = Contacts(addresses, known.version)
+        if await self._repository.write(data_centre, contacts):
+            self._published = addresses
+
+    async def _read_others(self) -> None:
+        now_ms = clock.get_now_ms()
+        due_ms = self._read_others_at_ms + self._settings.others_interval_ms
+        if now_ms < due_ms:
+            return
+        own = self._members.own.data_centre
+        self._join_remote(await self._repository.list_others(own))
+        self._read_others_at_ms = now_ms
--- a/kumquatridge/membership/gossip.py
+++ b/kumquatridge/membership/gossip.py
@@ -89,6 +89,13 @@
             if address != self._members.own.control_address:
                 self._start_task(self._talk_to_seed(address))
 
+    async def meet(self, addresses: Iterable[str]) -> None:
+        """Talks once to each address where a member may be found."""
+        own = self._members.own.control_address
+        await asyncio.gather(
+            *(self._try_address(one) for one in addresses if one != own)
+        )
+
     def announce_now(self) -> None:
         """Tells some peers as soon as the rate allows; they pass it on."""
         self._announced.set()
@@ -166,16 +173,20 @@
         while self._open:
             delay_ms = SEED_CHECK_MS
             if not self._knows_address(address):
+                await self._try_address(address)
+            if not self._members.get_live():
                 delay_ms = SEED_RETRY_MS
-                try:
-                    await self._shared.talk(
-                        address, "", self._settings.answer_timeout_ms
-                    )
-                except errors.MembershipError:
-                    self._shared.recorder.record_peer_failure("seed")
             spread = 0.5 + self._shared.random.random()
             await asyncio.sleep(delay_ms * spread / 1000.0)
 
+    async def _try_address(self, address: str) -> None:
+        try:
+            await self._shared.talk(
+                address, "", self._settings.answer_timeout_ms
+            )
+        except errors.MembershipError:
+            self._shared.recorder.record_peer_failure("seed")
+
     def _knows_address(self, address: str) -> bool:
         return any(
             one.control_address == address for one in self._members.get_live()
--- a/kumquatridge/membership/remote_exchange.py
+++ b/kumquatridge/membership/remote_exchange.py
@@ -18,6 +18,7 @@
 
 CONTACTS_PER_ROUND = 3
 SEED_RETRY_MS = 2000
+SEED_RETRY_MAX_MS = 60_000
 ANSWER_TIMEOUT_MS = 2000
 
 
@@ -63,13 +64,16 @@
     def join(self, addresses: Iterable[str]) -> None:
         """Starts a task for each address in another data centre."""
         for address in addresses:
-            self._start(f"seed {address}", self._ask_seed(address))
+            if f"seed {address}" not in self._tasks:
+                self._start(f"seed {address}", self._ask_seed(address))
 
     async def _ask_seed(self, address: str) -> None:
+        retry_ms = SEED_RETRY_MS
         while address not in self._seeds:
             if self._is_relay():
                 await self._ask(address, known=0)
-            await self._sleep(SEED_RETRY_MS)
+                retry_ms = min(retry_ms * 2, SEED_RETRY_MAX_MS)
+            await self._sleep(retry_ms)
 
     async def _follow_known(self) -> None:
         while True:
--- a/kumquatridge/peers/control.py
+++ b/kumquatridge/peers/control.py
@@ -8,6 +8,7 @@
 from opentelemetry import metrics as otel_metrics
 
 from kumquatridge.daemon import settings as daemon_settings
+from kumquatridge.membership import bootstrap
 from kumquatridge.membership import gossip as membership_gossip
 from kumquatridge.membership import member_source
 from kumquatridge.membership import remote_exchange
@@ -40,7 +41,8 @@
     ) -> None:
         threads.bound_threads()
         self._settings = settings
-        recorder = metrics.ControlMetricRecorder(provider)
+        self._members = members_table
+        self._recorder = recorder = metrics.ControlMetricRecorder(provider)
         credential = peer_credential.Credential(
             settings.peer_key, settings.previous_peer_keys
         )
@@ -86,6 +88,20 @@
         """Stops all tasks and closes the sockets."""
         await self._stack.aclose()
 
+    def make_bootstrap(
+        self, repository: bootstrap.ContactRepository
+    ) -> bootstrap.Bootstrap:
+        """Returns what finds other daemons through the platform."""
+        return bootstrap.Bootstrap(
+            bootstrap.BootstrapSettings(),
+            self._members,
+            repository,
+            self._recorder,
+            random.getrandbits(SEED_BITS),
+            meet=self.gossip.meet,
+            join_remote=self.remote.join,
+        )
+
     def _add_own_topics(self, members_table: table.MemberTable) -> None:
         self.gossip.add_topic(
             topic_codec.EncodedTopic(
--- /dev/null
+++ b/kumquatridge/platform/contact_repository.py
@@ -0,0 +1,71 @@
+"""Keeps contacts of data centres as objects of the platform."""
+
+from collections.abc import Iterator
+import contextlib
+
+import msgspec
+
+from kumquatridge.membership import bootstrap
+from kumquatridge.platform import errors
+from kumquatridge.platform import objects
+
+PREFIX = "members/"
+
+
+class PlatformContacts:
+    """The repository of contacts over the platform's API."""
+
+    def __init__(self, api: objects.ObjectApi) -> None:
+        self._api = api
+
+    async def read(self, data_centre: str) -> bootstrap.Contacts:
+        """Returns the contacts; none with version 0 if never written."""
+        with _translate_errors():
+            found = await self._api.get(PREFIX + data_centre)
+        if found is None:
+            return bootstrap.Contacts((), bootstrap.NOT_STORED)
+        return bootstrap.Contacts(_read_addresses(found), found.version)
+
+    async def write(
+        self, data_centre: str, contacts: bootstrap.Contacts
+    ) -> bool:
+        """Replaces the contacts if the version is still that given."""
+        reply = await self._api.put(
+            PREFIX + data_centre,
+            msgspec.json.encode(contacts.addresses),
+            contacts.version,
+        )
+        match reply:
+            case objects.Stored():
+                return True
+            case objects.Conflict():
+                return False
+            case objects.Denied(reason) | objects.AnswerLost(reason):
+                raise bootstrap.BootstrapError(reason)
+
+    async def list_others(self, data_centre: str) -> tuple[str, ...]:
+        """Returns contacts in all other data centres."""
+        with _translate_errors():
+            listing = await self._api.list_objects(PREFIX)
+        return tuple(
+            address
+            for found in listing.objects
+            if found.key != PREFIX + data_centre
+            for address in _read_addresses(found)
+        )
+
+
+def _read_addresses(found: objects.PlatformObject) -> tuple[str, ...]:
+    """Returns the addresses; an object that can't be read has none."""
+    try:
+        return msgspec.json.decode(found.value or b"[]", type=tuple[str, ...])
+    except msgspec.DecodeError:
+        return ()
+
+
+@contextlib.contextmanager
+def _translate_errors() -> Iterator[None]:
+    try:
+        yield
+    except errors.PlatformError as error:
+        raise bootstrap.BootstrapError(str(error)) from error
--- /dev/null
+++ b/tests/membership/test_bootstrap.py
@@ -0,0 +1,89 @@
+"""First contact through the platform, and what it costs the platform."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+
+import pytest
+
+from kumquatridge.membership import bootstrap
+from kumquatridge.membership import recorder
+from kumquatridge.platform import contact_repository
+from kumquatridge.standins import platform_store
+from tests.membership import fleet
+
+NODES = 20
+MET_BOUND_S = 60.0
+FLEET = 1500
+READS_PER_S = 500
+WRITES_PER_S = 100
+
+
+@contextlib.asynccontextmanager
+async def run_nodes(
+    store: platform_store.PlatformStore, faults: fleet.Faults
+) -> AsyncIterator[list[fleet.Node]]:
+    """Runs nodes that know no address but the platform's."""
+    network = fleet.Network(1, faults)
+    nodes = [fleet.Node(network, f"n{index}") for index in range(NODES)]
+    contacts = contact_repository.PlatformContacts(store.connect())
+    async with contextlib.AsyncExitStack() as stack:
+        for seed, node in enumerate(nodes):
+            await node.start()
+            stack.push_async_callback(node.crash)
+            await stack.enter_async_context(
+                bootstrap.Bootstrap(
+                    bootstrap.BootstrapSettings(),
+                    node.table,
+                    contacts,
+                    recorder.NoRecorder(),
+                    seed,
+                    meet=node.gossip.meet,
+                    join_remote=node.remote.join,
+                )
+            )
+        yield nodes
+
+
+def have_met(nodes: list[fleet.Node]) -> bool:
+    return all(len(node.table.get_live()) == NODES - 1 for node in nodes)
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(
+    ("down_s", "drop_ratio"),
+    [
+        pytest.param(0.0, 0.0, id="platform up"),
+        pytest.param(0.0, 0.1, id="messages lost"),
+        pytest.param(3600.0, 0.0, id="platform down for an hour"),
+    ],
+)
+async def test_nodes_meet_within_the_platform_limits(
+    down_s: float, drop_ratio: float
+) -> None:
+    store = platform_store.PlatformStore()
+    store.set_faults(platform_store.PlatformFaults(down=down_s > 0))
+    async with run_nodes(store, fleet.Faults(drop_ratio=drop_ratio)) as nodes:
+        await asyncio.sleep(down_s)
+        store.set_faults(platform_store.NO_FAULTS)
+        before = store.meter
+        await asyncio.sleep(MET_BOUND_S)
+        first_minute = store.meter
+        await fleet.wait_until(lambda: have_met(nodes), MET_BOUND_S)
+        scale = FLEET / NODES / MET_BOUND_S
+        reads = first_minute.reads - before.reads
+        writes = first_minute.writes - before.writes
+        assert reads * scale < READS_PER_S
+        assert writes * scale < WRITES_PER_S
+
+
+@pytest.mark.looptime
+async def test_nothing_is_called_at_rest() -> None:
+    store = platform_store.PlatformStore()
+    async with run_nodes(store, fleet.Faults()) as nodes:
+        await asyncio.sleep(MET_BOUND_S * 2)
+        assert have_met(nodes)
+        before = store.meter
+        await asyncio.sleep(250.0)
+        assert store.meter.writes == before.writes
+        assert store.meter.reads - before.reads <= 1
