--- /dev/null
+++ b/kumquatridge/benchmarks/fleet.py
@@ -0,0 +1,361 @@
+"""Measures what control costs a daemon as the fleet grows.
+
+Runs control planes as tasks of one process over loopback, and a few daemons
+as processes of their own for memory. Prints one line for each size.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable, Iterable, Mapping
+import contextlib
+import dataclasses
+import json
+import pathlib
+import statistics
+import tempfile
+
+import click
+from opentelemetry import metrics as otel_metrics
+import psutil
+
+from kumquatridge.benchmarks import processes
+from kumquatridge.daemon import settings as daemon_settings
+from kumquatridge.membership import member as members
+from kumquatridge.membership import table
+from kumquatridge.peers import control
+from kumquatridge.peers import topic_codec
+
+TOPIC = 99
+ENTRY_COUNT = 1050
+ENTRY_BYTES = 300
+SERVICES = 10
+TREE = """{
+  "settings": {"importance": "normal", "idempotent": true,
+    "deadline_ms": 5000, "retry_allowance": 0, "long_running": false,
+    "max_body_bytes": 1000000, "queue_wait_ms": 1000},
+  "children": {"team": {"children": {"bench": {}}}}
+}"""
+SETTLE_TIMEOUT_S = 120.0
+CHANGE_TIMEOUT_S = 30.0
+POLL_S = 0.01
+SEGMENT_BYTES = 66
+SEGMENTS_PER_EXCHANGE = 4
+ENVELOPE_BYTES = 12
+LAST_OCTET = 250
+CALL_PORT = 7401
+CONTROL_PORT = 7402
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """One versioned entry, about the size of a node of the settings."""
+
+    key: str
+    version: int
+    body: str
+
+
+class Entries:
+    """A gossip source of as many entries as the fleet has nodes."""
+
+    def __init__(self) -> None:
+        self._entries = {
+            f"/team/service-{index}": Entry(
+                f"/team/service-{index}", 1, "x" * ENTRY_BYTES
+            )
+            for index in range(ENTRY_COUNT)
+        }
+        self._revision = 0
+
+    @property
+    def revision(self) -> int:
+        """Changes whenever an entry changes."""
+        return self._revision
+
+    def get_versions(self) -> Mapping[str, int]:
+        """Returns the version of each entry."""
+        return {one.key: one.version for one in self._entries.values()}
+
+    def export(self, keys: Iterable[str]) -> tuple[Entry, ...]:
+        """Returns some entries."""
+        return tuple(self._entries[key] for key in keys)
+
+    def merge(self, entries: Iterable[Entry]) -> None:
+        """Takes newer entries."""
+        for entry in entries:
+            if entry.version > self._entries[entry.key].version:
+                self._entries[entry.key] = entry
+                self._revision += 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SizeReport:
+    """What one daemon spends at one size of the data centre.
+
+    `wire_bytes_per_s` adds headers of TCP, IP and Ethernet to the messages
+    sent and received, four segments for each exchange.
+    """
+
+    daemons: int
+    messages_per_s: float
+    message_bytes_per_s: float
+    wire_bytes_per_s: float
+    core_ratio: float
+    descriptors: float
+    join_s: float
+    change_median_s: float
+    change_max_s: float
+    change_bytes: float
+
+
+class ByteCounter(otel_metrics.NoOpMeterProvider):
+    """Stands for metrics; counts the bytes of control messages."""
+
+    def __init__(self) -> None:
+        self.messages = 0
+        self.size_bytes = 0
+
+    def get_meter(self, *_: object, **__: object) -> otel_metrics.Meter:
+        """Returns a meter whose byte counter is this object's."""
+        return _CountingMeter(self)
+
+
+class _CountingMeter(otel_metrics.NoOpMeter):
+    def __init__(self, owner: ByteCounter) -> None:
+        super().__init__("fleet")
+        self._owner = owner
+
+    def create_counter(
+        self, name: str, *_: object, **__: object
+    ) -> otel_metrics.Counter:
+        if name.endswith("control_bytes"):
+            return _ByteCounter(self._owner)
+        return otel_metrics.NoOpCounter(name)
+
+
+class _ByteCounter(otel_metrics.NoOpCounter):
+    def __init__(self, owner: ByteCounter) -> None:
+        super().__init__("control_bytes")
+        self._owner = owner
+
+    def add(self, amount: float, *_: object, **__: object) -> None:
+        self._owner.messages += 1
+        self._owner.size_bytes += int(amount)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Node:
+    """One control plane of the benchmark."""
+
+    table: table.MemberTable
+    plane: control.ControlPlane
+    entries: Entries
+
+
+def make_settings(
+    index: int, seeds: tuple[str, ...]
+) -> daemon_settings.DaemonSettings:
+    """Returns settings of one daemon, on a loopback address of its own."""
+    third, fourth = divmod(index, LAST_OCTET)
+    host = f"127.1.{third}.{fourth + 1}"
+    return daemon_settings.DaemonSettings(
+        instance=f"instance-{index:04}",
+        data_centre="landshut",
+        caller_address=f"{host}:{CALL_PORT}",
+        call_address=f"{host}:{CALL_PORT}",
+        control_address=f"{host}:{CONTROL_PORT}",
+        operator_address=f"{host}:{CALL_PORT}",
+        peer_key="benchmark",
+        tree_file="",
+        seeds=seeds,
+    )
+
+
+def make_node(
+    settings: daemon_settings.DaemonSettings,
+    index: int,
+    provider: otel_metrics.MeterProvider,
+) -> Node:
+    """Returns a control plane whose worker has been announced."""
+    own = members.Member(
+        settings.instance,
+        1,
+        settings.data_centre,
+        settings.call_address,
+        settings.control_address,
+        members.Announcement(
+            f"service-{index % SERVICES}", settings.caller_address, 100, 400
+        ),
+    )
+    known = table.MemberTable(own)
+    plane = control.ControlPlane(settings, known, provider)
+    entries = Entries()
+    plane.gossip.add_topic(topic_codec.make_topic(TOPIC, entries, Entry))
+    return Node(known, plane, entries)
+
+
+@contextlib.asynccontextmanager
+async def run_nodes(
+    count: int, counter: ByteCounter
+) -> AsyncIterator[list[Node]]:
+    """Runs control planes that know each other."""
+    first = make_settings(0, ())
+    seeds = (first.control_address,)
+    nodes = [make_node(first, 0, counter)]
+    for index in range(1, count):
+        nodes.append(make_node(make_settings(index, seeds), index, counter))
+    async with contextlib.AsyncExitStack() as stack:
+        for node in nodes:
+            await stack.enter_async_context(node.plane)
+        yield nodes
+
+
+async def measure_size(count: int, rest_s: float, changes: int) -> SizeReport:
+    """Measures one size at rest and over some changes."""
+    counter = ByteCounter()
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    async with run_nodes(count, counter) as nodes:
+        await _wait_for(
+            lambda: all(
+                len(node.table.get_live()) == count - 1 for node in nodes
+            ),
+            SETTLE_TIMEOUT_S,
+        )
+        joined = loop.time()
+        await asyncio.sleep(rest_s)
+        process = psutil.Process()
+        cpu_before_s = _get_cpu_s(process)
+        before = (counter.messages, counter.size_bytes, loop.time())
+        await asyncio.sleep(rest_s)
+        spent_s = loop.time() - before[2]
+        messages = (counter.messages - before[0]) / count / spent_s
+        size_bytes = (counter.size_bytes - before[1]) / count / spent_s
+        core_ratio = (_get_cpu_s(process) - cpu_before_s) / count / spent_s
+        descriptors = process.num_fds() / count
+        before_changes = counter.size_bytes
+        times_s = [
+            await _spread_change(nodes, number) for number in range(changes)
+        ]
+        changes_s = sum(times_s) + changes
+        at_rest = size_bytes * count * changes_s
+        extra = counter.size_bytes - before_changes - at_rest
+    return SizeReport(
+        daemons=count,
+        messages_per_s=messages,
+        message_bytes_per_s=size_bytes,
+        wire_bytes_per_s=_add_headers(messages, size_bytes),
+        core_ratio=core_ratio,
+        descriptors=descriptors,
+        join_s=joined - started,
+        change_median_s=statistics.median(times_s),
+        change_max_s=max(times_s),
+        change_bytes=extra / changes / count,
+    )
+
+
+async def _spread_change(nodes: list[Node], number: int) -> float:
+    """Returns how long a change took to reach all, then rests a second."""
+    loop = asyncio.get_running_loop()
+    key = f"/team/service-{number}"
+    source = nodes[number % len(nodes)]
+    version = source.entries.get_versions()[key] + 1
+    source.entries.merge((Entry(key, version, "y" * ENTRY_BYTES),))
+    source.plane.gossip.announce_now()
+    started = loop.time()
+    await _wait_for(
+        lambda: all(
+            node.entries.get_versions()[key] == version for node in nodes
+        ),
+        CHANGE_TIMEOUT_S,
+    )
+    spent_s = loop.time() - started
+    await asyncio.sleep(1.0)
+    return spent_s
+
+
+def _add_headers(messages_per_s: float, size_bytes_per_s: float) -> float:
+    exchanges_per_s = messages_per_s / 2
+    headers_bytes = SEGMENT_BYTES * SEGMENTS_PER_EXCHANGE
+    return (
+        size_bytes_per_s
+        + exchanges_per_s * headers_bytes
+        + messages_per_s * ENVELOPE_BYTES
+    )
+
+
+def _get_cpu_s(process: psutil.Process) -> float:
+    times = process.cpu_times()
+    return float(times.user + times.system)
+
+
+async def _wait_for(condition: Callable[[], bool], timeout_s: float) -> None:
+    async with asyncio.timeout(timeout_s):
+        while True:
+            if condition():
+                return
+            await asyncio.sleep(POLL_S)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProcessReport:
+    """What whole daemons as processes of their own spend at rest."""
+
+    processes: int
+    resident_mb: float
+    threads: int
+    core_ratio: float
+
+
+async def measure_processes(count: int, rest_s: float) -> ProcessReport:
+    """Measures daemons that know each other and get no calls."""
+    async with contextlib.AsyncExitStack() as stack:
+        folder = pathlib.Path(
+            stack.enter_context(tempfile.TemporaryDirectory())
+        )
+        tree_file = folder / "tree.jsonc"
+        tree_file.write_text(TREE)
+        first = processes.make_settings("instance-0", tree_file)
+        seeds = (first.control_address,)
+        all_settings = [first]
+        for index in range(1, count):
+            name = f"instance-{index}"
+            all_settings.append(
+                processes.make_settings(name, tree_file, *seeds)
+            )
+        found = [
+            await stack.enter_async_context(
+                processes.run_daemon(settings, folder)
+            )
+            for settings in all_settings
+        ]
+        await asyncio.sleep(rest_s)
+        before_s = sum(_get_cpu_s(one) for one in found)
+        await asyncio.sleep(rest_s)
+        spent_s = sum(_get_cpu_s(one) for one in found) - before_s
+        return ProcessReport(
+            processes=count,
+            resident_mb=max(one.memory_info().rss for one in found) / 1e6,
+            threads=max(one.num_threads() for one in found),
+            core_ratio=spent_s / count / rest_s,
+        )
+
+
+@click.command()
+@click.argument("sizes", nargs=-1, type=int, metavar="DAEMONS...")
+@click.option("--rest", "rest_s", default=20.0, help="Seconds of each phase.")
+@click.option("--changes", default=10, help="Changes to spread at each size.")
+@click.option("--processes", "process_count", default=0)
+def main(
+    sizes: tuple[int, ...], rest_s: float, changes: int, process_count: int
+) -> None:
+    """Measures control traffic and processor time by the number of daemons."""
+    for count in sizes:
+        report = asyncio.run(measure_size(count, rest_s, changes))
+        click.echo(json.dumps(dataclasses.asdict(report)))
+    if process_count:
+        whole = asyncio.run(measure_processes(process_count, rest_s))
+        click.echo(json.dumps(dataclasses.asdict(whole)))
+
+
+if __name__ == "__main__":
+    main()
