Test admission under load; probe the limit only at saturation

The baseline followed the first answers, which are the short ones, and a probe of the limit went on when slots were free, so that the limit fell at the crest of a swing. Baselines now take 100 answers and a probe ends with the first answer that finds a free slot.

--- a/kumquatridge/admission/guard.py
+++ b/kumquatridge/admission/guard.py
@@ -146,15 +146,23 @@
         """Learns from what the worker answered and how long it took."""
         match outcome:
             case outcomes.Completed(status) if status in OVERLOAD_STATUSES:
-                self._learn(latency_ratio=1.0, is_overload=True)
+                self._learn(latency_ms, latency_ratio=1.0, is_overload=True)
             case outcomes.Completed(status) if status < FIRST_ERROR_STATUS:
-                ratio = self._times.record(call.policy, latency_ms)
-                self._learn(ratio, is_overload=False)
+                ratio = self._times.record(
+                    call.policy, latency_ms, clock.get_now_ms()
+                )
+                self._learn(latency_ms, ratio, is_overload=False)
             case _:
                 pass
 
-    def _learn(self, latency_ratio: float, is_overload: bool) -> None:
-        self._limit.record(latency_ratio, is_overload, clock.get_now_ms())
+    def _learn(
+        self, latency_ms: float, latency_ratio: float, is_overload: bool
+    ) -> None:
+        is_saturated = self.in_progress >= self.limit
+        answer = limits.Answer(
+            latency_ms, latency_ratio, is_saturated, is_overload
+        )
+        self._limit.record(answer, clock.get_now_ms())
         self._update_limit()
 
     def _update_limit(self) -> None:
@@ -176,7 +184,7 @@
         rank = levels.get_rank(call.chain)
         if not kind.is_long:
             self._control.record_arrival(rank)
-        self._close_window(now_ms)
+        self._close_window(kind, now_ms)
         refusal = self._check(call, kind, rank)
         if refusal is not None:
             return verdicts.Refused(refusal)
@@ -206,7 +214,9 @@
         self, call: calls.Call, kind: shares.Kind, rank: int, now_ms: float
     ) -> verdicts.Verdict:
         loop = asyncio.get_running_loop()
-        waiting = waiting_queue.Waiting(rank, kind, loop.create_future())
+        waiting = waiting_queue.Waiting(
+            rank, self._control.get_order(rank), kind, loop.create_future()
+        )
         wait_ms = self._get_wait_ms(call, kind)
         self._queue.push(waiting)
         try:
@@ -223,7 +233,7 @@
         finally:
             if waiting.decided.cancelled():
                 self._queue.discard()
-                self._control.record_queue(len(self._queue))
+                self._control.record_queue(self._shares.short_waiting)
         if refusal is not None:
             return verdicts.Refused(refusal)
         return verdicts.Admitted(clock.get_now_ms() - now_ms)
@@ -253,19 +263,19 @@
             refusals.QueueTimeout(waited_ms, self._settings.retry_after_ms)
         )
 
-    def _close_window(self, now_ms: float) -> None:
+    def _close_window(self, kind: shares.Kind, now_ms: float) -> None:
         if not self._control.is_window_over(now_ms):
             return
-        if self._control.close_window(now_ms, len(self._queue)):
-            for waiting in self._queue.pop_below(self._control.rank):
-                waiting.decided.set_result(self._make_overloaded())
+        waiting = self._shares.short_waiting - (not kind.is_long)
+        if self._control.close_window(now_ms, waiting):
+            for dropped in self._queue.pop_below(self._control.rank):
+                dropped.decided.set_result(self._make_overloaded())
 
     def _take(self, kind: shares.Kind) -> None:
         self._shares.take(kind)
         self._idle.clear()
         if not kind.is_long:
             self._control.record_grant()
-        self._limit.record_in_progress(self.in_progress)
 
     def _release(self, kind: shares.Kind) -> None:
         self._shares.release(kind)
@@ -280,7 +290,7 @@
                 break
             self._take(waiting.kind)
             waiting.decided.set_result(None)
-        self._control.record_queue(len(self._queue))
+        self._control.record_queue(self._shares.short_waiting)
 
 
 def _holds_slot(waiting: waiting_queue.Waiting) -> bool:
--- a/kumquatridge/admission/level_control.py
+++ b/kumquatridge/admission/level_control.py
@@ -2,8 +2,10 @@
 
 A queue that never ran empty during a window (a standing queue, as in CoDel)
 means overload: the level goes straight to the rank at which the demand of
-the last windows equals what was granted. Without one the level opens in
-growing steps, so that nothing is refused long after the trigger has passed.
+the last windows equals what was granted. It enters the most important calls
+only after several windows in which nothing else was admitted. Without a
+standing queue the level opens in growing steps, so that nothing is refused
+long after the trigger has passed.
 
 Sources: H. Zhou et al., "Overload Control for Scaling WeChat Microservices",
 SoCC 2018; K. Nichols and V. Jacobson, "Controlling Queue Delay", ACM Queue
@@ -17,6 +19,7 @@
 MIN_ARRIVALS = 16
 HEADROOM_RATIO = 1.1
 MEMORY_RATIO = 0.6
+CRITICAL_WINDOWS = 5
 FIRST_STEP_RANKS = 8
 STEP_GROWTH_RATIO = 2
 
@@ -30,6 +33,7 @@
         self._granted = 0.0
         self._step_ranks = FIRST_STEP_RANKS
         self._is_overloaded = False
+        self._critical_windows = 0
         self._started_ms = 0.0
         self._arrivals = 0
         self._least_queued: int | None = None
@@ -44,6 +48,15 @@
         """Tells whether the last window had a standing queue."""
         return self._is_overloaded
 
+    def get_order(self, rank: int) -> int:
+        """Returns a call's place in the queue; higher ones go first.
+
+        Only in the group that is admitted in part does the hash decide;
+        elsewhere calls of a group are served as they come.
+        """
+        top = levels.get_top_of_group(rank)
+        return rank if levels.get_top_of_group(self._rank) == top else top
+
     def record_arrival(self, rank: int) -> None:
         """Takes note of a call, whether it is admitted or not."""
         self._demand[rank] += 1.0
@@ -54,7 +67,7 @@
         self._granted += 1.0
 
     def record_queue(self, queued: int) -> None:
-        """Takes note of the length of the queue whenever it changes."""
+        """Takes note of how many short calls wait, when that changes."""
         if self._least_queued is None or queued < self._least_queued:
             self._least_queued = queued
 
@@ -76,7 +89,7 @@
         self._is_overloaded = least_queued > 0
         if self._is_overloaded:
             self._step_ranks = FIRST_STEP_RANKS
-            self._rank = self._find_cut()
+            self._raise()
         else:
             self._open(now_ms - self._started_ms)
         self._forget()
@@ -85,15 +98,26 @@
         self._least_queued = queued
         return self._rank > before
 
+    def _raise(self) -> None:
+        cut = self._find_cut()
+        if cut <= levels.CRITICAL_RANK:
+            self._critical_windows = 0
+        else:
+            self._critical_windows += 1
+            if self._critical_windows < CRITICAL_WINDOWS:
+                cut = levels.CRITICAL_RANK
+        self._rank = cut
+
     def _find_cut(self) -> int:
         room = self._granted * HEADROOM_RATIO + 1.0
         for rank in range(levels.RANKS - 1, levels.OPEN_RANK, -1):
             room -= self._demand[rank]
             if room < 0.0:
-                return min(rank, levels.CRITICAL_RANK)
+                return rank
         return levels.OPEN_RANK
 
     def _open(self, elapsed_ms: float) -> None:
+        self._critical_windows = 0
         windows = int(elapsed_ms / WINDOW_MS)
         while self._rank > levels.OPEN_RANK and windows > 0:
             self._rank = max(levels.OPEN_RANK, self._rank - self._step_ranks)
--- a/kumquatridge/admission/levels.py
+++ b/kumquatridge/admission/levels.py
@@ -36,6 +36,11 @@
     return group * BUCKETS + BUCKETS - 1 - get_bucket(chain.root_id)
 
 
+def get_top_of_group(rank: int) -> int:
+    """Returns the highest rank of the same importance and nesting."""
+    return rank - rank % BUCKETS + BUCKETS - 1
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdmissionLevel:
     """The least call that is admitted.
--- a/kumquatridge/admission/limits.py
+++ b/kumquatridge/admission/limits.py
@@ -4,9 +4,9 @@
 routes' baselines, the limit is lowered by a probe and stays lowered only if
 the worker finishes as many calls as before: then the calls only stood in
 each other's way. Otherwise the slowness lies elsewhere, in a slow neighbour
-or upstream, and a lower limit would only waste slots. Overload answers of
-the worker itself lower the limit at once. In calm the limit grows back by a
-ratio for each window.
+or upstream; a lower limit would only waste slots, so it goes up instead.
+Overload answers of the worker itself lower the limit at once. In calm the
+limit grows back by a ratio for each window.
 
 Sources: N. Cardwell et al., "BBR: Congestion-Based Congestion Control", ACM
 Queue 2016 (throughput and latency as two signals); D. Chiu and R. Jain,
@@ -17,15 +17,16 @@
 import dataclasses
 
 WINDOW_MS = 100.0
-MIN_SAMPLES = 30
-MAX_WINDOW_MS = 1000.0
+PHASE_SAMPLES = 400
+PHASE_MS = 2000.0
+SETTLING_RATIO = 2.0
 INFLATED_RATIO = 2.0
-DECREASE_RATIO = 0.75
-KEPT_THROUGHPUT_RATIO = 0.9
+DECREASE_RATIO = 0.7
+KEPT_THROUGHPUT_RATIO = 0.87
+LATENCY_WEIGHT_RATIO = 0.05
 GROWTH_RATIO = 1.25
-OVERLOAD_ANSWERS_RATIO = 0.02
-HOLD_MS = 1000.0
-MAX_HOLD_MS = 8000.0
+HOLD_MS = 8000.0
+MAX_HOLD_MS = 32_000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,10 +34,18 @@
     """The limit grows while answers are quick."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Measuring:
+    """Answers are slow; throughput is measured from `since_ms` on."""
+
+    since_ms: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Probing:
-    """The limit was lowered to see whether throughput stays the same."""
+    """The limit was lowered from `limit` to see what that costs."""
 
+    since_ms: float
     throughput_per_s: float
     limit: float
 
@@ -48,15 +57,22 @@
     until_ms: float
 
 
-Phase = Steady | Probing | Holding
+Phase = Steady | Measuring | Probing | Holding
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Window:
-    throughput_per_s: float
+class Answer:
+    """An answer of the worker, as the limit sees it.
+
+    `latency_ratio` is the recent time against the route's baseline;
+    `is_saturated` tells whether all slots within the limit were in use, and
+    `is_overload` that the worker refused the call itself.
+    """
+
+    latency_ms: float
     latency_ratio: float
-    overload_ratio: float
     is_saturated: bool
+    is_overload: bool = False
 
 
 class ConcurrencyLimit:
@@ -67,11 +83,9 @@
         self._limit = float(slots)
         self._phase: Phase = Steady()
         self._hold_ms = HOLD_MS
-        self._started_ms = 0.0
-        self._samples = 0
-        self._ratio_sum = 0.0
-        self._overloads = 0
-        self._peak = 0
+        self._counted = 0
+        self._latency_ms = 0.0
+        self._changed_ms = 0.0
 
     @property
     def slots(self) -> int:
@@ -95,81 +109,82 @@
         self._set_limit(float(slots) if is_at_ceiling else self._limit)
         self._phase = Steady()
 
-    def record_in_progress(self, in_progress: int) -> None:
-        """Takes note of how many calls hold a slot after a grant."""
-        self._peak = max(self._peak, in_progress)
-
-    def record(
-        self, latency_ratio: float, is_overload: bool, now_ms: float
-    ) -> None:
-        """Takes an answer: its time against the baseline, and its kind."""
-        self._samples += 1
-        self._ratio_sum += min(latency_ratio, MAX_WINDOW_MS)
-        self._overloads += is_overload
-        elapsed_ms = now_ms - self._started_ms
-        if elapsed_ms < WINDOW_MS:
-            return
-        if self._samples >= MIN_SAMPLES or elapsed_ms >= MAX_WINDOW_MS:
-            self._adjust(self._close_window(elapsed_ms), now_ms)
-            self._start_window(now_ms)
-
-    def _start_window(self, now_ms: float) -> None:
-        self._started_ms = now_ms
-        self._samples = 0
-        self._ratio_sum = 0.0
-        self._overloads = 0
-        self._peak = 0
-
-    def _close_window(self, elapsed_ms: float) -> _Window:
-        return _Window(
-            self._samples * 1000.0 / elapsed_ms,
-            self._ratio_sum / self._samples,
-            self._overloads / self._samples,
-            self._peak >= self.limit,
-        )
-
-    def _adjust(self, window: _Window, now_ms: float) -> None:
-        if window.overload_ratio > OVERLOAD_ANSWERS_RATIO:
-            self._set_limit(self._limit * DECREASE_RATIO)
-            self._phase = Steady()
+    def record(self, answer: Answer, now_ms: float) -> None:
+        """Takes an answer and moves the limit when it is time to."""
+        is_due = now_ms - self._changed_ms >= WINDOW_MS
+        if answer.is_overload:
+            if is_due:
+                self._decrease(now_ms)
             return
+        self._counted += 1
+        change_ms = answer.latency_ms - self._latency_ms
+        self._latency_ms += change_ms * LATENCY_WEIGHT_RATIO
         match self._phase:
             case Steady():
-                self._adjust_steady(window)
-            case Probing(throughput_per_s, limit):
-                self._judge_probe(window, throughput_per_s, limit, now_ms)
+                if is_due:
+                    self._adjust(answer, now_ms)
+            case Measuring(since_ms):
+                self._measure(answer, since_ms, now_ms)
+            case Probing() as probing:
+                self._probe(answer, probing, now_ms)
             case Holding(until_ms) if now_ms >= until_ms:
                 self._phase = Steady()
-            case Holding() if not _is_inflated(window):
-                self._hold_ms = HOLD_MS
-                self._phase = Steady()
+            case Holding():
+                pass
+
+    def _decrease(self, now_ms: float) -> None:
+        self._set_limit(self._limit * DECREASE_RATIO)
+        self._phase = Steady()
+        self._changed_ms = now_ms
 
-    def _adjust_steady(self, window: _Window) -> None:
-        if not _is_inflated(window):
+    def _adjust(self, answer: Answer, now_ms: float) -> None:
+        self._changed_ms = now_ms
+        if answer.latency_ratio <= INFLATED_RATIO:
+            self._hold_ms = HOLD_MS
             self._set_limit(self._limit * GROWTH_RATIO + 1.0)
-        elif window.is_saturated and self._limit > 1.0:
-            self._phase = Probing(window.throughput_per_s, self._limit)
+        elif answer.is_saturated and self._limit > 1.0:
+            self._counted = 0
+            self._phase = Measuring(now_ms)
+
+    def _measure(self, answer: Answer, since_ms: float, now_ms: float) -> None:
+        if answer.latency_ratio <= INFLATED_RATIO or not answer.is_saturated:
+            self._phase = Steady()
+        elif self._is_phase_over(since_ms, now_ms):
+            throughput_per_s = self._get_throughput_per_s(since_ms, now_ms)
+            settling_ms = self._latency_ms * SETTLING_RATIO
+            self._phase = Probing(
+                now_ms + settling_ms, throughput_per_s, self._limit
+            )
             self._set_limit(self._limit * DECREASE_RATIO)
 
-    def _judge_probe(
-        self,
-        window: _Window,
-        throughput_per_s: float,
-        limit: float,
-        now_ms: float,
-    ) -> None:
-        kept_per_s = throughput_per_s * KEPT_THROUGHPUT_RATIO
-        if window.throughput_per_s >= kept_per_s or not window.is_saturated:
-            self._hold_ms = HOLD_MS
+    def _probe(self, answer: Answer, probing: Probing, now_ms: float) -> None:
+        if not answer.is_saturated:
+            self._set_limit(probing.limit)
+            self._phase = Steady()
+            return
+        if now_ms < probing.since_ms:
+            self._counted = 0
+            return
+        if not self._is_phase_over(probing.since_ms, now_ms):
+            return
+        throughput_per_s = self._get_throughput_per_s(probing.since_ms, now_ms)
+        kept_per_s = probing.throughput_per_s * KEPT_THROUGHPUT_RATIO
+        self._changed_ms = now_ms
+        if throughput_per_s >= kept_per_s:
             self._phase = Steady()
             return
-        self._set_limit(limit)
+        self._set_limit(probing.limit / DECREASE_RATIO)
         self._phase = Holding(now_ms + self._hold_ms)
         self._hold_ms = min(self._hold_ms * 2, MAX_HOLD_MS)
 
-    def _set_limit(self, limit: float) -> None:
-        self._limit = min(float(self._slots), max(1.0, limit))
+    def _is_phase_over(self, since_ms: float, now_ms: float) -> bool:
+        elapsed_ms = now_ms - since_ms
+        if elapsed_ms >= PHASE_MS:
+            return True
+        return self._counted >= PHASE_SAMPLES and elapsed_ms >= WINDOW_MS
 
+    def _get_throughput_per_s(self, since_ms: float, now_ms: float) -> float:
+        return self._counted * 1000.0 / (now_ms - since_ms)
 
-def _is_inflated(window: _Window) -> bool:
-    return window.latency_ratio > INFLATED_RATIO
+    def _set_limit(self, limit: float) -> None:
+        self._limit = min(float(self._slots), max(1.0, limit))
--- a/kumquatridge/admission/peaks.py
+++ b/kumquatridge/admission/peaks.py
@@ -2,11 +2,14 @@
 
 
 class RecentPeak:
-    """The peak over the present window and the one before."""
+    """The peak over the present window and the one before.
 
-    def __init__(self) -> None:
+    `first` stands for the time before the first window.
+    """
+
+    def __init__(self, first: int = 0) -> None:
         self._present = 0
-        self._previous = 0
+        self._previous = first
 
     @property
     def value(self) -> int:
--- a/kumquatridge/admission/queue.py
+++ b/kumquatridge/admission/queue.py
@@ -1,4 +1,4 @@
-"""The calls that wait for a slot, in the order of their ranks."""
+"""The calls that wait for a slot, the more important first."""
 
 import asyncio
 from collections.abc import Callable, Iterator
@@ -13,9 +13,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class Waiting:
-    """A call that waits; its future yields a refusal, or None for a slot."""
+    """A call that waits; its future yields a refusal, or None for a slot.
+
+    Of two calls the one of the higher `order` is served first.
+    """
 
     rank: int
+    order: int
     kind: shares.Kind
     decided: asyncio.Future[refusals.Refusal | None]
 
@@ -44,7 +48,7 @@
         """Adds a call."""
         self._sequence += 1
         heap = self._heaps.setdefault(waiting.kind, [])
-        heapq.heappush(heap, (-waiting.rank, self._sequence, waiting))
+        heapq.heappush(heap, (-waiting.order, self._sequence, waiting))
         self._live += 1
 
     def discard(self) -> None:
@@ -57,7 +61,7 @@
     def pop_best(
         self, can_take: Callable[[shares.Kind], bool]
     ) -> Waiting | None:
-        """Removes the call of the highest rank that may take a slot."""
+        """Removes the call of the highest order that may take a slot."""
         best: list[_Entry] | None = None
         for kind, heap in list(self._heaps.items()):
             self._drop_dead_top(heap)
--- a/kumquatridge/admission/service_times.py
+++ b/kumquatridge/admission/service_times.py
@@ -2,11 +2,12 @@
 
 from kumquatridge.settings import policy as settings_policy
 
-MEAN_WEIGHT_RATIO = 0.1
-BASELINE_FALL_RATIO = 0.1
-BASELINE_RISE_RATIO = 0.002
+MEAN_WEIGHT_RATIO = 0.05
+BASELINE_FALL_RATIO = 0.02
+BASELINE_RISE_MS = 30_000.0
 MEDIAN_STEP_RATIO = 0.05
 MIN_SAMPLES = 20
+BASELINE_SAMPLES = 100
 LONG_FACTOR_RATIO = 10.0
 
 
@@ -15,6 +16,7 @@
         self.mean_ms = latency_ms
         self.baseline_ms = latency_ms
         self.samples = 1
+        self.moved_ms = 0.0
         self.is_long = is_long
 
 
@@ -48,12 +50,19 @@
         times = self._routes.get(policy.route)
         if times is None or times.samples < MIN_SAMPLES:
             return policy.long_running
+        factor_ratio = LONG_FACTOR_RATIO
+        if times.is_long:
+            factor_ratio /= 2
+        times.is_long = times.mean_ms > factor_ratio * self._median_ms
         return times.is_long
 
     def record(
-        self, policy: settings_policy.RoutePolicy, latency_ms: float
+        self,
+        policy: settings_policy.RoutePolicy,
+        latency_ms: float,
+        now_ms: float,
     ) -> float:
-        """Takes a time; returns its ratio to the route's baseline."""
+        """Takes a time; returns the recent mean against the baseline."""
         self._move_median(latency_ms)
         times = self._routes.get(policy.route)
         if times is None:
@@ -63,15 +72,20 @@
         times.samples += 1
         weight_ratio = max(MEAN_WEIGHT_RATIO, 1.0 / times.samples)
         times.mean_ms += (latency_ms - times.mean_ms) * weight_ratio
-        self._move_baseline(times, latency_ms)
-        self._judge(times)
-        if times.baseline_ms <= 0.0:
+        self._move_baseline(times, now_ms)
+        if times.baseline_ms <= 0.0 or times.samples < MIN_SAMPLES:
             return 1.0
-        return latency_ms / times.baseline_ms
+        return times.mean_ms / times.baseline_ms
 
-    def _move_baseline(self, times: _RouteTimes, latency_ms: float) -> None:
-        change_ms = latency_ms - times.baseline_ms
-        ratio = BASELINE_FALL_RATIO if change_ms < 0 else BASELINE_RISE_RATIO
+    def _move_baseline(self, times: _RouteTimes, now_ms: float) -> None:
+        elapsed_ms = now_ms - times.moved_ms
+        times.moved_ms = now_ms
+        if times.samples <= BASELINE_SAMPLES:
+            times.baseline_ms = times.mean_ms
+            return
+        change_ms = times.mean_ms - times.baseline_ms
+        rise_ratio = min(1.0, elapsed_ms / BASELINE_RISE_MS)
+        ratio = BASELINE_FALL_RATIO if change_ms < 0 else rise_ratio
         times.baseline_ms += change_ms * ratio
 
     def _move_median(self, latency_ms: float) -> None:
@@ -81,9 +95,3 @@
             self._median_ms *= 1.0 + MEDIAN_STEP_RATIO
         else:
             self._median_ms *= 1.0 - MEDIAN_STEP_RATIO
-
-    def _judge(self, times: _RouteTimes) -> None:
-        factor_ratio = LONG_FACTOR_RATIO
-        if times.is_long:
-            factor_ratio /= 2
-        times.is_long = times.mean_ms > factor_ratio * self._median_ms
--- a/kumquatridge/admission/shares.py
+++ b/kumquatridge/admission/shares.py
@@ -7,10 +7,12 @@
 reservation does in telephone networks).
 
 Long calls leave slots to short ones of the same or a higher importance, as
-many as these needed at their recent peak.
+many as these needed at their recent peak; until that was seen, long calls
+have only their least share.
 """
 
 import dataclasses
+import sys
 
 from kumquatridge.admission import peaks
 from kumquatridge.admission import settings as admission_settings
@@ -43,7 +45,7 @@
         self._deep_peak = peaks.RecentPeak()
         importances = call_importance.Importance
         self._short = [0 for _ in importances]
-        self._short_peaks = [peaks.RecentPeak() for _ in importances]
+        self._short_peaks = [peaks.RecentPeak(sys.maxsize) for _ in importances]
         self._window_started_ms = 0.0
 
     @property
@@ -56,6 +58,11 @@
         """Long calls that hold a slot."""
         return self._long_in_progress
 
+    @property
+    def short_waiting(self) -> int:
+        """Short calls that want a slot and hold none."""
+        return self._short[0] - (self._in_progress - self._long_in_progress)
+
     @property
     def limit(self) -> int:
         """Calls that may hold a slot at once."""
--- /dev/null
+++ b/tests/admission/test_guard.py
@@ -0,0 +1,232 @@
+"""Admission at one worker: order, queue, and what it does to calls."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+
+import pytest
+
+from kumquatridge.admission import guard as admission_guard
+from kumquatridge.admission import verdicts
+from kumquatridge.calls import body as call_body
+from kumquatridge.calls import call as calls
+from kumquatridge.calls import importance as call_importance
+from kumquatridge.calls import outcomes
+from kumquatridge.calls import refusals
+from tests import calls_factory
+
+IMPORTANCE = call_importance.Importance
+
+
+async def hold(
+    guard: admission_guard.AdmissionGuard,
+    call: calls.Call,
+    served: list[str],
+    for_ms: float = 10.0,
+) -> verdicts.Verdict:
+    async with guard.admit(call) as verdict:
+        match verdict:
+            case verdicts.Admitted():
+                served.append(call.chain.root_id)
+                await asyncio.sleep(for_ms / 1000.0)
+            case verdicts.Refused():
+                pass
+        return verdict
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(
+    ("waiting", "expected"),
+    [
+        pytest.param(
+            [("first", IMPORTANCE.NORMAL, 0), ("second", IMPORTANCE.NORMAL, 0)],
+            ["first", "second"],
+            id="as they came",
+        ),
+        pytest.param(
+            [
+                ("browsing", IMPORTANCE.SHEDDABLE, 0),
+                ("booking", IMPORTANCE.CRITICAL, 0),
+            ],
+            ["booking", "browsing"],
+            id="the more important first",
+        ),
+        pytest.param(
+            [("root", IMPORTANCE.NORMAL, 0), ("nested", IMPORTANCE.NORMAL, 2)],
+            ["nested", "root"],
+            id="the deeper first",
+        ),
+    ],
+)
+async def test_order_of_service(
+    waiting: list[tuple[str, call_importance.Importance, int]],
+    expected: list[str],
+) -> None:
+    guard = admission_guard.AdmissionGuard(slots=1)
+    served: list[str] = []
+    async with asyncio.TaskGroup() as group:
+        group.create_task(hold(guard, calls_factory.make_call(), served))
+        await asyncio.sleep(0)
+        for root_id, importance, depth in waiting:
+            call = calls_factory.make_call(
+                importance=importance, root_id=root_id, depth=depth
+            )
+            group.create_task(hold(guard, call, served))
+    assert served[1:] == expected
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RefusalCase:
+    """A call that meets a worker whose only slot is held for a second."""
+
+    remaining_ms: float
+    queue_wait_ms: int
+    refusal: type[refusals.Refusal]
+    after_ms: float
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(
+    "case",
+    [
+        pytest.param(
+            RefusalCase(5000.0, 200, refusals.QueueTimeout, 200.0),
+            id="queue is bounded by time",
+        ),
+        pytest.param(
+            RefusalCase(100.0, 200, refusals.DeadlineExceeded, 50.0),
+            id="dropped when the rest is too short for the worker",
+        ),
+        pytest.param(
+            RefusalCase(40.0, 200, refusals.DeadlineExceeded, 0.0),
+            id="hopeless from the start",
+        ),
+    ],
+)
+async def test_refusals_of_the_queue(case: RefusalCase) -> None:
+    guard = admission_guard.AdmissionGuard(slots=1)
+    policy = dataclasses.replace(
+        calls_factory.POLICY, queue_wait_ms=case.queue_wait_ms
+    )
+    learn(guard, calls_factory.make_call(policy=policy), 50.0)
+    loop = asyncio.get_running_loop()
+    async with asyncio.TaskGroup() as group:
+        first = calls_factory.make_call(policy=policy)
+        group.create_task(hold(guard, first, [], for_ms=1000.0))
+        await asyncio.sleep(0)
+        started_s = loop.time()
+        call = calls_factory.make_call(
+            policy=policy, remaining_ms=case.remaining_ms
+        )
+        verdict = await hold(guard, call, [])
+        waited_ms = (loop.time() - started_s) * 1000.0
+    match verdict:
+        case verdicts.Refused(refusal):
+            assert type(refusal) is case.refusal
+        case verdicts.Admitted():
+            pytest.fail("admitted")
+    assert waited_ms == pytest.approx(case.after_ms, abs=2.0)
+
+
+def learn(
+    guard: admission_guard.AdmissionGuard,
+    call: calls.Call,
+    latency_ms: float,
+    status: int = 200,
+) -> None:
+    for _ in range(50):
+        answer = outcomes.Completed(status, (), call_body.EMPTY)
+        guard.record_answer(call, latency_ms, answer)
+
+
+@pytest.mark.looptime
+async def test_cancelled_waiters_leave_at_once() -> None:
+    guard = admission_guard.AdmissionGuard(slots=1)
+    async with asyncio.TaskGroup() as group:
+        group.create_task(hold(guard, calls_factory.make_call(), []))
+        await asyncio.sleep(0)
+        waiting = [
+            group.create_task(hold(guard, calls_factory.make_call(), []))
+            for _ in range(1000)
+        ]
+        await asyncio.sleep(0)
+        assert guard.queued == 1000
+        for task in waiting[1:]:
+            task.cancel()
+        await asyncio.sleep(0)
+        assert guard.queued == 1
+    assert guard.in_progress == guard.queued == 0
+    await guard.wait_until_idle()
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("cancelled_first", [True, False])
+async def test_slot_is_not_lost_when_grant_and_cancel_meet(
+    cancelled_first: bool,
+) -> None:
+    guard = admission_guard.AdmissionGuard(slots=1)
+    async with guard.admit(calls_factory.make_call()):
+        task = asyncio.create_task(hold(guard, calls_factory.make_call(), []))
+        await asyncio.sleep(0)
+        if cancelled_first:
+            task.cancel()
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    assert guard.in_progress == guard.queued == 0
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("status", [429, 503])
+async def test_overload_answers_lower_the_limit_and_calm_restores_it(
+    status: int,
+) -> None:
+    guard = admission_guard.AdmissionGuard(slots=100)
+    call = calls_factory.make_call()
+    await asyncio.sleep(1.0)
+    learn(guard, call, 10.0)
+    for _ in range(20):
+        await asyncio.sleep(0.1)
+        learn(guard, call, 1.0, status)
+    assert 1 <= guard.limit < 10
+    for _ in range(20):
+        await asyncio.sleep(0.1)
+        learn(guard, call, 10.0)
+    assert guard.limit == 100
+
+
+def as_declared(policy_long: bool) -> calls.Call:
+    policy = dataclasses.replace(
+        calls_factory.LONG_POLICY, long_running=policy_long
+    )
+    return calls_factory.make_call(policy=policy)
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(
+    ("declared", "measured_ms", "held"),
+    [
+        pytest.param(True, None, 5, id="declared long, not measured"),
+        pytest.param(True, 10.0, 20, id="declared long, measured short"),
+        pytest.param(False, 500.0, 5, id="declared short, measured long"),
+    ],
+)
+async def test_long_calls_leave_slots_to_short_ones(
+    declared: bool, measured_ms: float | None, held: int
+) -> None:
+    guard = admission_guard.AdmissionGuard(slots=20)
+    learn(guard, calls_factory.make_call(), 10.0)
+    if measured_ms is not None:
+        learn(guard, as_declared(declared), measured_ms)
+        learn(guard, calls_factory.make_call(), 10.0)
+    make: Callable[[], calls.Call] = lambda: as_declared(declared)  # noqa: E731
+    tasks = [asyncio.create_task(hold(guard, make(), [])) for _ in range(30)]
+    await asyncio.sleep(0)
+    assert guard.in_progress == held
+    await asyncio.gather(*tasks)
+
+
+async def test_draining_refuses() -> None:
+    guard = admission_guard.AdmissionGuard(slots=1)
+    guard.drain()
+    verdict = await hold(guard, calls_factory.make_call(), [])
+    assert verdict == verdicts.Refused(refusals.Draining("planning"))
--- /dev/null
+++ b/tests/admission/test_levels.py
@@ -0,0 +1,61 @@
+"""Ranks of calls and levels."""
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from kumquatridge.admission import levels
+from kumquatridge.calls import importance as call_importance
+from kumquatridge.calls import reports
+from tests import calls_factory
+
+NORMAL = call_importance.Importance.NORMAL
+CRITICAL = call_importance.Importance.CRITICAL
+
+
+@pytest.mark.parametrize(
+    ("lower", "higher"),
+    [
+        pytest.param((NORMAL, 3), (CRITICAL, 0), id="importance first"),
+        pytest.param((NORMAL, 0), (NORMAL, 1), id="nested before root"),
+    ],
+)
+async def test_order(
+    lower: tuple[call_importance.Importance, int],
+    higher: tuple[call_importance.Importance, int],
+) -> None:
+    ranks = [
+        [
+            levels.get_rank(
+                calls_factory.make_call(
+                    importance=importance, depth=depth, root_id=f"{root}"
+                ).chain
+            )
+            for root in range(200)
+        ]
+        for importance, depth in (lower, higher)
+    ]
+    assert max(ranks[0]) < min(ranks[1])
+
+
+@pytest.mark.parametrize("depth", [1, 2, 14])
+async def test_roots_keep_their_order_at_every_hop(depth: int) -> None:
+    def sort_roots(at_depth: int) -> list[str]:
+        calls = [
+            calls_factory.make_call(root_id=f"{root}", depth=at_depth)
+            for root in range(300)
+        ]
+        calls.sort(key=lambda call: levels.get_rank(call.chain))
+        return [call.chain.root_id for call in calls]
+
+    assert sort_roots(depth) == sort_roots(1)
+    assert sort_roots(depth) == sort_roots(0)
+
+
+@hypothesis.given(strategies.integers(0, levels.RANKS - 1))
+def test_report_names_the_same_rank(rank: int) -> None:
+    level = levels.AdmissionLevel.from_rank(rank)
+    report = reports.InstanceReport(
+        level.importance, level.nested, level.threshold, 0, 1, 0.0
+    )
+    assert levels.get_report_rank(report) == rank
--- /dev/null
+++ b/tests/admission/test_overload.py
@@ -0,0 +1,196 @@
+"""Admission under load: goodput, recovery, long work, slow workers."""
+
+import dataclasses
+import random
+
+import pytest
+
+from kumquatridge.admission import guard as admission_guard
+from kumquatridge.calls import call as calls
+from kumquatridge.calls import importance as call_importance
+from kumquatridge.calls import refusals
+from tests import calls_factory
+from tests.admission import load
+
+IMPORTANCE = call_importance.Importance
+SERVICE_MS = 20.0
+SLOTS = 20
+CAPACITY_PER_S = SLOTS * 1000.0 / SERVICE_MS
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Mix:
+    """Which calls arrive: the part that is CRITICAL, and long ones."""
+
+    critical_ratio: float = 0.1
+    long_ratio: float = 0.0
+    depth: int = 0
+
+
+def make_maker(mix: Mix, rng: random.Random) -> load.MakeCall:
+    others = (IMPORTANCE.NORMAL, IMPORTANCE.SHEDDABLE)
+
+    def make() -> calls.Call:
+        is_critical = rng.random() < mix.critical_ratio
+        is_long = rng.random() < mix.long_ratio
+        return calls_factory.make_call(
+            importance=IMPORTANCE.CRITICAL
+            if is_critical
+            else rng.choice(others),
+            root_id=str(rng.random()),
+            depth=mix.depth,
+            policy=calls_factory.LONG_POLICY
+            if is_long
+            else calls_factory.POLICY,
+        )
+
+    return make
+
+
+def count_done(results: list[load.Result], from_s: float, to_s: float) -> int:
+    return sum(
+        one.refusal is None and from_s * 1000 <= one.ended_ms < to_s * 1000
+        for one in results
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OverloadCase:
+    """Demand as a multiple of the capacity, for four seconds."""
+
+    demand_ratio: float
+    mix: Mix
+    critical_served_ratio: float
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(
+    "case",
+    [
+        pytest.param(OverloadCase(2.0, Mix(0.1), 0.999), id="twice"),
+        pytest.param(OverloadCase(4.0, Mix(0.1), 0.999), id="four times"),
+        pytest.param(OverloadCase(2.0, Mix(0.1, depth=3), 0.999), id="nested"),
+        pytest.param(OverloadCase(2.0, Mix(0.4), 0.999), id="critical fit"),
+        pytest.param(OverloadCase(2.0, Mix(1.0), 0.45), id="only critical"),
+    ],
+)
+async def test_overload_and_recovery(case: OverloadCase) -> None:
+    rng = random.Random(1)
+    guard = admission_guard.AdmissionGuard(SLOTS)
+    worker = load.GuardedWorker(
+        guard, lambda _, __: rng.expovariate(1.0 / SERVICE_MS)
+    )
+    phases = [
+        load.Phase(CAPACITY_PER_S * 0.7, 1.0),
+        load.Phase(CAPACITY_PER_S * case.demand_ratio, 4.0),
+        load.Phase(CAPACITY_PER_S * 0.7, 2.0),
+    ]
+    results = await load.send(worker, phases, make_maker(case.mix, rng), rng)
+    goodput_ratio = count_done(results, 1.5, 5.0) / 3.5 / CAPACITY_PER_S
+    critical = [
+        one
+        for one in results
+        if one.call.chain.importance is IMPORTANCE.CRITICAL
+    ]
+    served = sum(one.refusal is None for one in critical)
+    refused_late = [
+        one for one in results if one.refusal and one.started_ms > 6000.0
+    ]
+    assert goodput_ratio >= 0.9
+    assert served >= case.critical_served_ratio * len(critical)
+    assert refused_late == []
+
+
+@pytest.mark.looptime
+async def test_goodput_at_the_crests_of_a_swing() -> None:
+    rng = random.Random(1)
+    guard = admission_guard.AdmissionGuard(SLOTS)
+    worker = load.GuardedWorker(
+        guard, lambda _, __: rng.expovariate(1.0 / SERVICE_MS)
+    )
+    phases = [
+        load.Phase(CAPACITY_PER_S * ratio, 0.25)
+        for _ in range(8)
+        for ratio in (2.0, 0.5)
+    ]
+    results = await load.send(worker, phases, make_maker(Mix(), rng), rng)
+    for crest in range(8):
+        from_s = crest * 0.5 + 0.05
+        done = count_done(results, from_s, from_s + 0.2)
+        assert done >= 0.9 * CAPACITY_PER_S * 0.2 - 2 * (done**0.5)
+
+
+@pytest.mark.looptime
+async def test_two_hops_refuse_the_same_roots() -> None:
+    rng = random.Random(1)
+    workers = [
+        load.GuardedWorker(
+            admission_guard.AdmissionGuard(SLOTS),
+            lambda _, __: rng.expovariate(1.0 / SERVICE_MS),
+        )
+        for _ in range(2)
+    ]
+    phases = [load.Phase(CAPACITY_PER_S * 2.0, 4.0)]
+    admitted: list[set[str]] = []
+    for depth, worker in enumerate(workers):
+        maker = make_maker(Mix(depth=depth), random.Random(7))
+        results = await load.send(worker, phases, maker, random.Random(7))
+        admitted.append(
+            {one.call.chain.root_id for one in results if not one.refusal}
+        )
+    both = admitted[0] & admitted[1]
+    assert len(both) >= 0.9 * len(admitted[0])
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("short_ratio", [0.2, 0.6])
+async def test_short_calls_are_not_behind_long_ones(
+    short_ratio: float,
+) -> None:
+    slots, long_factor = 35, 50
+
+    async def run(long_ratio: float) -> list[load.Result]:
+        rng = random.Random(1)
+        worker = load.GuardedWorker(
+            admission_guard.AdmissionGuard(slots),
+            lambda call, _: (
+                rng.expovariate(1.0 / SERVICE_MS)
+                * (long_factor if call.policy.long_running else 1)
+            ),
+        )
+        rate_per_s = slots * 1000.0 / SERVICE_MS * short_ratio
+        phases = [load.Phase(rate_per_s / (1.0 - long_ratio), 8.0)]
+        mix = Mix(0.0, long_ratio)
+        return await load.send(worker, phases, make_maker(mix, rng), rng)
+
+    def get_short_p99_ms(results: list[load.Result]) -> float:
+        short = [
+            one.latency_ms
+            for one in results
+            if not one.call.policy.long_running and one.refusal is None
+        ]
+        return load.get_percentile_ms(short, 99)
+
+    alone, mixed = await run(0.0), await run(0.05)
+    long = [one for one in mixed if one.call.policy.long_running]
+    refused_short = [
+        one for one in mixed if one.refusal and not one.call.policy.long_running
+    ]
+    assert get_short_p99_ms(mixed) <= 1.3 * get_short_p99_ms(alone)
+    assert refused_short == []
+    assert sum(one.refusal is None for one in long) >= 50
+
+
+@pytest.mark.looptime
+async def test_refusals_say_why() -> None:
+    rng = random.Random(1)
+    guard = admission_guard.AdmissionGuard(SLOTS)
+    worker = load.GuardedWorker(guard, lambda _, __: SERVICE_MS)
+    phases = [load.Phase(CAPACITY_PER_S * 3.0, 1.0)]
+    results = await load.send(worker, phases, make_maker(Mix(), rng), rng)
+    levels = {
+        (one.refusal.level > 0, one.refusal.limit)
+        for one in results
+        if type(one.refusal) is refusals.Overloaded
+    }
+    assert levels == {(True, SLOTS)}
--- /dev/null
+++ b/tests/calls_factory.py
@@ -0,0 +1,56 @@
+"""Makes calls for tests of decisions."""
+
+import dataclasses
+
+from kumquatridge import clock
+from kumquatridge.calls import body as call_body
+from kumquatridge.calls import call as calls
+from kumquatridge.calls import importance as call_importance
+from kumquatridge.chain import context
+from kumquatridge.settings import policy as settings_policy
+
+POLICY = settings_policy.RoutePolicy(
+    service="planning",
+    route="lookup",
+    importance=call_importance.Importance.CRITICAL,
+    idempotent=True,
+    deadline_ms=5000,
+    retry_allowance=3,
+    long_running=False,
+    max_body_bytes=1 << 20,
+    queue_wait_ms=500,
+)
+LONG_POLICY = dataclasses.replace(
+    POLICY, route="manifest", long_running=True, idempotent=False
+)
+
+
+def make_call(
+    *,
+    importance: call_importance.Importance = (
+        call_importance.Importance.NORMAL
+    ),
+    root_id: str = "root",
+    depth: int = 0,
+    policy: settings_policy.RoutePolicy = POLICY,
+    remaining_ms: float = 5000.0,
+    retries: int = 3,
+) -> calls.Call:
+    """Returns a call whose deadline is `remaining_ms` from now."""
+    return calls.Call(
+        service=policy.service,
+        method="GET",
+        path="/",
+        headers=(),
+        body=call_body.EMPTY,
+        caller="test",
+        request_key=None,
+        policy=policy,
+        chain=context.ChainContext(
+            root_id=root_id,
+            importance=importance,
+            expires_at_ms=clock.get_now_ms() + remaining_ms,
+            retries=retries,
+            depth=depth,
+        ),
+    )
--- /dev/null
+++ b/tests/routing/fleet.py
@@ -0,0 +1,177 @@
+"""Instances in memory that an outbound path sends calls to."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable, Sequence
+import contextlib
+import dataclasses
+import random
+
+from kumquatridge import clock
+from kumquatridge.admission import guard as admission_guard
+from kumquatridge.admission import verdicts
+from kumquatridge.callpath import inbound
+from kumquatridge.callpath import links
+from kumquatridge.callpath import outbound
+from kumquatridge.calls import body as call_body
+from kumquatridge.calls import call as calls
+from kumquatridge.calls import outcomes
+from kumquatridge.calls import refusals
+from kumquatridge.chain import ledger as chain_ledger
+from kumquatridge.membership import member as members
+from kumquatridge.membership import table
+from kumquatridge.routing import chooser as routing
+
+SLOTS = 35
+ServiceMs = Callable[[str], float]
+
+
+def make_member(
+    instance: str,
+    data_centre: str = "landshut",
+    state: members.State | None = None,
+    warm_up_ms: int = 0,
+) -> members.Member:
+    """Returns a member that runs the service "planning"."""
+    return members.Member(
+        instance,
+        1,
+        data_centre,
+        f"{instance}:1",
+        f"{instance}:2",
+        members.Announcement(
+            "planning", f"{instance}:3", SLOTS, SLOTS * 4, warm_up_ms
+        ),
+        state or members.Alive(),
+    )
+
+
+def make_table(found: Sequence[members.Member]) -> table.MemberTable:
+    """Returns a table whose own member runs no worker."""
+    own = dataclasses.replace(make_member("own"), announcement=None)
+    made = table.MemberTable(own)
+    for member in found:
+        made.learn(member)
+    return made
+
+
+class CountingRecorder:
+    """Counts refusals and retries by reason."""
+
+    def __init__(self) -> None:
+        self.reasons: list[str] = []
+
+    def record_refusal(
+        self, call: calls.Call, refusal: refusals.Refusal
+    ) -> None:
+        """Counts a refusal."""
+        self.reasons.append(refusal.code)
+
+    def record_retry(self, call: calls.Call, reason: str) -> None:
+        """Counts a retry."""
+        self.reasons.append(reason)
+
+
+class FleetLink(links.PeerLink):
+    """Carries calls to guarded workers in memory."""
+
+    def __init__(self, service_ms: ServiceMs) -> None:
+        self._service_ms = service_ms
+        self.guards: dict[str, admission_guard.AdmissionGuard] = {}
+        self.sent: list[str] = []
+        self.broken: set[str] = set()
+
+    @contextlib.asynccontextmanager
+    async def send(
+        self, call: calls.Call, member: members.Member
+    ) -> AsyncIterator[outcomes.Outcome]:
+        """Runs a call at an instance."""
+        self.sent.append(member.instance)
+        retries = call.chain.retries
+        if member.instance in self.broken:
+            unreachable = refusals.Unreachable(member.instance)
+            yield outcomes.NotRun(unreachable, retries)
+            return
+        guard = self.guards.setdefault(
+            member.instance, admission_guard.AdmissionGuard(SLOTS)
+        )
+        async with guard.admit(call) as verdict:
+            match verdict:
+                case verdicts.Refused(refusal):
+                    yield outcomes.NotRun(refusal, retries, guard.make_report())
+                case verdicts.Admitted():
+                    service_ms = self._service_ms(member.instance)
+                    await asyncio.sleep(service_ms / 1000.0)
+                    answer = outcomes.Completed(
+                        200, (), call_body.EMPTY, retries
+                    )
+                    guard.record_answer(call, service_ms, answer)
+                    yield dataclasses.replace(
+                        answer, report=guard.make_report()
+                    )
+
+
+class Sender:
+    """A daemon without a worker that sends calls to a fleet."""
+
+    def __init__(
+        self, members_table: table.MemberTable, link: FleetLink
+    ) -> None:
+        self.recorder = CountingRecorder()
+        self.chooser = routing.InstanceChooser(members_table, seed=1)
+        guard = admission_guard.AdmissionGuard(0)
+        own = inbound.InboundPath(
+            members_table,
+            guard,
+            chain_ledger.Ledger(),
+            _NoWorker(),
+            self.recorder,
+        )
+        self.path = outbound.OutboundPath(
+            members_table, self.chooser, own, link, self.recorder
+        )
+
+    async def send(self, call: calls.Call) -> outcomes.Outcome:
+        """Sends a call and returns its outcome."""
+        async with self.path.dispatch(call) as outcome:
+            return outcome
+
+
+class _NoWorker(links.WorkerLink):
+    def send(
+        self, call: calls.Call, address: str, token: str
+    ) -> contextlib.AbstractAsyncContextManager[outcomes.Outcome]:
+        """There is no worker."""
+        raise AssertionError("the own member announced no worker")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sent:
+    """What became of one call; times since the start of the load."""
+
+    outcome: outcomes.Outcome
+    started_ms: float
+    latency_ms: float
+
+
+async def load(
+    senders: Sequence[Sender],
+    rate_per_s: float,
+    duration_s: float,
+    make_call: Callable[[], calls.Call],
+    rng: random.Random,
+) -> list[Sent]:
+    """Sends calls at random times, each by a random sender."""
+    results: list[Sent] = []
+    begun_ms = clock.get_now_ms()
+
+    async def run_one() -> None:
+        started_ms = clock.get_now_ms()
+        outcome = await rng.choice(senders).send(make_call())
+        latency_ms = clock.get_now_ms() - started_ms
+        results.append(Sent(outcome, started_ms - begun_ms, latency_ms))
+
+    async with asyncio.TaskGroup() as group:
+        while clock.get_now_ms() - begun_ms < duration_s * 1000.0:
+            await asyncio.sleep(rng.expovariate(rate_per_s))
+            group.create_task(run_one())
+    return results
