--- a/kumquatridge/admission/limits.py
+++ b/kumquatridge/admission/limits.py
@@ -20,6 +20,7 @@
 PHASE_SAMPLES = 400
 PHASE_MS = 2000.0
 SETTLING_RATIO = 2.0
+CALM_RATIO = 1.5
 INFLATED_RATIO = 2.0
 DECREASE_RATIO = 0.7
 KEPT_THROUGHPUT_RATIO = 0.87
@@ -139,10 +140,14 @@
 
     def _adjust(self, answer: Answer, now_ms: float) -> None:
         self._changed_ms = now_ms
-        if answer.latency_ratio <= INFLATED_RATIO:
+        if answer.latency_ratio <= CALM_RATIO:
             self._hold_ms = HOLD_MS
             self._set_limit(self._limit * GROWTH_RATIO + 1.0)
-        elif answer.is_saturated and self._limit > 1.0:
+        elif (
+            answer.latency_ratio > INFLATED_RATIO
+            and answer.is_saturated
+            and self._limit > 1.0
+        ):
             self._counted = 0
             self._phase = Measuring(now_ms)
 
--- a/kumquatridge/routing/chooser.py
+++ b/kumquatridge/routing/chooser.py
@@ -30,7 +30,7 @@
 RETRY_AFTER_MS = 1000
 CANDIDATES = 2
 MAX_DRAWS = 6
-SLOW_COST_RATIO = 4.0
+SLOW_COST_RATIO = 2.5
 TRICKLE_RATIO = 1 / 16
 SPILL_RATIO = 0.25
 MAX_SPILL_CREDIT = 32.0
@@ -73,7 +73,8 @@
         if near.best is not None and near.best.get_load_ratio(now_ms) < 1.0:
             self._earn_credits()
             return choices.Chosen(near.best.member)
-        far = self._draw_far(pool, rank, tried, now_ms)
+        is_only = near.best is None and near.refusing is None
+        far = self._draw_far(pool, rank, tried, is_only, now_ms)
         if far is not None:
             return choices.Chosen(far.member)
         if near.best is not None:
@@ -172,12 +173,13 @@
         pool: pools.ServicePool,
         rank: int,
         tried: Set[str],
+        is_only: bool,
         now_ms: float,
     ) -> instances.InstanceStats | None:
         if not pool.far:
             return None
         drawn = self._draw(pool.far, rank, tried, now_ms).best
-        if drawn is None or not (pool.near or pool.ejected):
+        if drawn is None or is_only:
             return drawn
         if self._spill_credit < 1.0:
             return None
