--- a/kumquatridge/daemon/runtime.py
+++ b/kumquatridge/daemon/runtime.py
@@ -15,6 +15,7 @@
 from kumquatridge.callpath import outbound
 from kumquatridge.chain import ledger as chain_ledger
 from kumquatridge.chain import ratio as retry_ratio
+from kumquatridge.daemon import garbage
 from kumquatridge.daemon import home_parts
 from kumquatridge.daemon import settings as daemon_settings
 from kumquatridge.daemon import settings_plane
@@ -31,6 +32,7 @@
 from kumquatridge.operators import server as operators_server
 from kumquatridge.operators import worker_registry
 from kumquatridge.peers import control
+from kumquatridge.platform import contact_repository
 from kumquatridge.quarantine import register as crash_register
 from kumquatridge.routing import chooser as routing
 from kumquatridge.telemetry import decisions
@@ -118,9 +120,15 @@
         peers = await enter(
             control.ControlPlane(settings, self._members, exporter.provider)
         )
+        self._plane.spread(peers.gossip)
         await enter(self._plane)
-        self._registry = worker_registry.WorkerRegistry(
-            self._members, self._guard, self._announce_member
+        if self._plane.client is not None:
+            contacts = contact_repository.PlatformContacts(self._plane.client)
+            await enter(peers.make_bootstrap(contacts))
+        self._registry = await enter(
+            worker_registry.WorkerRegistry(
+                self._members, self._guard, self._announce_member
+            )
         )
         self._peers = peers
         peer_handler = peer_server.PeerHandler(
@@ -234,5 +242,6 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     async with Daemon(settings) as daemon:
+        garbage.exclude_startup_objects()
         await stopping.wait()
         await daemon.drain()
