--- a/tests/idempotency/test_real_daemons.py
+++ b/tests/idempotency/test_real_daemons.py
@@ -10,12 +10,14 @@
 import pytest
 
 from kumquatridge.daemon import settings as daemon_settings
+from kumquatridge.http import answers as http_answers
 from kumquatridge.http import headers
 from kumquatridge.standins import worker as worker_standin
 from tests import processes
 
 MAX_AGE_MS = 1500
 TRANSIT_MS = 200
+NEWS_S = 1.0
 RESENDS = 6
 SERVICE_MS = 200
 
@@ -101,3 +103,62 @@
         bare_key_max_age_ms=MAX_AGE_MS,
         bare_key_transit_ms=TRANSIT_MS,
     )
+
+
+BOOKINGS = 40
+
+
+@pytest.mark.parametrize(
+    "is_planned",
+    [
+        pytest.param(True, id="stopped by SIGTERM"),
+        pytest.param(False, id="killed"),
+    ],
+)
+async def test_bare_keys_after_a_restart(
+    tmp_path: pathlib.Path, is_planned: bool
+) -> None:
+    first = make_settings("ordering-1")
+    second = make_settings("ordering-2", first.control_address)
+    async with contextlib.AsyncExitStack() as stack:
+        enter = stack.enter_async_context
+        samples = []
+        for _ in range(2):
+            sample = worker_standin.WorkerSettings(processes.get_free_address())
+            await enter(worker_standin.SampleWorker(sample))
+            samples.append(sample.address)
+        await enter(processes.run_daemon(first, tmp_path))
+        async with processes.run_daemon(second, tmp_path) as process:
+            await announce_both((first, second), samples)
+            await asyncio.sleep(2 * MAX_AGE_MS / 1000.0)
+            if not is_planned:
+                process.kill()
+                await process.wait()
+        await enter(processes.run_daemon(second, tmp_path))
+        await announce_both((first, second), samples)
+        session = await enter(aiohttp.ClientSession())
+        await asyncio.sleep(NEWS_S)
+        answers = await asyncio.gather(
+            *(
+                book(session, second.caller_address, f"key-{number}", 20)
+                for number in range(BOOKINGS)
+            )
+        )
+    unknown = sum(
+        status == http_answers.STATUS_UNKNOWN for status, _ in answers
+    )
+    assert unknown == 0 if is_planned else 0 < unknown < BOOKINGS
+    assert {status for status, _ in answers} <= {
+        200,
+        http_answers.STATUS_UNKNOWN,
+    }
+
+
+async def announce_both(
+    daemons: tuple[daemon_settings.DaemonSettings, ...], samples: list[str]
+) -> None:
+    """Announces both workers and waits until all know of them."""
+    for settings, sample in zip(daemons, samples, strict=True):
+        await processes.announce(settings, "ordering", sample, 50)
+    for settings in daemons:
+        await processes.wait_for_instances(settings, "ordering", 2)
