--- a/kumquatridge/bench/product.py
+++ b/kumquatridge/bench/product.py
@@ -247,6 +247,9 @@
         handed = handover.HandedKeys(settings)
         self.homes = handover.HomeExchange(self.roster, memory, handed)
         home = keys.HomeId(self.name, str(own.incarnation))
+        memory = key_memory.KeyMemory(settings)
+        handed = handover.HandedKeys(settings)
+        self.homes = handover.HomeExchange(self.roster, memory, handed)
         return keyed.KeyedPath(
             self.members,
             self._inbound,
