--- /dev/null
+++ b/kumquatridge/benchmarks/processes.py
@@ -0,0 +1,85 @@
+"""Processes that a measurement starts on loopback and ends by id."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+import json
+import pathlib
+import sys
+
+import aiohttp
+import psutil
+
+from kumquatridge.daemon import settings as daemon_settings
+
+START_TIMEOUT_S = 20.0
+START_POLL_S = 0.05
+
+
+@contextlib.asynccontextmanager
+async def run_module(
+    module: str, *arguments: str, address: str
+) -> AsyncIterator[psutil.Process]:
+    """Runs a module of the package until the context is left."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        module,
+        *arguments,
+        stderr=asyncio.subprocess.DEVNULL,
+    )
+    try:
+        await wait_until_listening(address)
+        yield psutil.Process(process.pid)
+    finally:
+        if process.returncode is None:
+            process.terminate()
+        await process.wait()
+
+
+async def wait_until_listening(address: str) -> None:
+    """Waits until something accepts connections at an address."""
+    host, port = address.rsplit(":", 1)
+    async with asyncio.timeout(START_TIMEOUT_S):
+        while True:
+            try:
+                _, writer = await asyncio.open_connection(host, int(port))
+            except ConnectionError:
+                await asyncio.sleep(START_POLL_S)
+            else:
+                writer.close()
+                return
+
+
+@contextlib.asynccontextmanager
+async def run_daemon(
+    settings: daemon_settings.DaemonSettings, folder: pathlib.Path
+) -> AsyncIterator[psutil.Process]:
+    """Runs a daemon until the context is left."""
+    file = folder / f"{settings.instance}.jsonc"
+    file.write_text(json.dumps(dataclasses.asdict(settings)))
+    async with run_module(
+        "kumquatridge.daemon.main",
+        "--settings",
+        str(file),
+        address=settings.operator_address,
+    ) as process:
+        yield process
+
+
+async def wait_for_service(
+    settings: daemon_settings.DaemonSettings, service: str
+) -> None:
+    """Waits until a daemon knows an instance of a service."""
+    url = f"http://{settings.operator_address}/v1/status"
+    async with (
+        asyncio.timeout(START_TIMEOUT_S),
+        aiohttp.ClientSession() as session,
+    ):
+        while True:
+            async with session.get(url) as answer:
+                status = await answer.json()
+            if any(one["service"] == service for one in status["members"]):
+                return
+            await asyncio.sleep(START_POLL_S)
--- a/kumquatridge/callpath/links.py
+++ b/kumquatridge/callpath/links.py
@@ -1,5 +1,6 @@
 """What the call path needs from whatever carries calls."""
 
+from collections.abc import Set
 from contextlib import AbstractAsyncContextManager
 from typing import Protocol
 
@@ -22,6 +23,26 @@
         ...
 
 
+class Server(Protocol):
+    """Runs calls at the own worker, or refuses them."""
+
+    def serve(
+        self, call: calls.Call
+    ) -> AbstractAsyncContextManager[outcomes.Outcome]:
+        """Runs a call; the outcome's body is readable while it is open."""
+        ...
+
+
+class Dispatcher(Protocol):
+    """Sends calls to an instance of its choice."""
+
+    def dispatch(
+        self, call: calls.Call, excluded: Set[str] = frozenset()
+    ) -> AbstractAsyncContextManager[outcomes.Outcome]:
+        """Sends a call to an instance that is not in `excluded`."""
+        ...
+
+
 class PeerLink(Protocol):
     """Carries calls to the daemons of other instances."""
 
@@ -30,3 +51,9 @@
     ) -> AbstractAsyncContextManager[outcomes.Outcome]:
         """Sends a call; the outcome's body is readable while it is open."""
         ...
+
+    def send_home(
+        self, call: calls.Call, member: members.Member
+    ) -> AbstractAsyncContextManager[outcomes.Outcome]:
+        """Sends a call to the home of its request key, which may run it."""
+        ...
--- a/kumquatridge/http/peer_client.py
+++ b/kumquatridge/http/peer_client.py
@@ -2,9 +2,11 @@
 
 from collections.abc import AsyncIterator
 import contextlib
+import math
 
 import aiohttp
 
+from kumquatridge import clock
 from kumquatridge.calls import call as calls
 from kumquatridge.calls import outcomes
 from kumquatridge.encoding import chain_codec
@@ -22,16 +24,32 @@
         self._session = session
         self._peer_key = peer_key
 
-    @contextlib.asynccontextmanager
-    async def send(
+    def send(
         self, call: calls.Call, member: members.Member
-    ) -> AsyncIterator[outcomes.Outcome]:
+    ) -> contextlib.AbstractAsyncContextManager[outcomes.Outcome]:
         """Sends a call; see `callpath.links.PeerLink`."""
+        return self._send(call, member, self._make_marks(call))
+
+    def send_home(
+        self, call: calls.Call, member: members.Member
+    ) -> contextlib.AbstractAsyncContextManager[outcomes.Outcome]:
+        """Sends a call to its home; see `callpath.links.PeerLink`."""
+        marks = (*self._make_marks(call), (headers.HOME, headers.TRUE))
+        if call.key_age_ms is not None:
+            held_ms = math.ceil(clock.get_now_ms() - call.received_ms)
+            age_ms = call.key_age_ms + held_ms
+            marks = (*marks, (headers.KEY_AGE, str(age_ms)))
+        return self._send(call, member, marks)
+
+    @contextlib.asynccontextmanager
+    async def _send(
+        self, call: calls.Call, member: members.Member, marks: outcomes.Headers
+    ) -> AsyncIterator[outcomes.Outcome]:
         async with client.send(
             self._session,
             call,
             f"http://{member.call_address}/{call.service}{call.path}",
-            (*call.headers, *self._make_marks(call)),
+            (*call.headers, *marks),
             member.instance,
         ) as reply:
             match reply:
@@ -39,8 +57,8 @@
                     yield read_outcome(reply)
                 case outcomes.NotRun(refusal):
                     yield outcomes.NotRun(refusal, call.chain.retries)
-                case outcomes.Unknown():
-                    yield reply
+                case outcomes.Unknown(detail):
+                    yield outcomes.Unknown(detail)
 
     def _make_marks(self, call: calls.Call) -> outcomes.Headers:
         return (
@@ -63,6 +81,7 @@
                 answer.body,
                 unspent_retries,
                 report,
+                shed=headers.WORKER_SHED in marks,
             )
         case headers.OUTCOME_NOT_RUN:
             refusal = refusal_codec.decode_refusal(
@@ -74,7 +93,11 @@
             return outcomes.Failed(
                 marks.get(headers.DETAIL, ""), unspent_retries, report
             )
-    return outcomes.Unknown(marks.get(headers.DETAIL, "no outcome marked"))
+    return outcomes.Unknown(
+        marks.get(headers.DETAIL, "no outcome marked"),
+        unspent_retries,
+        worker_lost=headers.WORKER_LOST in marks,
+    )
 
 
 def _read_count(text: str) -> int:
--- a/kumquatridge/operators/explanations.py
+++ b/kumquatridge/operators/explanations.py
@@ -77,5 +77,16 @@
             return f"its body has {length_bytes} bytes of {limit_bytes} allowed"
         case refusals.RetriesExhausted(last_reason):
             return f"no retry is left after {last_reason}"
+        case refusals.ParentEnded():
+            return "the inbound call that it was to serve has ended"
+        case refusals.KeyReused():
+            return "its request key was used before with another request"
+        case refusals.KeyMemoryFull(retry_after_ms):
+            return (
+                "the home of its request key remembers as many keys as it "
+                f"may; retry after {retry_after_ms} ms"
+            )
+        case refusals.NotHome(home, detail):
+            return f"not the home of its request key, but {home!r}: {detail}"
         case refusals.InvalidRequest(detail):
             return detail
--- a/kumquatridge/telemetry/metrics.py
+++ b/kumquatridge/telemetry/metrics.py
@@ -5,7 +5,7 @@
 """
 
 import collections
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
 import types
 from typing import NamedTuple, Self
 
@@ -22,6 +22,7 @@
 METER_NAME = "kumquatridge"
 
 ReadGauge = Callable[[], float]
+ReadCounter = Callable[[], Mapping[str, int]]
 
 
 class RefusalKey(NamedTuple):
@@ -46,6 +47,9 @@
         self._log = log
         self.refusals: collections.Counter[RefusalKey] = collections.Counter()
         self.retries: collections.Counter[RetryKey] = collections.Counter()
+        self.retries_denied: collections.Counter[RetryKey] = (
+            collections.Counter()
+        )
         self.rejections: collections.Counter[str] = collections.Counter()
 
     def record_refusal(
@@ -61,6 +65,10 @@
         self.retries[RetryKey(reason, call.service)] += 1
         self._log.add_retry(call, reason)
 
+    def record_retry_denied(self, call: calls.Call, reason: str) -> None:
+        """Counts an attempt that would have helped but wasn't allowed."""
+        self.retries_denied[RetryKey(reason, call.service)] += 1
+
     def record_rejection(self, refusal: refusals.Refusal) -> None:
         """Counts a request that never became a call and why."""
         self.rejections[refusal.code] += 1
@@ -92,6 +100,11 @@
         """Stops exporting."""
         self._provider.shutdown()
 
+    @property
+    def provider(self) -> otel_metrics.MeterProvider:
+        """The provider, for instruments of other parts of the daemon."""
+        return self._provider
+
     def add_gauge(self, spec: gauges.GaugeSpec, read: ReadGauge) -> None:
         """Exposes the number that `read` returns at each scrape."""
 
@@ -104,6 +117,20 @@
             spec.name, callbacks=[observe], description=spec.description
         )
 
+    def add_counter(self, spec: gauges.CounterSpec, read: ReadCounter) -> None:
+        """Exposes the counts by the one label of a counter."""
+        (label,) = spec.labels
+
+        def observe(
+            options: otel_metrics.CallbackOptions,
+        ) -> Iterable[otel_metrics.Observation]:
+            for value, count in read().items():
+                yield otel_metrics.Observation(count, {label: value})
+
+        self._meter.create_observable_counter(
+            spec.name, callbacks=[observe], description=spec.description
+        )
+
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self._registry)
@@ -112,6 +139,7 @@
         observers = {
             gauges.REFUSALS: self._observe_refusals,
             gauges.RETRIES: self._observe_retries,
+            gauges.RETRIES_DENIED: self._observe_retries_denied,
             gauges.REJECTIONS: self._observe_rejections,
         }
         for spec, observe in observers.items():
@@ -131,6 +159,12 @@
         for key, count in self._recorder.retries.items():
             yield otel_metrics.Observation(count, key._asdict())
 
+    def _observe_retries_denied(
+        self, options: otel_metrics.CallbackOptions
+    ) -> Iterator[otel_metrics.Observation]:
+        for key, count in self._recorder.retries_denied.items():
+            yield otel_metrics.Observation(count, key._asdict())
+
     def _observe_rejections(
         self, options: otel_metrics.CallbackOptions
     ) -> Iterator[otel_metrics.Observation]:
--- a/tests/callpath/__init__.py
+++ b/tests/callpath/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of kumquatridge.callpath."""
+"""Tests of `kumquatridge.callpath`."""
