--- a/kumquatridge/routing/chooser.py
+++ b/kumquatridge/routing/chooser.py
@@ -126,13 +126,14 @@
             self._learn(call, pool, stats, record, now_ms)
 
     def _get_pool(self, service: str, now_ms: float) -> pools.ServicePool:
-        found = self._members.get_instances(service)
+        own = self._members.get_instances(service)
+        remote = self._members.get_remote(service)
         pool = self._pools.get(service)
         if pool is None:
             pool = pools.ServicePool(self._members.own.data_centre)
             self._pools[service] = pool
-        if pool.found is not found:
-            pool.update(found, now_ms)
+        if not pool.is_made_from(own, remote):
+            pool.update(own, remote, now_ms)
         return pool
 
     def _draw(
--- a/kumquatridge/routing/pools.py
+++ b/kumquatridge/routing/pools.py
@@ -26,28 +26,38 @@
     def __init__(self, data_centre: str) -> None:
         self._data_centre = data_centre
         self._stats: dict[str, instances.InstanceStats] = {}
-        self._found: Sequence[members.Member] = ()
+        self._own: Sequence[members.Member] | None = None
+        self._remote: Sequence[members.Member] | None = None
         self._near_count = 0
         self.near: list[instances.InstanceStats] = []
         self.far: list[instances.InstanceStats] = []
         self.suspected: list[instances.InstanceStats] = []
         self.ejected: list[instances.InstanceStats] = []
 
-    @property
-    def found(self) -> Sequence[members.Member]:
-        """The members that the arrays were made from."""
-        return self._found
+    def is_made_from(
+        self, own: Sequence[members.Member], remote: Sequence[members.Member]
+    ) -> bool:
+        """Tells whether the arrays were made from these very sequences."""
+        return self._own is own and self._remote is remote
 
     def get_stats(self, instance: str) -> instances.InstanceStats | None:
         """Returns what was measured of an instance."""
         return self._stats.get(instance)
 
-    def update(self, found: Sequence[members.Member], now_ms: float) -> None:
-        """Takes the present members and makes the arrays anew."""
+    def update(
+        self,
+        own: Sequence[members.Member],
+        remote: Sequence[members.Member],
+        now_ms: float,
+    ) -> None:
+        """Takes the present members and makes the arrays anew.
+
+        `own` are those of the own data centre.
+        """
         known = self._stats
-        self._found = found
+        self._own, self._remote = own, remote
         self._stats = {}
-        for member in found:
+        for member in (*own, *remote):
             stats = known.get(member.instance)
             if stats is None:
                 stats = instances.InstanceStats(member, now_ms)
