--- a/tests/routing/fleet.py
+++ b/tests/routing/fleet.py
@@ -19,6 +19,7 @@
 from kumquatridge.chain import ledger as chain_ledger
 from kumquatridge.chain import ratio as retry_ratio
 from kumquatridge.membership import member as members
+from kumquatridge.membership import messages
 from kumquatridge.membership import table
 from kumquatridge.quarantine import register as crash_register
 from kumquatridge.routing import chooser as routing
@@ -53,10 +54,19 @@
     own = dataclasses.replace(make_member("own"), announcement=None)
     made = table.MemberTable(own)
     for member in found:
-        made.learn(member)
+        if member.data_centre == own.data_centre:
+            made.learn(member)
+        else:
+            made.remote.record_answer(_summarise(member))
     return made
 
 
+def _summarise(member: members.Member) -> messages.SummaryAnswer:
+    gateway = messages.Gateway(member.instance, member.call_address)
+    summary = messages.ServiceSummary("planning", 1, SLOTS, (gateway,))
+    return messages.SummaryAnswer(member.data_centre, 1, (summary,))
+
+
 class FleetLink(links.PeerLink):
     """Carries calls to guarded workers in memory."""
 
