Count slots held per depth, not slots in use, against the kept share

Calls of a shallow depth could take a slot only while some were free, so deeper calls that filled the rest kept critical roots out.

--- a/kumquatridge/admission/shares.py
+++ b/kumquatridge/admission/shares.py
@@ -3,14 +3,16 @@
 Calls A -> B -> A can fill all slots of both services with calls that wait
 for each other. Calls of each depth therefore leave some slots to deeper
 ones, so that the deepest calls always find one and the chain moves on
-(prevention of deadlock by ordered resources; the reservation works as trunk
-reservation does in telephone networks).
+(prevention of deadlock by ordered resources). What is bounded are the slots
+that calls of a depth and above hold, so that deeper calls that fill the rest
+don't keep a more important root from the next free slot.
 
 Long calls leave slots to short ones of the same or a higher importance, as
 many as these needed at their recent peak; until that was seen, long calls
 have only their least share.
 """
 
+import collections
 import dataclasses
 import sys
 
@@ -39,6 +41,7 @@
         self._limit = 0
         self._in_progress = 0
         self._long_in_progress = 0
+        self._held: collections.Counter[int] = collections.Counter()
         self._depths_seen_ms: dict[int, float] = {}
         self._deeper_depths: dict[int, int] = {}
         self._deep = 0
@@ -87,7 +90,7 @@
 
     def can_take(self, kind: Kind) -> bool:
         """Tells whether a call of a kind may take a slot now."""
-        if self._in_progress >= self._get_bound(kind):
+        if self._in_progress >= self._limit or not self._leaves_kept(kind):
             return False
         if not kind.is_long:
             return True
@@ -96,11 +99,13 @@
     def take(self, kind: Kind) -> None:
         """Takes a slot."""
         self._in_progress += 1
+        self._held[kind.depth] += 1
         self._long_in_progress += kind.is_long
 
     def release(self, kind: Kind) -> None:
         """Gives a slot back."""
         self._in_progress -= 1
+        self._held[kind.depth] -= 1
         self._long_in_progress -= kind.is_long
 
     def enter(self, kind: Kind, now_ms: float) -> None:
@@ -131,13 +136,17 @@
         depths = self._deeper_depths
         return self._deeper_depths.get(kind.depth, 0) < len(depths) - 1
 
-    def _get_bound(self, kind: Kind) -> int:
+    def _leaves_kept(self, kind: Kind) -> bool:
         deeper = self._deeper_depths.get(kind.depth, 0)
         if deeper == 0 or self._settings.kept_ratio == 0.0:
-            return self._limit
-        if kind.importance is call_importance.Importance.CRITICAL:
-            return max(1, self._limit - deeper)
-        return max(1, self._limit - deeper * self._get_kept_per_depth())
+            return True
+        kept = deeper
+        if kind.importance is not call_importance.Importance.CRITICAL:
+            kept *= self._get_kept_per_depth()
+        held = sum(
+            count for depth, count in self._held.items() if depth <= kind.depth
+        )
+        return held < max(1, self._limit - kept)
 
     def _get_kept_per_depth(self) -> int:
         most = int(self._limit * self._settings.kept_ratio)
