--- a/kumquatridge/admission/guard.py
+++ b/kumquatridge/admission/guard.py
@@ -97,7 +97,7 @@
         level = levels.AdmissionLevel.from_rank(self._control.rank)
         return reports.InstanceReport(
             level.importance,
-            level.nested,
+            level.depth_class,
             level.threshold,
             self.in_progress + self.queued,
             self.limit,
@@ -244,6 +244,7 @@
             wait_ms = max(wait_ms, expected_ms)
         elif (
             self._control.is_overloaded
+            and kind.depth == 0
             and kind.importance < call_importance.Importance.CRITICAL
         ):
             wait_ms = min(wait_ms, self._settings.overload_wait_ms)
--- a/kumquatridge/admission/levels.py
+++ b/kumquatridge/admission/levels.py
@@ -1,9 +1,9 @@
 """The order in which calls are refused, and the level of admission.
 
-Every call has a rank: importance first, then calls made by a call before
-roots, then a hash of the root id. As the hash is the same at every hop, all
-hops refuse the same roots and whole requests survive. A level is the least
-rank that is admitted.
+Every call has a rank: importance first, then the class of its depth, deeper
+calls being refused later since more work was done for them, then a hash of
+the root id. As the hash is the same at every hop, all hops refuse the same
+roots and whole requests survive. A level is the least rank that is admitted.
 
 Source: H. Zhou et al., "Overload Control for Scaling WeChat Microservices"
 (DAGOR), SoCC 2018.
@@ -19,7 +19,8 @@
 from kumquatridge.chain import context
 
 BUCKETS = 128
-_RANKS_PER_IMPORTANCE = 2 * BUCKETS
+DEPTH_CLASSES = 4
+_RANKS_PER_IMPORTANCE = DEPTH_CLASSES * BUCKETS
 RANKS = len(call_importance.Importance) * _RANKS_PER_IMPORTANCE
 OPEN_RANK = 0
 CRITICAL_RANK = call_importance.Importance.CRITICAL * _RANKS_PER_IMPORTANCE
@@ -30,14 +31,19 @@
     return xxhash.xxh3_64_intdigest(root_id.encode()) % BUCKETS
 
 
+def get_depth_class(depth: int) -> int:
+    """Returns 0 for a root, then 1, 2, 3 from depths 1, 3 and 7 on."""
+    return min(DEPTH_CLASSES, (depth + 1).bit_length()) - 1
+
+
 def get_rank(chain: context.ChainContext) -> int:
     """Returns a call's rank; calls of lower rank are refused first."""
-    group = chain.importance * 2 + (1 if chain.depth > 0 else 0)
+    group = chain.importance * DEPTH_CLASSES + get_depth_class(chain.depth)
     return group * BUCKETS + BUCKETS - 1 - get_bucket(chain.root_id)
 
 
 def get_top_of_group(rank: int) -> int:
-    """Returns the highest rank of the same importance and nesting."""
+    """Returns the highest rank of the same importance and class."""
     return rank - rank % BUCKETS + BUCKETS - 1
 
 
@@ -45,27 +51,27 @@
 class AdmissionLevel:
     """The least call that is admitted.
 
-    `nested` tells whether that call is made by a call rather than a root;
-    `threshold` is the highest admitted hash bucket of that kind.
+    `depth_class` is that of `get_depth_class`; `threshold` is the highest
+    admitted hash bucket of that class.
     """
 
     importance: call_importance.Importance
-    nested: bool
+    depth_class: int
     threshold: int
 
     @classmethod
     def from_rank(cls, rank: int) -> Self:
         """Returns the level at which a rank is the least admitted."""
         group, offset = divmod(rank, BUCKETS)
-        importance, nested = divmod(group, 2)
+        importance, depth_class = divmod(group, DEPTH_CLASSES)
         return cls(
             call_importance.Importance(importance),
-            bool(nested),
+            depth_class,
             BUCKETS - 1 - offset,
         )
 
 
 def get_report_rank(report: reports.InstanceReport) -> int:
     """Returns the least rank that the reporting instance admits."""
-    group = report.importance * 2 + (1 if report.nested else 0)
+    group = report.importance * DEPTH_CLASSES + report.depth_class
     return group * BUCKETS + BUCKETS - 1 - report.threshold
--- a/kumquatridge/admission/settings.py
+++ b/kumquatridge/admission/settings.py
@@ -10,7 +10,7 @@
     `kept_ratio` is the largest part of the slots that is kept for calls
     deeper in a chain; 0 keeps none. `long_min_ratio` is the part that long
     calls may always use and `long_max_ratio` the part that they never
-    exceed. `overload_wait_ms` bounds the wait of calls below CRITICAL while
+    exceed. `overload_wait_ms` bounds the wait of roots below CRITICAL while
     the queue never runs empty.
     """
 
--- a/kumquatridge/admission/shares.py
+++ b/kumquatridge/admission/shares.py
@@ -2,18 +2,18 @@
 
 Calls A -> B -> A can fill all slots of both services with calls that wait
 for each other. Calls of each depth therefore leave some slots to deeper
-ones, so that the deepest calls always find one and the chain moves on
-(prevention of deadlock by ordered resources). What is bounded are the slots
-that calls of a depth and above hold, so that deeper calls that fill the rest
-don't keep a more important root from the next free slot.
+ones, so that the deepest calls find one and the chain moves on (prevention;
+it works as trunk reservation does in telephone networks). Critical calls
+leave none: nothing less important may be admitted while they wait, and the
+bound of the queue ends a standstill among them.
 
 Long calls leave slots to short ones of the same or a higher importance, as
 many as these needed at their recent peak; until that was seen, long calls
 have only their least share.
 """
 
-import collections
 import dataclasses
+import math
 import sys
 
 from kumquatridge.admission import peaks
@@ -22,6 +22,7 @@
 
 PEAK_WINDOW_MS = 1000.0
 DEPTH_MEMORY_MS = 10_000.0
+CRITICAL = call_importance.Importance.CRITICAL
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,14 +42,16 @@
         self._limit = 0
         self._in_progress = 0
         self._long_in_progress = 0
-        self._held: collections.Counter[int] = collections.Counter()
         self._depths_seen_ms: dict[int, float] = {}
         self._deeper_depths: dict[int, int] = {}
         self._deep = 0
         self._deep_peak = peaks.RecentPeak()
         importances = call_importance.Importance
         self._short = [0 for _ in importances]
-        self._short_peaks = [peaks.RecentPeak(sys.maxsize) for _ in importances]
+        self._short_peaks = [
+            peaks.RecentPeak(0 if one is CRITICAL else sys.maxsize)
+            for one in importances
+        ]
         self._window_started_ms = 0.0
 
     @property
@@ -78,7 +81,11 @@
     def get_kept(self, depth: int) -> int:
         """Returns the slots that calls of a depth leave to deeper ones."""
         deeper = self._deeper_depths.get(depth, 0)
-        return deeper * self._get_kept_per_depth() if deeper else 0
+        most = int(self._limit * self._settings.kept_ratio)
+        if deeper == 0 or self._settings.kept_ratio == 0.0:
+            return 0
+        kept = max(1, min(most, self._deep_peak.value))
+        return math.ceil(kept * deeper / (len(self._deeper_depths) - 1))
 
     def get_long_limit(self, importance: call_importance.Importance) -> int:
         """Returns how many long calls may hold a slot at once."""
@@ -86,6 +93,8 @@
         free = limit - self._short_peaks[importance].value - 1
         least = max(1, int(limit * settings.long_min_ratio))
         most = max(1, int(limit * settings.long_max_ratio))
+        if importance is CRITICAL:
+            most = max(1, limit - 1)
         return max(least, min(most, free))
 
     def can_take(self, kind: Kind) -> bool:
@@ -99,13 +108,11 @@
     def take(self, kind: Kind) -> None:
         """Takes a slot."""
         self._in_progress += 1
-        self._held[kind.depth] += 1
         self._long_in_progress += kind.is_long
 
     def release(self, kind: Kind) -> None:
         """Gives a slot back."""
         self._in_progress -= 1
-        self._held[kind.depth] -= 1
         self._long_in_progress -= kind.is_long
 
     def enter(self, kind: Kind, now_ms: float) -> None:
@@ -137,21 +144,11 @@
         return self._deeper_depths.get(kind.depth, 0) < len(depths) - 1
 
     def _leaves_kept(self, kind: Kind) -> bool:
-        deeper = self._deeper_depths.get(kind.depth, 0)
-        if deeper == 0 or self._settings.kept_ratio == 0.0:
+        if kind.importance is CRITICAL:
             return True
-        kept = deeper
-        if kind.importance is not call_importance.Importance.CRITICAL:
-            kept *= self._get_kept_per_depth()
-        held = sum(
-            count for depth, count in self._held.items() if depth <= kind.depth
+        return self._in_progress < max(
+            1, self._limit - self.get_kept(kind.depth)
         )
-        return held < max(1, self._limit - kept)
-
-    def _get_kept_per_depth(self) -> int:
-        most = int(self._limit * self._settings.kept_ratio)
-        wanted = min(self._deep_peak.value, most)
-        return max(1, wanted // max(1, len(self._deeper_depths) - 1))
 
     def _roll(self, now_ms: float) -> None:
         self._window_started_ms = now_ms
--- a/kumquatridge/calls/reports.py
+++ b/kumquatridge/calls/reports.py
@@ -9,13 +9,13 @@
 class InstanceReport:
     """The load of an instance at the moment of an answer.
 
-    `importance`, `nested` and `threshold` name the least call that the
+    `importance`, `depth_class` and `threshold` name the least call that the
     instance admits (see `admission.levels`). `latency_ms` is the recent
     typical time that the worker takes.
     """
 
     importance: call_importance.Importance
-    nested: bool
+    depth_class: int
     threshold: int
     in_progress: int
     limit: int
--- a/kumquatridge/encoding/report_codec.py
+++ b/kumquatridge/encoding/report_codec.py
@@ -8,7 +8,7 @@
 
 class _ReportMessage(msgspec.Struct, frozen=True, array_like=True):
     importance: call_importance.Importance
-    nested: bool
+    depth_class: int
     threshold: int
     in_progress: int
     limit: int
@@ -23,7 +23,7 @@
     """Returns a report as a JSON array."""
     message = _ReportMessage(
         report.importance,
-        report.nested,
+        report.depth_class,
         report.threshold,
         report.in_progress,
         report.limit,
@@ -40,7 +40,7 @@
         return None
     return reports.InstanceReport(
         message.importance,
-        message.nested,
+        message.depth_class,
         message.threshold,
         message.in_progress,
         message.limit,
--- a/tests/admission/test_levels.py
+++ b/tests/admission/test_levels.py
@@ -17,7 +17,8 @@
     ("lower", "higher"),
     [
         pytest.param((NORMAL, 3), (CRITICAL, 0), id="importance first"),
-        pytest.param((NORMAL, 0), (NORMAL, 1), id="nested before root"),
+        pytest.param((NORMAL, 0), (NORMAL, 1), id="deeper after roots"),
+        pytest.param((NORMAL, 3), (NORMAL, 7), id="much deeper later"),
     ],
 )
 async def test_order(
@@ -38,7 +39,7 @@
     assert max(ranks[0]) < min(ranks[1])
 
 
-@pytest.mark.parametrize("depth", [1, 2, 14])
+@pytest.mark.parametrize("depth", [1, 2, 3, 14])
 async def test_roots_keep_their_order_at_every_hop(depth: int) -> None:
     def sort_roots(at_depth: int) -> list[str]:
         calls = [
@@ -56,6 +57,6 @@
 def test_report_names_the_same_rank(rank: int) -> None:
     level = levels.AdmissionLevel.from_rank(rank)
     report = reports.InstanceReport(
-        level.importance, level.nested, level.threshold, 0, 1, 0.0
+        level.importance, level.depth_class, level.threshold, 0, 1, 0.0
     )
     assert levels.get_report_rank(report) == rank
--- a/tests/routing/test_chooser.py
+++ b/tests/routing/test_chooser.py
@@ -20,8 +20,8 @@
 
 IMPORTANCE = call_importance.Importance
 SUSPECTED = members.Suspected(0.0, "silent")
-REFUSING = reports.InstanceReport(IMPORTANCE.CRITICAL, False, 127, 35, 35, 20.0)
-FULL = reports.InstanceReport(IMPORTANCE.BACKGROUND, False, 127, 40, 35, 20.0)
+REFUSING = reports.InstanceReport(IMPORTANCE.CRITICAL, 0, 127, 35, 35, 20.0)
+FULL = reports.InstanceReport(IMPORTANCE.BACKGROUND, 0, 127, 40, 35, 20.0)
 CHOICES = 2000
 
 
