--- a/kumquatridge/admission/guard.py
+++ b/kumquatridge/admission/guard.py
@@ -21,7 +21,6 @@
 from kumquatridge.calls import reports
 
 IDLE_RATIO = 0.75
-OVERLOAD_STATUSES = frozenset((429, 503))
 FIRST_ERROR_STATUS = 500
 
 
@@ -145,7 +144,7 @@
     ) -> None:
         """Learns from what the worker answered and how long it took."""
         match outcome:
-            case outcomes.Completed(status) if status in OVERLOAD_STATUSES:
+            case outcomes.Completed(shed=True):
                 self._learn(latency_ms, latency_ratio=1.0, is_overload=True)
             case outcomes.Completed(status) if status < FIRST_ERROR_STATUS:
                 ratio = self._times.record(
