--- a/kumquatridge/bench/news.py
+++ b/kumquatridge/bench/news.py
@@ -31,27 +31,16 @@
 def tell(instance: "product.ProductInstance") -> None:
     """Exchanges a daemon's news with the others of its service."""
     peers = tuple(_iter_peers(instance))
-    roster = instance.roster
-    roster.meet(peer.name for peer in peers)
-    roster.join(may_found=instance.knows_all())
+    near = [one for one in peers if one.data_centre == instance.data_centre]
+    instance.roster.meet(peer.name for peer in near)
+    instance.roster.join(may_found=instance.knows_all())
     for peer in peers:
         if _can_talk(instance, peer):
-            _exchange(instance, peer)
-    for remote in _iter_remote(instance):
-        if _can_talk(instance, remote):
-            remote.crashes.merge(instance.crashes.export())
-
-
-def _iter_remote(
-    instance: "product.ProductInstance",
-) -> Iterator["product.ProductInstance"]:
-    for other in instance.fleet.instances:
-        if (
-            other.data_centre != instance.data_centre
-            and other.worker.service == instance.worker.service
-            and instance.fleet.is_reachable(instance, other)
-        ):
-            yield other
+            instance.crashes.merge(peer.crashes.export())
+            peer.crashes.merge(instance.crashes.export())
+            if peer in near:
+                answer = peer.homes.answer(instance.homes.ask())
+                instance.homes.conclude(answer)
 
 
 def _iter_peers(
@@ -60,7 +49,6 @@
     for other in instance.fleet.instances:
         if (
             other is not instance
-            and other.data_centre == instance.data_centre
             and other.worker.service == instance.worker.service
         ):
             yield other
@@ -69,15 +57,7 @@
 def _can_talk(
     instance: "product.ProductInstance", peer: "product.ProductInstance"
 ) -> bool:
-    return all(
-        one.process.is_up and not one.process.is_paused
-        for one in (instance, peer)
-    )
-
-
-def _exchange(
-    instance: "product.ProductInstance", peer: "product.ProductInstance"
-) -> None:
-    instance.homes.conclude(peer.homes.answer(instance.homes.ask()))
-    for source, target in ((instance, peer), (peer, instance)):
-        target.crashes.merge(source.crashes.export())
+    pair = (instance, peer)
+    if any(one.process.is_paused or not one.process.is_up for one in pair):
+        return False
+    return instance.fleet.is_reachable(instance, peer)
--- a/kumquatridge/bench/product.py
+++ b/kumquatridge/bench/product.py
@@ -35,6 +35,7 @@
 from kumquatridge.idempotency import roster as home_roster
 from kumquatridge.idempotency import settings as key_settings
 from kumquatridge.membership import member as members
+from kumquatridge.membership import summaries
 from kumquatridge.membership import table
 from kumquatridge.quarantine import register as crash_register
 from kumquatridge.routing import chooser as routing
@@ -334,8 +335,10 @@
         await self._keyed.__aexit__(None, None, None)
 
     def knows_all(self) -> bool:
-        """Tells whether this daemon has heard of every other one."""
-        return sum(1 for _ in self.members) == len(self.fleet.instances)
+        """Tells whether this daemon has heard of its whole data centre."""
+        return sum(1 for _ in self.members) == sum(
+            one.data_centre == self.data_centre for one in self.fleet.instances
+        )
 
     def refute(self) -> None:
         """Raises the incarnation, so that others take it for alive again."""
@@ -396,6 +399,26 @@
         for observer in self.instances:
             for seen in self.instances:
                 observer.members.learn(self._observe(observer, seen))
+        for observer in self.instances:
+            self._summarise_others(observer)
+
+    def _summarise_others(self, observer: ProductInstance) -> None:
+        """Tells a daemon the summaries of the other data centres."""
+        for centre in self.environment.deployment.data_centres:
+            teller = next(
+                (
+                    one
+                    for one in self.instances
+                    if one.data_centre == centre
+                    and self.is_reachable(observer, one)
+                ),
+                None,
+            )
+            if teller is None:
+                observer.members.remote.record_silence(centre)
+            elif centre != observer.data_centre:
+                summary = summaries.make_summary(teller.members, known=0)
+                observer.members.remote.record_answer(summary)
 
     def is_reachable(
         self, observer: ProductInstance, seen: ProductInstance
