--- /dev/null
+++ b/tests/settings/test_fleet_machine.py
@@ -0,0 +1,259 @@
+"""Random faults never revert a version, lose a write or apply it twice."""
+
+import asyncio
+import collections
+from collections.abc import Coroutine, Iterable
+import os
+from typing import Any
+
+from hypothesis import HealthCheck
+from hypothesis import settings as hypothesis_settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+import looptime
+
+from kumquatridge.encoding import settings_text
+from kumquatridge.platform import repository as platform_repository
+from kumquatridge.settings import editing
+from kumquatridge.settings import fitting
+from kumquatridge.settings import in_force
+from kumquatridge.settings import node as settings_node
+from kumquatridge.settings import record as settings_record
+from kumquatridge.settings import writer
+from kumquatridge.standins import platform_store
+from tests.settings import fixtures
+from tests.settings import fleet as fleets
+
+DAEMONS = 4
+PATHS = ("/", "/team", "/team/s", "/team/s/r", "/other", "/other/s")
+GOSSIP_INTERVAL_S = 1.0
+HEAL_S = 120.0
+STEPS = int(os.environ.get("KUMQUATRIDGE_MACHINE_STEPS", "15"))
+EXAMPLES = int(os.environ.get("KUMQUATRIDGE_MACHINE_EXAMPLES", "10"))
+
+_DAEMON = st.sampled_from([f"planning-{number}" for number in range(DAEMONS)])
+_PATH = st.sampled_from(PATHS)
+_SETTINGS = st.none() | st.builds(
+    settings_node.NodeSettings, deadline_ms=st.integers(1, 9)
+)
+_FAULTS = st.builds(
+    platform_store.PlatformFaults,
+    delay_ms=st.sampled_from([0, 0, 20, 900, 2_500]),
+    down=st.sampled_from([False, False, True]),
+    stale_reads=st.booleans(),
+    lose_answers=st.integers(0, 2),
+    silent_watches=st.booleans(),
+)
+
+
+class FleetMachine(stateful.RuleBasedStateMachine):
+    """Operators, a platform and daemons under random faults."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = looptime.new_event_loop()
+        self.platform = platform_store.PlatformStore()
+        self.fleet = fleets.Fleet(self.platform, DAEMONS, 1, GOSSIP_INTERVAL_S)
+        self.outcomes: dict[str, writer.WriteOutcome] = {}
+        self.writers = 0
+        self.highest: dict[object, dict[str, int]] = {}
+        self.run(self.fleet.__aenter__())
+
+    def run(self, work: Coroutine[Any, Any, Any]) -> Any:
+        """Runs work in virtual time."""
+        return self.loop.run_until_complete(work)
+
+    def teardown(self) -> None:
+        """Stops all tasks."""
+        self.run(self.fleet.__aexit__(None, None, None))
+        self.loop.close()
+
+    @stateful.rule(
+        path=_PATH, settings=st.lists(_SETTINGS, min_size=1, max_size=3)
+    )
+    def write(
+        self, path: str, settings: list[settings_node.NodeSettings | None]
+    ) -> None:
+        """Lets operators race to write one node."""
+        base = self.run(self.read(path))
+        self.run(
+            self.race([writer.Change(path, one, base) for one in settings])
+        )
+
+    @stateful.rule(pair=st.lists(_PATH, min_size=2, max_size=2, unique=True))
+    def write_two_nodes(self, pair: list[str]) -> None:
+        """Lets operators write two nodes at the same time."""
+        changes = [
+            writer.Change(
+                path,
+                settings_node.NodeSettings(deadline_ms=5),
+                self.run(self.read(path)),
+            )
+            for path in pair
+        ]
+        self.run(self.race(changes))
+
+    @stateful.rule(faults=_FAULTS)
+    def break_platform(self, faults: platform_store.PlatformFaults) -> None:
+        """Lets faults of the platform begin."""
+        self.platform.set_faults(faults)
+
+    @stateful.rule()
+    def mend_platform(self) -> None:
+        """Ends all faults of the platform."""
+        self.platform.set_faults(platform_store.NO_FAULTS)
+
+    @stateful.rule(daemon=_DAEMON, cut=st.booleans())
+    def cut_platform(self, daemon: str, cut: bool) -> None:
+        """Cuts a daemon off from the platform, or mends that."""
+        self.fleet.daemons[daemon].platform.cut = cut
+
+    @stateful.rule(cut_off=st.sets(_DAEMON))
+    def partition(self, cut_off: set[str]) -> None:
+        """Splits the data centre in two."""
+        self.fleet.cut_off = cut_off
+
+    @stateful.rule(daemon=_DAEMON)
+    def restart(self, daemon: str) -> None:
+        """Replaces a daemon by one that knows nothing."""
+        self.run(self.fleet.restart(daemon))
+
+    @stateful.rule(time_s=st.sampled_from([0.05, 0.5, 5.0, 70.0]))
+    def pass_time(self, time_s: float) -> None:
+        """Lets time pass."""
+        self.run(asyncio.sleep(time_s))
+
+    @stateful.rule()
+    def heal(self) -> None:
+        """Ends all faults; everything accepted is in force soon."""
+        self.mend_platform()
+        self.fleet.cut_off = set()
+        for daemon in self.fleet.daemons.values():
+            daemon.platform.cut = False
+        self.run(asyncio.sleep(HEAL_S))
+        self.check_everything_in_force()
+        self.check_outcomes()
+
+    @stateful.invariant()
+    def versions_never_revert(self) -> None:
+        """Holds for each life of a daemon."""
+        for daemon in self.fleet.daemons.values():
+            versions = dict(daemon.store.get_versions())
+            before = self.highest.get(daemon, {})
+            for path, version in before.items():
+                assert versions.get(path, 0) >= version
+            self.highest[daemon] = versions
+
+    @stateful.invariant()
+    def policies_are_those_of_the_versions(self) -> None:
+        """What serves calls is what the versions known make."""
+        for daemon in self.fleet.daemons.values():
+            store = daemon.store
+            nodes = list(make_nodes(store.export(PATHS)))
+            if not store.is_complete:
+                known = store.get_versions()
+                nodes += [
+                    node
+                    for node in fixtures.FILE_NODES
+                    if node.path not in known
+                ]
+            fitted = fitting.fit(nodes, settings_text.read_defaults())
+            assert set(store.policies.services) == {
+                settings_node.get_name(node.path)
+                for node in fitted.nodes
+                if settings_node.get_depth(node.path)
+                == settings_node.SERVICE_DEPTH
+            }
+
+    async def read(self, path: str) -> settings_record.StoredNode | None:
+        """Returns a node as it really is."""
+        listing = await self.list_truth()
+        match editing.index(listing).get(path):
+            case settings_record.StoredNode() as found:
+                return found
+            case _:
+                return None
+
+    async def list_truth(self) -> Any:
+        """Returns all nodes without any fault."""
+        faults = self.platform.faults
+        self.platform.set_faults(platform_store.NO_FAULTS)
+        listing = await fixtures.connect(self.platform).list_nodes()
+        self.platform.set_faults(faults)
+        return listing
+
+    async def race(self, changes: list[writer.Change]) -> None:
+        """Makes changes at the same time, each by a writer of its own."""
+        names = [f"writer {self.writers + one}" for one in range(len(changes))]
+        self.writers += len(changes)
+        outcomes = await asyncio.gather(
+            *(
+                fixtures.make_writer(self.platform, name).write(change)
+                for name, change in zip(names, changes, strict=True)
+            )
+        )
+        self.outcomes.update(zip(names, outcomes, strict=True))
+
+    def check_everything_in_force(self) -> None:
+        """Every daemon has what the platform has, and says so."""
+        current = editing.index(self.run(self.list_truth()))
+        versions = editing.get_versions(current)
+        for daemon in self.fleet.daemons.values():
+            assert daemon.store.get_versions() == versions
+        reports = self.run(fixtures.connect(self.platform).list_reports())
+        if versions:
+            (report,) = reports
+            assert in_force.find_missing(reports, report.digest, versions) == ()
+
+    def check_outcomes(self) -> None:
+        """Each write took effect once or never, as its writer was told."""
+        written = collections.Counter(
+            (record.writer, record.path, record.version)
+            for record in self.platform_records()
+        )
+        by_writer = collections.Counter(name for name, _, _ in written)
+        assert set(written.values()) <= {1}
+        assert set(by_writer.values()) <= {1}
+        for name, outcome in self.outcomes.items():
+            match outcome:
+                case writer.Accepted(path, version):
+                    assert written[name, path, version] == 1
+                case writer.Conflicted() | writer.Refused():
+                    assert by_writer[name] == 0
+                case writer.Unknown():
+                    pass
+
+    def platform_records(self) -> Iterable[settings_record.NodeRecord]:
+        """Yields each record that was ever the newest of its node."""
+        api = self.platform.connect()
+
+        async def collect() -> list[settings_record.NodeRecord]:
+            nodes = platform_repository.PlatformRepository(api)
+            return [
+                found.record
+                async for found in nodes.watch(0, 0.01)
+                if type(found) is settings_record.StoredNode
+            ]
+
+        records: list[settings_record.NodeRecord] = self.run(collect())
+        return records
+
+
+def make_nodes(
+    records: Iterable[settings_record.NodeRecord],
+) -> Iterable[settings_node.Node]:
+    """Yields the nodes that were not deleted."""
+    for record in records:
+        node = record.make_node()
+        if node is not None:
+            yield node
+
+
+TestFleetMachine = FleetMachine.TestCase
+TestFleetMachine.settings = hypothesis_settings(
+    max_examples=EXAMPLES,
+    stateful_step_count=STEPS,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
