--- a/kumquatridge/benchmarks/fleet.py
+++ b/kumquatridge/benchmarks/fleet.py
@@ -23,6 +23,7 @@
 from kumquatridge.membership import table
 from kumquatridge.peers import control
 from kumquatridge.peers import topic_codec
+from kumquatridge.standins import loopback
 
 TOPIC = 99
 ENTRY_COUNT = 1050
@@ -41,6 +42,7 @@
 SEGMENTS_PER_EXCHANGE = 4
 ENVELOPE_BYTES = 12
 LAST_OCTET = 250
+DRAIN_MS = 100
 CALL_PORT = 7401
 CONTROL_PORT = 7402
 
@@ -314,13 +316,17 @@
         )
         tree_file = folder / "tree.jsonc"
         tree_file.write_text(TREE)
-        first = processes.make_settings("instance-0", tree_file)
+        first = loopback.make_daemon_settings(
+            "instance-0", tree_file, drain_ms=DRAIN_MS
+        )
         seeds = (first.control_address,)
         all_settings = [first]
         for index in range(1, count):
             name = f"instance-{index}"
             all_settings.append(
-                processes.make_settings(name, tree_file, *seeds)
+                loopback.make_daemon_settings(
+                    name, tree_file, *seeds, drain_ms=DRAIN_MS
+                )
             )
         found = [
             await stack.enter_async_context(
