Prove the key on calls between daemons without sending it

Cause: the peer key went in clear with each call between daemons. Change: a keyed hash over method and marks with time and nonce; a wrong or missing one is refused as wrong_credential and counted.

--- a/kumquatridge/calls/refusals.py
+++ b/kumquatridge/calls/refusals.py
@@ -145,6 +145,14 @@
     detail: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WrongCredential:
+    """The sender did not prove to be a daemon of this deployment."""
+
+    code: ClassVar[str] = "wrong_credential"
+    detail: str
+
+
 Refusal = (
     Overloaded
     | QueueTimeout
@@ -162,6 +170,7 @@
     | KeyMemoryFull
     | NotHome
     | InvalidRequest
+    | WrongCredential
 )
 
 
--- a/kumquatridge/daemon/runtime.py
+++ b/kumquatridge/daemon/runtime.py
@@ -19,6 +19,7 @@
 from kumquatridge.daemon import home_parts
 from kumquatridge.daemon import settings as daemon_settings
 from kumquatridge.daemon import settings_plane
+from kumquatridge.http import call_credential
 from kumquatridge.http import caller_server
 from kumquatridge.http import client
 from kumquatridge.http import peer_client
@@ -71,6 +72,9 @@
         self._add_gauges(exporter)
         self._plane.add_metrics(exporter)
         session = await enter(client.make_session())
+        credential = call_credential.CallCredential(
+            settings.peer_key, settings.previous_peer_keys
+        )
         crashes = crash_register.CrashRegister(
             crash_register.QuarantineSettings(),
             settings.instance,
@@ -83,7 +87,7 @@
                 self._homes.exchange,
                 crashes,
                 session,
-                peer_key=settings.peer_key,
+                credential=credential,
                 seeds=settings.seeds,
             )
         )
@@ -96,7 +100,7 @@
             recorder,
             crashes=crashes,
         )
-        peer_link = peer_client.HttpPeerLink(session, settings.peer_key)
+        peer_link = peer_client.HttpPeerLink(session, credential)
         path = outbound.OutboundPath(
             self._members,
             routing.InstanceChooser(self._members, random.getrandbits(64)),
@@ -134,7 +138,7 @@
         peer_handler = peer_server.PeerHandler(
             self._intake,
             own_path,
-            settings.peer_key,
+            credential,
             recorder,
             home=keyed_path,
             news=news,
--- a/kumquatridge/http/answers.py
+++ b/kumquatridge/http/answers.py
@@ -38,6 +38,8 @@
             return 404
         case refusals.BodyTooLarge():
             return 413
+        case refusals.WrongCredential():
+            return 403
         case refusals.InvalidRequest():
             return 400
 
--- a/kumquatridge/http/peer_client.py
+++ b/kumquatridge/http/peer_client.py
@@ -5,6 +5,7 @@
 import math
 
 import aiohttp
+import multidict
 
 from kumquatridge import clock
 from kumquatridge.calls import call as calls
@@ -12,6 +13,7 @@
 from kumquatridge.encoding import chain_codec
 from kumquatridge.encoding import refusal_codec
 from kumquatridge.encoding import report_codec
+from kumquatridge.http import call_credential
 from kumquatridge.http import client
 from kumquatridge.http import headers
 from kumquatridge.membership import member as members
@@ -20,9 +22,13 @@
 class HttpPeerLink:
     """Carries calls to other daemons over HTTP."""
 
-    def __init__(self, session: aiohttp.ClientSession, peer_key: str) -> None:
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        credential: call_credential.CallCredential,
+    ) -> None:
         self._session = session
-        self._peer_key = peer_key
+        self._credential = credential
 
     def send(
         self, call: calls.Call, member: members.Member
@@ -45,11 +51,15 @@
     async def _send(
         self, call: calls.Call, member: members.Member, marks: outcomes.Headers
     ) -> AsyncIterator[outcomes.Outcome]:
+        sent = (*call.headers, *marks)
+        proof = self._credential.make_mark(
+            call.method, multidict.CIMultiDict(sent)
+        )
         async with client.send(
             self._session,
             call,
             f"http://{member.call_address}/{call.service}{call.path}",
-            (*call.headers, *marks),
+            (*sent, (headers.PEER_PROOF, proof)),
             member.instance,
         ) as reply:
             match reply:
@@ -62,7 +72,6 @@
 
     def _make_marks(self, call: calls.Call) -> outcomes.Headers:
         return (
-            (headers.PEER_KEY, self._peer_key),
             (headers.CHAIN, chain_codec.encode_chain(call.chain)),
             (headers.CALLER, call.caller),
         )
--- a/kumquatridge/http/peer_server.py
+++ b/kumquatridge/http/peer_server.py
@@ -1,7 +1,5 @@
 """The front end for calls that other daemons send to the own worker."""
 
-import hmac
-
 from aiohttp import web
 
 from kumquatridge import clock
@@ -13,13 +11,13 @@
 from kumquatridge.encoding import chain_codec
 from kumquatridge.http import answers
 from kumquatridge.http import bodies
+from kumquatridge.http import call_credential
 from kumquatridge.http import caller_server
 from kumquatridge.http import errors
 from kumquatridge.http import headers
 from kumquatridge.http import service_news
 from kumquatridge.telemetry import recorder as telemetry
 
-STATUS_FORBIDDEN = 403
 STATUS_CONFLICT = 409
 
 
@@ -30,7 +28,7 @@
         self,
         intake: call_intake.Intake,
         path: inbound.InboundPath,
-        peer_key: str,
+        credential: call_credential.CallCredential,
         recorder: telemetry.RejectionRecorder,
         *,
         home: keyed.KeyedPath,
@@ -41,15 +39,13 @@
         self._intake = intake
         self._path = path
         self._recorder = recorder
-        self._peer_key = peer_key
+        self._credential = credential
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answers one request of a daemon."""
-        shown = request.headers.get(headers.PEER_KEY, "")
-        if not hmac.compare_digest(shown.encode(), self._peer_key.encode()):
-            return web.Response(
-                status=STATUS_FORBIDDEN, text="wrong or missing peer key\n"
-            )
+        fault = self._credential.find_fault(request.method, request.headers)
+        if fault is not None:
+            return self._reject(refusals.WrongCredential(fault))
         if request.path == service_news.NEWS_PATH:
             return await self._take_news(request)
         try:
--- a/kumquatridge/http/service_news.py
+++ b/kumquatridge/http/service_news.py
@@ -12,6 +12,7 @@
 import aiohttp
 import msgspec
 
+from kumquatridge.http import call_credential
 from kumquatridge.http import headers
 from kumquatridge.idempotency import handover
 from kumquatridge.idempotency import roster as home_roster
@@ -53,7 +54,7 @@
         crashes: crash_register.CrashRegister,
         session: aiohttp.ClientSession,
         *,
-        peer_key: str,
+        credential: call_credential.CallCredential,
         seeds: tuple[str, ...],
     ) -> None:
         self._members = members_table
@@ -61,7 +62,7 @@
         self._homes = homes
         self._crashes = crashes
         self._session = session
-        self._peer_key = peer_key
+        self._credential = credential
         self._seeds = frozenset(seeds)
         self._changed = asyncio.Event()
         self._peers: dict[str, asyncio.Task[None]] = {}
@@ -171,11 +172,12 @@
         service = self._get_service()
         if service is None:
             return False
+        proof = self._credential.make_mark("POST", {})
         try:
             async with self._session.post(
                 f"http://{address}{NEWS_PATH}",
                 data=self._encode(service, self._homes.ask()),
-                headers={headers.PEER_KEY: self._peer_key},
+                headers={headers.PEER_PROOF: proof},
                 timeout=aiohttp.ClientTimeout(total=TIMEOUT_S),
             ) as response:
                 news = _decoder.decode(await response.read())
--- a/kumquatridge/operators/explanations.py
+++ b/kumquatridge/operators/explanations.py
@@ -88,5 +88,7 @@
             )
         case refusals.NotHome(home, detail):
             return f"not the home of its request key, but {home!r}: {detail}"
+        case refusals.WrongCredential(detail):
+            return f"its sender did not prove to be a member: {detail}"
         case refusals.InvalidRequest(detail):
             return detail
--- a/kumquatridge/peers/credential.py
+++ b/kumquatridge/peers/credential.py
@@ -64,6 +64,16 @@
         return body + self.sign(_ANSWER, nonce.to_bytes(8, "big") + body)
 
 
+def detach(sealed: bytes, body: bytes) -> bytes:
+    """Returns a sealed request without its body, for a body sent elsewhere."""
+    return sealed[: _HEADER.size] + sealed[_HEADER.size + len(body) :]
+
+
+def attach(proof: bytes, body: bytes) -> bytes:
+    """Returns the sealed request that `detach` took the body from."""
+    return proof[: _HEADER.size] + body + proof[_HEADER.size :]
+
+
 def _sign(key: bytes, purpose: bytes, data: bytes) -> bytes:
     return hashlib.blake2b(
         data, digest_size=MAC_BYTES, key=key, person=purpose
