--- a/kumquatridge/operators/fleet_status.py
+++ b/kumquatridge/operators/fleet_status.py
@@ -4,6 +4,7 @@
 
 from kumquatridge import clock
 from kumquatridge.membership import member as members
+from kumquatridge.membership import relays
 from kumquatridge.membership import remote
 from kumquatridge.membership import table
 
@@ -53,6 +54,12 @@
     )
 
 
+def list_relays(members_table: table.MemberTable) -> tuple[str, ...]:
+    """Returns the instances that exchange summaries for the data centre."""
+    picked = relays.pick_relays(members_table)
+    return tuple(one.instance for one in picked)
+
+
 def _describe_member(member: members.Member) -> MemberStatus:
     announcement = member.announcement
     reason, since_s = _describe_doubt(member.state)
--- a/kumquatridge/ui/status.py
+++ b/kumquatridge/ui/status.py
@@ -49,6 +49,7 @@
         yield f"  settings fault: {settings['fault']}"
     for member in one["members"]:
         yield f"  {_render_member(member)}"
+    yield f"  relays: {', '.join(one['relays'])}"
     for data_centre in one["data_centres"]:
         yield f"  {_render_data_centre(data_centre)}"
 
