--- a/kumquatridge/benchmarks/fleet.py
+++ b/kumquatridge/benchmarks/fleet.py
@@ -1,7 +1,9 @@
 """Measures what control costs a daemon as the fleet grows.
 
 Runs control planes as tasks of one process over loopback, and a few daemons
-as processes of their own for memory. Prints one line for each size.
+as processes of their own for memory. Prints one line for each size. With
+`--parts`, a size is shared out among that many processes, each of which stays
+within its limit of open files; changes are not measured then.
 """
 
 import asyncio
@@ -11,6 +13,7 @@
 import json
 import pathlib
 import statistics
+import sys
 import tempfile
 
 import click
@@ -90,19 +93,26 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class SizeReport:
-    """What one daemon spends at one size of the data centre.
+class RestReport:
+    """What one daemon spends when nothing changes.
 
     `wire_bytes_per_s` adds headers of TCP, IP and Ethernet to the messages
     sent and received, four segments for each exchange.
     """
 
-    daemons: int
     messages_per_s: float
     message_bytes_per_s: float
     wire_bytes_per_s: float
     core_ratio: float
     descriptors: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SizeReport:
+    """What one daemon spends at one size of the data centre."""
+
+    daemons: int
+    rest: RestReport
     join_s: float
     change_median_s: float
     change_max_s: float
@@ -197,14 +207,14 @@
 
 @contextlib.asynccontextmanager
 async def run_nodes(
-    count: int, counter: ByteCounter
+    indexes: Iterable[int], counter: ByteCounter
 ) -> AsyncIterator[list[Node]]:
-    """Runs control planes that know each other."""
-    first = make_settings(0, ())
-    seeds = (first.control_address,)
-    nodes = [make_node(first, 0, counter)]
-    for index in range(1, count):
-        nodes.append(make_node(make_settings(index, seeds), index, counter))
+    """Runs control planes that get to know each other by the first one."""
+    seeds = (make_settings(0, ()).control_address,)
+    nodes = [
+        make_node(make_settings(index, seeds), index, counter)
+        for index in indexes
+    ]
     async with contextlib.AsyncExitStack() as stack:
         for node in nodes:
             await stack.enter_async_context(node.plane)
@@ -216,38 +226,20 @@
     counter = ByteCounter()
     loop = asyncio.get_running_loop()
     started = loop.time()
-    async with run_nodes(count, counter) as nodes:
-        await _wait_for(
-            lambda: all(
-                len(node.table.get_live()) == count - 1 for node in nodes
-            ),
-            SETTLE_TIMEOUT_S,
-        )
+    async with run_nodes(range(count), counter) as nodes:
+        await _wait_until_joined(nodes, count)
         joined = loop.time()
-        await asyncio.sleep(rest_s)
-        process = psutil.Process()
-        cpu_before_s = _get_cpu_s(process)
-        before = (counter.messages, counter.size_bytes, loop.time())
-        await asyncio.sleep(rest_s)
-        spent_s = loop.time() - before[2]
-        messages = (counter.messages - before[0]) / count / spent_s
-        size_bytes = (counter.size_bytes - before[1]) / count / spent_s
-        core_ratio = (_get_cpu_s(process) - cpu_before_s) / count / spent_s
-        descriptors = process.num_fds() / count
+        rest = await _measure_rest(len(nodes), counter, rest_s)
         before_changes = counter.size_bytes
         times_s = [
             await _spread_change(nodes, number) for number in range(changes)
         ]
         changes_s = sum(times_s) + changes
-        at_rest = size_bytes * count * changes_s
+        at_rest = rest.message_bytes_per_s * count * changes_s
         extra = counter.size_bytes - before_changes - at_rest
     return SizeReport(
         daemons=count,
-        messages_per_s=messages,
-        message_bytes_per_s=size_bytes,
-        wire_bytes_per_s=_add_headers(messages, size_bytes),
-        core_ratio=core_ratio,
-        descriptors=descriptors,
+        rest=rest,
         join_s=joined - started,
         change_median_s=statistics.median(times_s),
         change_max_s=max(times_s),
@@ -255,6 +247,62 @@
     )
 
 
+async def _wait_until_joined(nodes: list[Node], count: int) -> None:
+    await _wait_for(
+        lambda: all(len(node.table.get_live()) == count - 1 for node in nodes),
+        SETTLE_TIMEOUT_S,
+    )
+
+
+async def _measure_rest(
+    count: int, counter: ByteCounter, rest_s: float
+) -> RestReport:
+    """Waits for join news to fade, then measures `count` daemons."""
+    await asyncio.sleep(rest_s)
+    loop = asyncio.get_running_loop()
+    process = psutil.Process()
+    cpu_before_s = _get_cpu_s(process)
+    messages, size_bytes = counter.messages, counter.size_bytes
+    started = loop.time()
+    await asyncio.sleep(rest_s)
+    spent_s = (loop.time() - started) * count
+    messages_per_s = (counter.messages - messages) / spent_s
+    bytes_per_s = (counter.size_bytes - size_bytes) / spent_s
+    return RestReport(
+        messages_per_s=messages_per_s,
+        message_bytes_per_s=bytes_per_s,
+        wire_bytes_per_s=_add_headers(messages_per_s, bytes_per_s),
+        core_ratio=(_get_cpu_s(process) - cpu_before_s) / spent_s,
+        descriptors=process.num_fds() / count,
+    )
+
+
+async def measure_part(count: int, indexes: range, rest_s: float) -> RestReport:
+    """Measures some of the daemons of one size, the rest being elsewhere."""
+    counter = ByteCounter()
+    async with run_nodes(indexes, counter) as nodes:
+        await _wait_until_joined(nodes, count)
+        return await _measure_rest(len(nodes), counter, rest_s)
+
+
+async def _run_parts(count: int, parts: int, rest_s: float) -> list[str]:
+    started = [
+        await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "kumquatridge.benchmarks.fleet",
+            str(count),
+            f"--rest={rest_s}",
+            f"--parts={parts}",
+            f"--part={part}",
+            stdout=asyncio.subprocess.PIPE,
+        )
+        for part in range(parts)
+    ]
+    outputs = [await process.communicate() for process in started]
+    return [output.decode().strip() for output, _ in outputs]
+
+
 async def _spread_change(nodes: list[Node], number: int) -> float:
     """Returns how long a change took to reach all, then rests a second."""
     loop = asyncio.get_running_loop()
@@ -351,13 +399,29 @@
 @click.option("--rest", "rest_s", default=20.0, help="Seconds of each phase.")
 @click.option("--changes", default=10, help="Changes to spread at each size.")
 @click.option("--processes", "process_count", default=0)
+@click.option("--parts", default=1, help="Processes that share a size.")
+@click.option("--part", default=-1, hidden=True)
 def main(
-    sizes: tuple[int, ...], rest_s: float, changes: int, process_count: int
+    *,
+    sizes: tuple[int, ...],
+    rest_s: float,
+    changes: int,
+    process_count: int,
+    parts: int,
+    part: int,
 ) -> None:
     """Measures control traffic and processor time by the number of daemons."""
     for count in sizes:
-        report = asyncio.run(measure_size(count, rest_s, changes))
-        click.echo(json.dumps(dataclasses.asdict(report)))
+        if part >= 0:
+            indexes = range(part, count, parts)
+            share = asyncio.run(measure_part(count, indexes, rest_s))
+            click.echo(json.dumps(dataclasses.asdict(share)))
+        elif parts > 1:
+            for line in asyncio.run(_run_parts(count, parts, rest_s)):
+                click.echo(f"{count} daemons, one part of {parts}: {line}")
+        else:
+            report = asyncio.run(measure_size(count, rest_s, changes))
+            click.echo(json.dumps(dataclasses.asdict(report)))
     if process_count:
         whole = asyncio.run(measure_processes(process_count, rest_s))
         click.echo(json.dumps(dataclasses.asdict(whole)))
