--- a/kumquatridge/admission/shares.py
+++ b/kumquatridge/admission/shares.py
@@ -2,9 +2,10 @@
 
 Calls A -> B -> A can fill all slots of both services with calls that wait
 for each other. Calls of each depth therefore leave some slots to deeper
-ones, so that the deepest calls always find one and the chain moves on
-(prevention of deadlock by ordered resources; the reservation works as trunk
-reservation does in telephone networks).
+ones, so that the deepest calls find one and the chain moves on (prevention;
+it works as trunk reservation does in telephone networks). Critical calls
+leave none: nothing less important may be admitted while they wait, and the
+bound of the queue ends a standstill among them.
 
 Long calls leave slots to short ones of the same or a higher importance, as
 many as these needed at their recent peak; until that was seen, long calls
@@ -12,6 +13,7 @@
 """
 
 import dataclasses
+import math
 import sys
 
 from kumquatridge.admission import peaks
@@ -20,6 +22,7 @@
 
 PEAK_WINDOW_MS = 1000.0
 DEPTH_MEMORY_MS = 10_000.0
+CRITICAL = call_importance.Importance.CRITICAL
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,7 +48,10 @@
         self._deep_peak = peaks.RecentPeak()
         importances = call_importance.Importance
         self._short = [0 for _ in importances]
-        self._short_peaks = [peaks.RecentPeak(sys.maxsize) for _ in importances]
+        self._short_peaks = [
+            peaks.RecentPeak(0 if one is CRITICAL else sys.maxsize)
+            for one in importances
+        ]
         self._window_started_ms = 0.0
 
     @property
@@ -75,7 +81,11 @@
     def get_kept(self, depth: int) -> int:
         """Returns the slots that calls of a depth leave to deeper ones."""
         deeper = self._deeper_depths.get(depth, 0)
-        return deeper * self._get_kept_per_depth() if deeper else 0
+        most = int(self._limit * self._settings.kept_ratio)
+        if deeper == 0 or self._settings.kept_ratio == 0.0:
+            return 0
+        kept = max(1, min(most, self._deep_peak.value))
+        return math.ceil(kept * deeper / (len(self._deeper_depths) - 1))
 
     def get_long_limit(self, importance: call_importance.Importance) -> int:
         """Returns how many long calls may hold a slot at once."""
@@ -83,11 +93,13 @@
         free = limit - self._short_peaks[importance].value - 1
         least = max(1, int(limit * settings.long_min_ratio))
         most = max(1, int(limit * settings.long_max_ratio))
+        if importance is CRITICAL:
+            most = max(1, limit - 1)
         return max(least, min(most, free))
 
     def can_take(self, kind: Kind) -> bool:
         """Tells whether a call of a kind may take a slot now."""
-        if self._in_progress >= self._get_bound(kind):
+        if self._in_progress >= self._limit or not self._leaves_kept(kind):
             return False
         if not kind.is_long:
             return True
@@ -131,18 +143,12 @@
         depths = self._deeper_depths
         return self._deeper_depths.get(kind.depth, 0) < len(depths) - 1
 
-    def _get_bound(self, kind: Kind) -> int:
-        deeper = self._deeper_depths.get(kind.depth, 0)
-        if deeper == 0 or self._settings.kept_ratio == 0.0:
-            return self._limit
-        if kind.importance is call_importance.Importance.CRITICAL:
-            return max(1, self._limit - deeper)
-        return max(1, self._limit - deeper * self._get_kept_per_depth())
-
-    def _get_kept_per_depth(self) -> int:
-        most = int(self._limit * self._settings.kept_ratio)
-        wanted = min(self._deep_peak.value, most)
-        return max(1, wanted // max(1, len(self._deeper_depths) - 1))
+    def _leaves_kept(self, kind: Kind) -> bool:
+        if kind.importance is CRITICAL:
+            return True
+        return self._in_progress < max(
+            1, self._limit - self.get_kept(kind.depth)
+        )
 
     def _roll(self, now_ms: float) -> None:
         self._window_started_ms = now_ms
--- a/kumquatridge/callpath/inbound.py
+++ b/kumquatridge/callpath/inbound.py
@@ -128,8 +128,9 @@
                 call, announcement.address, record.token
             ) as outcome:
                 latency_ms = clock.get_now_ms() - started_ms
-                self._guard.record_answer(call, latency_ms, outcome)
-                yield await self._conclude(call, record, outcome)
+                concluded = await self._conclude(call, record, outcome)
+                self._guard.record_answer(call, latency_ms, concluded)
+                yield concluded
 
     async def _conclude(
         self,
