Exempt critical calls from shares; spill for as long as the own is full

Critical uploads were refused for the share of long calls, and critical roots for the kept share, while less important calls were admitted. Critical calls are now exempt from both. The spill to other data centres stopped after 32 calls of a full data centre though others had room; it is now bounded by half of the calls, not at all for critical ones.

Tried and reverted: a level for each route from answers that failed because a child was refused.

Adds the benchmark of the decisions.

--- a/kumquatridge/admission/shares.py
+++ b/kumquatridge/admission/shares.py
@@ -7,9 +7,9 @@
 leave none: nothing less important may be admitted while they wait, and the
 bound of the queue ends a standstill among them.
 
-Long calls leave slots to short ones of the same or a higher importance, as
-many as these needed at their recent peak; until that was seen, long calls
-have only their least share.
+Long calls below CRITICAL leave slots to short ones of the same or a higher
+importance, as many as these needed at their recent peak; until that was seen,
+long calls have only their least share.
 """
 
 import dataclasses
@@ -48,10 +48,7 @@
         self._deep_peak = peaks.RecentPeak()
         importances = call_importance.Importance
         self._short = [0 for _ in importances]
-        self._short_peaks = [
-            peaks.RecentPeak(0 if one is CRITICAL else sys.maxsize)
-            for one in importances
-        ]
+        self._short_peaks = [peaks.RecentPeak(sys.maxsize) for _ in importances]
         self._window_started_ms = 0.0
 
     @property
@@ -93,15 +90,13 @@
         free = limit - self._short_peaks[importance].value - 1
         least = max(1, int(limit * settings.long_min_ratio))
         most = max(1, int(limit * settings.long_max_ratio))
-        if importance is CRITICAL:
-            most = max(1, limit - 1)
         return max(least, min(most, free))
 
     def can_take(self, kind: Kind) -> bool:
         """Tells whether a call of a kind may take a slot now."""
         if self._in_progress >= self._limit or not self._leaves_kept(kind):
             return False
-        if not kind.is_long:
+        if not kind.is_long or kind.importance is CRITICAL:
             return True
         return self._long_in_progress < self.get_long_limit(kind.importance)
 
--- /dev/null
+++ b/kumquatridge/benchmarks/decisions.py
@@ -0,0 +1,156 @@
+"""Processor time of an admission and of a choice, by size.
+
+Run with `python -m kumquatridge.benchmarks.decisions`.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+import time
+
+import click
+
+from kumquatridge import clock
+from kumquatridge.admission import guard as admission_guard
+from kumquatridge.admission import verdicts
+from kumquatridge.calls import body as call_body
+from kumquatridge.calls import call as calls
+from kumquatridge.calls import importance as call_importance
+from kumquatridge.calls import outcomes
+from kumquatridge.chain import context
+from kumquatridge.membership import member as members
+from kumquatridge.membership import table
+from kumquatridge.routing import choices
+from kumquatridge.routing import chooser as routing
+from kumquatridge.settings import policy as settings_policy
+
+SERVICE = "planning"
+SIZES = (10, 100, 500, 1500)
+QUEUES = (0, 100, 1000, 10_000)
+ROUNDS = 5
+DECISIONS = 4000
+DEADLINE_MS = 600_000
+SLOTS = 100
+
+POLICY = settings_policy.RoutePolicy(
+    service=SERVICE,
+    route="lookup",
+    importance=call_importance.Importance.NORMAL,
+    idempotent=True,
+    deadline_ms=DEADLINE_MS,
+    retry_allowance=3,
+    long_running=False,
+    max_body_bytes=1 << 20,
+    queue_wait_ms=DEADLINE_MS,
+)
+ANSWER = outcomes.Completed(200, (), call_body.EMPTY)
+
+
+def make_call(number: int) -> calls.Call:
+    """Returns a call of a root of its own."""
+    return calls.Call(
+        service=SERVICE,
+        method="GET",
+        path="/",
+        headers=(),
+        body=call_body.EMPTY,
+        caller="",
+        request_key=None,
+        policy=POLICY,
+        chain=context.ChainContext(
+            root_id=f"{number:032x}",
+            importance=POLICY.importance,
+            expires_at_ms=clock.get_now_ms() + DEADLINE_MS,
+            retries=0,
+            depth=0,
+        ),
+    )
+
+
+def make_table(count: int) -> table.MemberTable:
+    """Returns a table with `count` instances of one service."""
+    announcement = members.Announcement(SERVICE, "", SLOTS, SLOTS * 4)
+    found = [
+        members.Member(f"i{number}", 1, "here", "", "", announcement)
+        for number in range(count)
+    ]
+    made = table.MemberTable(found[0])
+    for member in found[1:]:
+        made.learn(member)
+    return made
+
+
+async def measure_us(decide: Callable[[calls.Call], Awaitable[None]]) -> float:
+    """Returns the least mean time of a decision over some rounds."""
+    prepared = [make_call(number) for number in range(DECISIONS)]
+    rounds_us = []
+    for _ in range(ROUNDS):
+        started_ns = time.process_time_ns()
+        for call in prepared:
+            await decide(call)
+        spent_ns = time.process_time_ns() - started_ns
+        rounds_us.append(spent_ns / 1000.0 / DECISIONS)
+    return min(rounds_us)
+
+
+async def measure_choice_us(count: int) -> float:
+    """Returns the time of a choice and of learning from the answer."""
+    chooser = routing.InstanceChooser(make_table(count), seed=1)
+
+    async def decide(call: calls.Call) -> None:
+        match chooser.choose(call, frozenset()):
+            case choices.Chosen(member):
+                with chooser.track(call, member.instance) as record:
+                    record.finish(ANSWER)
+            case choices.NoneLeft():
+                pass
+
+    return await measure_us(decide)
+
+
+async def measure_admission_us() -> float:
+    """Returns the time of an admission to a free slot, with its answer."""
+    guard = admission_guard.AdmissionGuard(SLOTS)
+
+    async def decide(call: calls.Call) -> None:
+        async with guard.admit(call):
+            guard.record_answer(call, 1.0, ANSWER)
+            guard.make_report()
+
+    return await measure_us(decide)
+
+
+async def measure_queue_us(waiting: int) -> float:
+    """Returns the time to queue a call and serve it from a full queue."""
+    guard = admission_guard.AdmissionGuard(slots=1)
+
+    async def hold(call: calls.Call) -> None:
+        async with guard.admit(call) as verdict:
+            match verdict:
+                case verdicts.Admitted():
+                    await asyncio.sleep(0)
+                case verdicts.Refused():
+                    pass
+
+    total = waiting + DECISIONS
+    prepared = [make_call(number) for number in range(total)]
+    started_ns = time.process_time_ns()
+    async with asyncio.TaskGroup() as group:
+        for call in prepared:
+            group.create_task(hold(call))
+    return (time.process_time_ns() - started_ns) / 1000.0 / total
+
+
+async def measure() -> None:
+    """Measures all decisions and prints a line for each."""
+    click.echo(f"admit, free slot: {await measure_admission_us():.1f} us")
+    for waiting in QUEUES:
+        total = waiting + DECISIONS
+        spent_us = await measure_queue_us(waiting)
+        click.echo(f"admit, {total} wait: {spent_us:.1f} us with its task")
+    for count in SIZES:
+        spent_us = await measure_choice_us(count)
+        click.echo(f"choose, {count} instances: {spent_us:.1f} us")
+
+
+if __name__ == "__main__":
+    asyncio.run(measure())
--- a/kumquatridge/routing/chooser.py
+++ b/kumquatridge/routing/chooser.py
@@ -32,7 +32,7 @@
 MAX_DRAWS = 6
 SLOW_COST_RATIO = 2.5
 TRICKLE_RATIO = 1 / 16
-SPILL_RATIO = 0.25
+SPILL_RATIO = 0.5
 MAX_SPILL_CREDIT = 32.0
 SPARE_LOAD_RATIO = 0.8
 HEDGE_RATIO = 0.1
@@ -69,12 +69,14 @@
             if tested is not None:
                 return choices.Chosen(tested.member)
         rank = levels.get_rank(call.chain)
+        self._earn_credits()
         near = self._draw(pool.near, rank, tried, now_ms)
         if near.best is not None and near.best.get_load_ratio(now_ms) < 1.0:
-            self._earn_credits()
             return choices.Chosen(near.best.member)
-        is_only = near.best is None and near.refusing is None
-        far = self._draw_far(pool, rank, tried, is_only, now_ms)
+        is_free = rank >= levels.CRITICAL_RANK or (
+            near.best is None and near.refusing is None
+        )
+        far = self._draw_far(pool, rank, tried, is_free, now_ms)
         if far is not None:
             return choices.Chosen(far.member)
         if near.best is not None:
@@ -174,17 +176,19 @@
         pool: pools.ServicePool,
         rank: int,
         tried: Set[str],
-        is_only: bool,
+        is_free: bool,
         now_ms: float,
     ) -> instances.InstanceStats | None:
         if not pool.far:
             return None
         drawn = self._draw(pool.far, rank, tried, now_ms).best
-        if drawn is None or is_only:
+        if drawn is None or not (pool.near or pool.ejected):
             return drawn
-        if self._spill_credit < 1.0:
+        if drawn.get_load_ratio(now_ms) > SPARE_LOAD_RATIO and not is_free:
             return None
-        if drawn.get_load_ratio(now_ms) > SPARE_LOAD_RATIO:
+        if is_free:
+            return drawn
+        if self._spill_credit < 1.0:
             return None
         self._spill_credit -= 1.0
         return drawn
