--- a/kumquatridge/bench/product.py
+++ b/kumquatridge/bench/product.py
@@ -244,6 +244,9 @@
         self.roster = home_roster.HomeRoster(
             settings, self.name, own.incarnation
         )
+        memory = key_memory.KeyMemory(settings)
+        handed = handover.HandedKeys(settings)
+        self.homes = handover.HomeExchange(self.roster, memory, handed)
         home = keys.HomeId(self.name, str(own.incarnation))
         memory = key_memory.KeyMemory(settings)
         handed = handover.HandedKeys(settings)
