--- a/kumquatridge/bench/process.py
+++ b/kumquatridge/bench/process.py
@@ -20,12 +20,16 @@
 
 
 class FakeProcess:
-    """Runs work in tasks of its own and can be lost with all of them."""
+    """Runs work in tasks of its own and can be lost with all of them.
+
+    The tasks are kept in the order of their start, so that a loss cancels
+    them in the same order in every run of a seed.
+    """
 
     def __init__(self, name: str) -> None:
         self.name = name
         self.is_up = True
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self._tasks: dict[asyncio.Task[Any], None] = {}
         self._lost: set[asyncio.Task[Any]] = set()
         self._going = asyncio.Event()
         self._going.set()
@@ -43,8 +47,8 @@
             work.close()
             raise ProcessDownError(self.name)
         task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks[task] = None
+        task.add_done_callback(self._tasks.pop)
         try:
             return await task
         except asyncio.CancelledError:
--- a/kumquatridge/bench/product.py
+++ b/kumquatridge/bench/product.py
@@ -396,7 +396,9 @@
             for seen in self.instances
             if not self.is_reachable(observer, seen)
         }
-        for name in {seen for _, seen in self._unreachable - unreachable}:
+        for name in sorted(
+            {seen for _, seen in self._unreachable - unreachable}
+        ):
             self.find(name).refute()
         self._unreachable = unreachable
         for observer in self.instances:
