--- /dev/null
+++ b/tests/platform/test_client.py
@@ -0,0 +1,170 @@
+"""The client over HTTP sees what the stand-in in memory shows."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+import contextlib
+
+import pytest
+
+from kumquatridge.platform import client as platform_client
+from kumquatridge.platform import errors
+from kumquatridge.platform import objects
+from kumquatridge.standins import platform as platform_standin
+from kumquatridge.standins import platform_store
+from tests import processes
+
+Faults = platform_store.PlatformFaults
+TIMEOUT_MS = 300
+
+
+@contextlib.asynccontextmanager
+async def connect(
+    store: platform_store.PlatformStore, token: str | None = None
+) -> AsyncIterator[platform_client.PlatformClient]:
+    """Serves a store on a free address and connects a client."""
+    address = processes.get_free_address()
+    settings = platform_client.ClientSettings(address, token, TIMEOUT_MS)
+    async with (
+        platform_standin.PlatformServer(address, store),
+        platform_client.PlatformClient(settings) as client,
+    ):
+        yield client
+
+
+@pytest.mark.parametrize(
+    ("key", "value", "expected_version", "reply"),
+    [
+        pytest.param("a/new", b"x", 0, objects.Stored(2), id="made"),
+        pytest.param("a/ä ?", b"x", 0, objects.Stored(2), id="odd key"),
+        pytest.param("a/b", b"x", 1, objects.Stored(2), id="replaced"),
+        pytest.param("a/b", b"x", 0, objects.Conflict(1), id="is there"),
+        pytest.param("a/b", b"x", 7, objects.Conflict(1), id="other version"),
+        pytest.param("a/new", b"x", 7, objects.Conflict(0), id="not there"),
+        pytest.param(
+            "b/c",
+            b"x",
+            0,
+            objects.Denied("this credential may write only below a/"),
+            id="not the writer's",
+        ),
+        pytest.param(
+            "a/big",
+            b"x" * objects.MAX_VALUE_BYTES,
+            0,
+            objects.Stored(2),
+            id="a megabyte",
+        ),
+    ],
+)
+async def test_write(
+    key: str, value: bytes, expected_version: int, reply: objects.WriteReply
+) -> None:
+    store = platform_store.PlatformStore({"token": "a/"})
+    await store.connect("token").put("a/b", b"old", 0)
+    async with connect(store, "token") as client:
+        assert await client.put(key, value, expected_version) == reply
+        match reply:
+            case objects.Stored(version):
+                expected = objects.PlatformObject(key, version, value)
+                assert await client.get(key) == expected
+            case _:
+                listing = await client.list_objects("")
+                assert [one.value for one in listing.objects] == [b"old"]
+
+
+async def test_value_above_a_megabyte_is_denied() -> None:
+    async with connect(platform_store.PlatformStore()) as client:
+        value = b"x" * (objects.MAX_VALUE_BYTES + 1)
+        reply = await client.put("a", value, 0)
+        assert type(reply) is objects.Denied
+        assert await client.get("a") is None
+
+
+async def test_list_watch_and_delete() -> None:
+    store = platform_store.PlatformStore()
+    async with connect(store) as client:
+        await client.put("a/1", b"1", 0)
+        await client.put("b/1", b"2", 0)
+        listing = await client.list_objects("a/")
+        assert listing.objects == (objects.PlatformObject("a/1", 1, b"1"),)
+        assert listing.version == 2
+        assert await client.list_versions("b/") == (
+            objects.ObjectVersion("b/1", 2),
+        )
+        assert await client.delete("a/1", 1) == objects.Stored(3)
+        await client.put("a/2", b"3", 0)
+        seen = [one async for one in client.watch("a/", 1, 0.2)]
+        assert seen == [
+            objects.PlatformObject("a/1", 3, None),
+            objects.PlatformObject("a/2", 4, b"3"),
+        ]
+
+
+async def test_watch_tells_a_change_while_it_waits() -> None:
+    store = platform_store.PlatformStore()
+    async with connect(store) as client:
+        changes = client.watch("a/", 0, 5.0)
+        first = asyncio.ensure_future(anext(changes))
+        await asyncio.sleep(0.1)
+        assert store.meter.waiting_watches == 1
+        await client.put("a/1", b"1", 0)
+        assert await first == objects.PlatformObject("a/1", 1, b"1")
+
+
+@pytest.mark.parametrize(
+    ("faults", "applied"),
+    [
+        pytest.param(Faults(down=True), False, id="down"),
+        pytest.param(Faults(lose_answers=1), True, id="answer lost"),
+        pytest.param(Faults(delay_ms=TIMEOUT_MS * 3), False, id="too slow"),
+    ],
+)
+async def test_answer_that_does_not_come_is_lost(
+    faults: platform_store.PlatformFaults, applied: bool
+) -> None:
+    store = platform_store.PlatformStore()
+    async with connect(store) as client:
+        store.set_faults(faults)
+        reply = await client.put("a", b"1", 0)
+        assert type(reply) is objects.AnswerLost
+        store.set_faults(platform_store.NO_FAULTS)
+        assert (await client.get("a") is not None) is applied
+
+
+async def get(client: platform_client.PlatformClient) -> object:
+    return await client.get("a")
+
+
+async def list_objects(client: platform_client.PlatformClient) -> object:
+    return await client.list_objects("a")
+
+
+async def watch(client: platform_client.PlatformClient) -> object:
+    return await anext(client.watch("a", 0, 0.1))
+
+
+DOWN = Faults(down=True)
+SLOW = Faults(delay_ms=TIMEOUT_MS * 3)
+SLOW_WATCH = Faults(delay_ms=platform_client.WATCH_GRACE_S * 2_000)
+
+
+@pytest.mark.parametrize(
+    ("faults", "read"),
+    [
+        pytest.param(DOWN, get, id="get while down"),
+        pytest.param(DOWN, list_objects, id="list while down"),
+        pytest.param(DOWN, watch, id="watch while down"),
+        pytest.param(SLOW, get, id="get too slow"),
+        pytest.param(SLOW, list_objects, id="list too slow"),
+        pytest.param(SLOW_WATCH, watch, id="watch too slow"),
+    ],
+)
+async def test_read_that_fails_raises(
+    faults: platform_store.PlatformFaults,
+    read: Callable[[platform_client.PlatformClient], Awaitable[object]],
+) -> None:
+    store = platform_store.PlatformStore()
+    async with connect(store) as client:
+        store.set_faults(faults)
+        with pytest.raises(errors.PlatformUnreachableError):
+            await read(client)
