--- a/kumquatridge/membership/remote_exchange.py
+++ b/kumquatridge/membership/remote_exchange.py
@@ -23,7 +23,7 @@
 
 
 class RemoteExchange:
-    """Asks other data centres for summaries while this daemon is a relay.
+    """Asks those data centres for summaries whose relay this daemon is.
 
     One task for each seed address until it is known which data centre is
     there, and one task for each other data centre.
@@ -70,7 +70,7 @@
     async def _ask_seed(self, address: str) -> None:
         retry_ms = SEED_RETRY_MS
         while address not in self._seeds:
-            if self._is_relay():
+            if self._is_relay(""):
                 await self._ask(address, known=0)
                 retry_ms = min(retry_ms * 2, SEED_RETRY_MAX_MS)
             await self._sleep(retry_ms)
@@ -85,7 +85,7 @@
         failures = 0
         while True:
             await self._sleep(self._settings.remote_interval_ms)
-            if not self._is_relay():
+            if not self._is_relay(data_centre):
                 continue
             if await self._ask_any(data_centre):
                 failures = 0
@@ -148,8 +148,14 @@
                 events.DataCentreReach(data_centre, type(known.reach).__name__)
             )
 
-    def _is_relay(self) -> bool:
-        return relays.is_relay(self._members.own, self._members)
+    def _is_relay(self, data_centre: str) -> bool:
+        """Tells whether this daemon is one of the two for a data centre.
+
+        Each data centre has relays of its own, so that no daemon carries all.
+        """
+        return relays.is_relay(
+            self._members.own, self._members, purpose=data_centre
+        )
 
     async def _sleep(self, interval_ms: int) -> None:
         spread = 0.5 + self._random.random()
--- a/kumquatridge/operators/app.py
+++ b/kumquatridge/operators/app.py
@@ -29,7 +29,6 @@
     members: tuple[fleet_status.MemberStatus, ...]
     settings: settings_store.StoreStatus
     data_centres: tuple[fleet_status.DataCentreStatus, ...] = ()
-    relays: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,7 +78,6 @@
         fleet_status.describe_members(daemon.members),
         daemon.settings.get_status(),
         fleet_status.describe_data_centres(daemon.members),
-        fleet_status.list_relays(daemon.members),
     )
 
 
--- a/kumquatridge/operators/fleet_status.py
+++ b/kumquatridge/operators/fleet_status.py
@@ -23,12 +23,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DataCentreStatus:
-    """Another data centre and for how long it has been like this."""
+    """Another data centre and for how long it has been like this.
+
+    `relays` are the members that exchange summaries with it.
+    """
 
     name: str
     reachable: bool
     since_s: float
     instances: int
+    relays: tuple[str, ...]
 
 
 def describe_members(
@@ -49,17 +53,15 @@
             one.reach == remote.Reachable(),
             _get_age_s(known.get_changed_at_ms(one.name)),
             sum(service.instances for service in one.services),
+            tuple(
+                relay.instance
+                for relay in relays.pick_relays(members_table, purpose=one.name)
+            ),
         )
         for one in known.data_centres
     )
 
 
-def list_relays(members_table: table.MemberTable) -> tuple[str, ...]:
-    """Returns the instances that exchange summaries for the data centre."""
-    picked = relays.pick_relays(members_table)
-    return tuple(one.instance for one in picked)
-
-
 def _describe_member(member: members.Member) -> MemberStatus:
     announcement = member.announcement
     reason, since_s = _describe_doubt(member.state)
--- a/kumquatridge/ui/status.py
+++ b/kumquatridge/ui/status.py
@@ -49,7 +49,6 @@
         yield f"  settings fault: {settings['fault']}"
     for member in one["members"]:
         yield f"  {_render_member(member)}"
-    yield f"  relays: {', '.join(one['relays'])}"
     for data_centre in one["data_centres"]:
         yield f"  {_render_data_centre(data_centre)}"
 
@@ -66,5 +65,6 @@
     reach = "reachable" if data_centre["reachable"] else "cut off"
     return (
         f"data centre {data_centre['name']}: {reach} for "
-        f"{data_centre['since_s']} s, {data_centre['instances']} instances"
+        f"{data_centre['since_s']} s, {data_centre['instances']} instances, "
+        f"relays {', '.join(data_centre['relays'])}"
     )
