Introduce a member to a peer that does not know it

Cause: a member that came back while its seeds were dead answered heartbeats of peers that it did not know and had no address of; it stayed alone. Change: an answer says whether the sender is known; if not, the sender sends its own member.

--- a/kumquatridge/membership/exchange.py
+++ b/kumquatridge/membership/exchange.py
@@ -55,9 +55,21 @@
         if receiver is not None and members.is_doubted(receiver):
             news.insert(0, receiver)
         return messages.Heartbeat(
-            self.members.own.instance, tuple(news), self.board.get_digests()
+            self.members.own.instance,
+            tuple(news),
+            self.board.get_digests(),
+            receiver is not None,
         )
 
+    async def _introduce(self, address: str, timeout_ms: int) -> None:
+        """Tells a peer of this daemon, which the peer does not know."""
+        heartbeat = messages.Heartbeat(
+            self.members.own.instance,
+            (self.members.own,),
+            self.board.get_digests(),
+        )
+        await self.link.ask(address, heartbeat, timeout_ms)
+
     async def talk(self, address: str, to: str, timeout_ms: int) -> None:
         """Exchanges heartbeats and pulls what differs.
 
@@ -73,6 +85,8 @@
             case _:
                 raise errors.PeerRefusedError(f"{address}: not a heartbeat")
         try:
+            if not answer.knows_receiver:
+                await self._introduce(address, timeout_ms)
             await self._pull_differing(address, answer.digests)
         except errors.MembershipError:
             self.recorder.record_peer_failure("pull")
--- a/kumquatridge/peers/messages.py
+++ b/kumquatridge/peers/messages.py
@@ -46,6 +46,7 @@
     sender: str
     news: tuple[_News, ...]
     digests: tuple[_Digest, ...]
+    knows_receiver: bool
 
 
 class _ProbeRequest(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -190,11 +191,12 @@
 
 def _to_wire(message: Message) -> _Wire:
     match message:
-        case messages.Heartbeat(sender, news, digests):
+        case messages.Heartbeat(sender, news, digests, knows_receiver):
             return _Heartbeat(
                 sender,
                 tuple(_make_news(one) for one in news),
                 tuple(_Digest(one.topic, one.digest) for one in digests),
+                knows_receiver,
             )
         case messages.ProbeRequest(instance):
             return _ProbeRequest(instance)
@@ -226,6 +228,7 @@
                     messages.TopicDigest(one.topic, one.digest)
                     for one in wire.digests
                 ),
+                wire.knows_receiver,
             )
         case _ProbeRequest():
             return messages.ProbeRequest(wire.instance)
--- a/tests/membership/test_gossip.py
+++ b/tests/membership/test_gossip.py
@@ -213,3 +213,20 @@
     return members.Member(
         "other", incarnation, "landshut", "c", "o", None, states[state]
     )
+
+
+@pytest.mark.looptime
+async def test_member_whose_seeds_are_dead_is_introduced_by_its_peers() -> None:
+    network = fleet.Network(10)
+    async with fleet.run_fleet(network, 5) as nodes:
+        await settle(nodes)
+        await asyncio.sleep(60.0)
+        await nodes[0].crash()
+        await nodes[1].crash()
+        again = fleet.Node(network, "n0", incarnation=2)
+        await again.start(seeds=("n1",))
+        rest = [again, *nodes[2:]]
+        await fleet.wait_until(
+            lambda: knows(rest, {one.name for one in rest}), 60.0
+        )
+        await again.crash()
