--- a/kumquatridge/benchmarks/fleet.py
+++ b/kumquatridge/benchmarks/fleet.py
@@ -29,6 +29,7 @@
 from kumquatridge.standins import loopback
 
 TOPIC = 99
+DRAIN_MS = 100
 ENTRY_COUNT = 1050
 ENTRY_BYTES = 300
 SERVICES = 10
--- a/kumquatridge/daemon/runtime.py
+++ b/kumquatridge/daemon/runtime.py
@@ -163,6 +163,7 @@
                         self._decisions,
                         exporter,
                         self._plane.store,
+                        news,
                     )
                 ),
             )
