--- a/kumquatridge/operators/app.py
+++ b/kumquatridge/operators/app.py
@@ -56,6 +56,10 @@
         raise exceptions.ValidationException(
             f"slots: got {data.slots}, expected a whole number above 0"
         )
+    if data.lease_ms < 0:
+        raise exceptions.ValidationException(
+            f"lease_ms: got {data.lease_ms}, expected 0 or more"
+        )
     daemon.registry.announce(data)
 
 
