--- a/kumquatridge/operators/app.py
+++ b/kumquatridge/operators/app.py
@@ -31,7 +31,6 @@
     members: tuple[fleet_status.MemberStatus, ...]
     settings: settings_store.StoreStatus
     data_centres: tuple[fleet_status.DataCentreStatus, ...] = ()
-    relays: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,6 +56,10 @@
         raise exceptions.ValidationException(
             f"slots: got {data.slots}, expected a whole number above 0"
         )
+    if data.lease_ms < 0:
+        raise exceptions.ValidationException(
+            f"lease_ms: got {data.lease_ms}, expected 0 or more"
+        )
     daemon.registry.announce(data)
 
 
@@ -82,7 +85,6 @@
         fleet_status.describe_members(daemon.members),
         daemon.settings.get_status(),
         fleet_status.describe_data_centres(daemon.members),
-        fleet_status.list_relays(daemon.members),
     )
 
 
