Drive the demo's settings through the platform; let the library wait

Cause: the demo read its tree from a file, and waiting for a change to be in force stood in the command. Change: the demo runs the platform's stand-in and applies its tree; waiting is the library's.

--- a/kumquatridge/demo/deployment.py
+++ b/kumquatridge/demo/deployment.py
@@ -8,13 +8,17 @@
 from kumquatridge.daemon import runtime
 from kumquatridge.daemon import settings as daemon_settings
 from kumquatridge.membership import member as members
+from kumquatridge.settings import credentials
 from kumquatridge.standins import announcer
 from kumquatridge.standins import loopback
+from kumquatridge.standins import platform as platform_standin
+from kumquatridge.standins import platform_store
 from kumquatridge.standins import worker as worker_standin
 
 SERVICE = "round-planning"
 TREE_FILE = pathlib.Path(__file__).parent / "tree.jsonc"
 DRAIN_MS = 50
+CREDENTIAL = credentials.Credential("/", "loopback operators")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,11 +37,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Deployment:
-    """What runs: the callers' addresses and the workers."""
+    """What runs: addresses and workers."""
 
     caller_addresses: tuple[str, ...]
     operator_addresses: tuple[str, ...]
     workers: tuple[worker_standin.SampleWorker, ...]
+    platform_address: str
 
     def count_repeated_runs(self) -> int:
         """Returns how many request keys were run more than once."""
@@ -56,11 +61,22 @@
     daemons: list[daemon_settings.DaemonSettings] = []
     workers: list[worker_standin.SampleWorker] = []
     async with contextlib.AsyncExitStack() as stack:
+        platform_address = loopback.get_free_address()
+        await stack.enter_async_context(
+            platform_standin.PlatformServer(
+                platform_address, platform_store.PlatformStore()
+            )
+        )
         for number in range(settings.workers):
             seeds = (daemons[0].control_address,) if daemons else ()
             daemon = loopback.make_daemon_settings(
                 f"planning-{number + 1}", TREE_FILE, *seeds, drain_ms=DRAIN_MS
             )
+            daemon = dataclasses.replace(
+                daemon,
+                platform_address=platform_address,
+                settings_key=CREDENTIAL.key,
+            )
             await stack.enter_async_context(runtime.Daemon(daemon))
             worker = worker_standin.WorkerSettings(
                 loopback.get_free_address(), settings.service_ms, settings.slots
@@ -81,4 +97,5 @@
             tuple(daemon.caller_address for daemon in daemons),
             tuple(daemon.operator_address for daemon in daemons),
             tuple(workers),
+            platform_address,
         )
--- a/kumquatridge/demo/report.py
+++ b/kumquatridge/demo/report.py
@@ -31,6 +31,7 @@
     phases: tuple[PhaseReport, ...]
     recovery_s: float | None
     repeated_runs: int
+    in_force_s: float
 
 
 def make_report(
@@ -38,6 +39,7 @@
     results: list[load.CallResult],
     capacity_per_s: float,
     repeated_runs: int,
+    in_force_s: float,
 ) -> DemoReport:
     """Sums up the results of a demo with a calm phase at its end."""
     reports = []
@@ -54,6 +56,7 @@
         tuple(reports),
         get_recovery_s(calm, calm_start_s),
         repeated_runs,
+        in_force_s,
     )
 
 
@@ -105,7 +108,11 @@
 
 def render(report: DemoReport) -> str:
     """Returns the report as text."""
-    lines = [f"capacity: {report.capacity_per_s:.0f} calls/s", ""]
+    lines = [
+        f"settings in force at all daemons after {report.in_force_s:.2f} s",
+        f"capacity: {report.capacity_per_s:.0f} calls/s",
+        "",
+    ]
     for phase in report.phases:
         lines += _render_phase(phase)
     if report.recovery_s is None:
--- a/kumquatridge/demo/runner.py
+++ b/kumquatridge/demo/runner.py
@@ -5,6 +5,7 @@
 from kumquatridge.demo import deployment
 from kumquatridge.demo import load
 from kumquatridge.demo import report
+from kumquatridge.demo import settings_change
 
 PHASES = (
     load.Phase("calm", 0.6, 3.0),
@@ -24,6 +25,11 @@
             connector=aiohttp.TCPConnector(limit=0)
         ) as session,
     ):
+        in_force_s = await settings_change.apply_tree(
+            running.platform_address,
+            deployment.CREDENTIAL,
+            deployment.TREE_FILE,
+        )
         sending = load.DemoLoad(running, session)
         await sending.send(phases, settings.capacity_per_s)
         return report.make_report(
@@ -31,4 +37,5 @@
             sending.results,
             settings.capacity_per_s,
             running.count_repeated_runs(),
+            in_force_s,
         )
--- a/kumquatridge/ui/demo.py
+++ b/kumquatridge/ui/demo.py
@@ -9,6 +9,7 @@
 from kumquatridge.demo import deployment
 from kumquatridge.demo import report
 from kumquatridge.demo import runner
+from kumquatridge.ui import failures
 
 
 @click.command()
@@ -21,7 +22,8 @@
             f"{settings.workers} workers with {settings.slots} slots each, "
             "calm, then twice the capacity, then calm; 13 s ..."
         )
-    found = uvloop.run(runner.run_demo(settings))
+    with failures.report_errors():
+        found = uvloop.run(runner.run_demo(settings))
     if as_json:
         click.echo(json.dumps(dataclasses.asdict(found), indent=2))
     else:
--- a/kumquatridge/ui/settings.py
+++ b/kumquatridge/ui/settings.py
@@ -18,13 +18,12 @@
 from kumquatridge.platform import client as platform_client
 from kumquatridge.platform import repository as platform_repository
 from kumquatridge.settings import credentials
-from kumquatridge.settings import digests
 from kumquatridge.settings import editing
 from kumquatridge.settings import errors as settings_errors
-from kumquatridge.settings import in_force
 from kumquatridge.settings import node as settings_node
 from kumquatridge.settings import record as settings_record
 from kumquatridge.settings import repository
+from kumquatridge.settings import waiting
 from kumquatridge.settings import writer
 from kumquatridge.ui import settings_output
 
@@ -198,7 +197,9 @@
     """Waits until the subtree at a path is in force everywhere."""
     async with _open_client(address) as client:
         nodes = platform_repository.PlatformRepository(client)
-        missing = await _wait_until_in_force(nodes, path, timeout_s)
+        missing = await waiting.wait_until_in_force(
+            nodes, path, timeout_s, WAIT_POLL_S
+        )
     settings_output.print_missing(missing, as_json)
     return not missing
 
@@ -238,29 +239,3 @@
             f"{file}: has children, which --keep-children forbids"
         )
     return editing.Edit(str(file), path, nodes, keep_children)
-
-
-async def _wait_until_in_force(
-    nodes: platform_repository.PlatformRepository, path: str, timeout_s: float
-) -> tuple[in_force.NotYet, ...]:
-    """Returns what is not in force when the time is over."""
-    loop = asyncio.get_running_loop()
-    ends_at_s = loop.time() + timeout_s
-    missing = await _find_missing(nodes, path)
-    while missing and loop.time() < ends_at_s:
-        await asyncio.sleep(WAIT_POLL_S)
-        missing = await _find_missing(nodes, path)
-    return missing
-
-
-async def _find_missing(
-    nodes: platform_repository.PlatformRepository, path: str
-) -> tuple[in_force.NotYet, ...]:
-    versions = editing.get_versions(editing.index(await nodes.list_nodes()))
-    subtree = editing.Edit("", path, ())
-    wanted = {
-        one: version for one, version in versions.items() if subtree.covers(one)
-    }
-    return in_force.find_missing(
-        await nodes.list_reports(), digests.make_digest(versions), wanted
-    )
