End a watch of the stand-in when its time is over

A timeout that fired a microsecond early by the loop's clock began the wait again at the same moment, for ever in virtual time; a test of silent watches hung when the order of random draws changed. The watch now returns when the timeout fires. The fleet of the tests also repeats old messages between peers, which makes the state machine find a store that takes older versions.

--- a/kumquatridge/standins/platform_store.py
+++ b/kumquatridge/standins/platform_store.py
@@ -118,16 +118,18 @@
         ends_at_s = loop.time() + window_s
         seen = since_version
         with self._count_watch():
-            while loop.time() < ends_at_s:
+            while True:
                 changed = self._changed
                 for one in self._find_changes(prefix, seen):
                     seen = one.version
                     yield one
                 if self._faults.down:
                     raise errors.PlatformUnreachableError("platform is down")
-                with contextlib.suppress(TimeoutError):
+                try:
                     async with asyncio.timeout_at(ends_at_s):
                         await changed.wait()
+                except TimeoutError:
+                    return
 
     def _find_changes(
         self, prefix: str, since_version: int
--- a/tests/settings/fleet.py
+++ b/tests/settings/fleet.py
@@ -1,6 +1,7 @@
 """Daemons of a data centre in one loop, over a link in memory."""
 
 import asyncio
+import collections
 from collections.abc import Iterable
 import contextlib
 import random
@@ -21,6 +22,7 @@
 from tests.settings import fixtures
 
 DATA_CENTRE = "landshut"
+MESSAGES = 100
 
 
 def make_member(instance: str) -> members.Member:
@@ -119,6 +121,13 @@
         pull(self.store, peer.store)
         pull(self.table, peer.table)
         self._pulled[peer.instance] = state
+        self._take_late_message(peer)
+
+    def _take_late_message(self, peer: "FleetDaemon") -> None:
+        """Takes once more what some daemon sent at some time before."""
+        late = self._fleet.messages
+        late.append(peer.store.export(peer.store.get_versions()))
+        self.store.merge(self.rng.choice(late))
 
     @property
     def revisions(self) -> tuple[int, int]:
@@ -154,6 +163,9 @@
         self.gossip_interval_s = gossip_interval_s
         self.platform = platform
         self.cut_off: set[str] = set()
+        self.messages: collections.deque[
+            tuple[settings_record.NodeRecord, ...]
+        ] = collections.deque(maxlen=MESSAGES)
         self.daemons = {
             name: FleetDaemon(self, name, platform)
             for name in (f"planning-{number}" for number in range(count))
