Let an unwell daemon still notice a death

Cause: the deadline of a verdict did not follow the scaled timeout; a daemon at the worst health score took each verdict for late, dropped it and stayed at that score, so the last peer was never suspected. Found by the state machine at 100 examples (three crashes under 30% loss). Ruled out: the link, the pauses. Change: the deadline is that of the longest question asked. Before: the new test fails after 30 s; after: passes.

--- a/kumquatridge/membership/conversation.py
+++ b/kumquatridge/membership/conversation.py
@@ -102,7 +102,11 @@
         return True
 
     async def _doubt(self, member: members.Member) -> None:
-        due_ms = clock.get_now_ms() + self._settings.answer_timeout_ms * 3
+        answer_timeout_ms = self._settings.answer_timeout_ms
+        allowed_ms = max(
+            self._health.scale(answer_timeout_ms), answer_timeout_ms * 2
+        )
+        due_ms = clock.get_now_ms() + allowed_ms
         helpers = self._pick_helpers()
         reached = await asyncio.gather(
             self._talk(member),
--- a/tests/membership/test_gossip.py
+++ b/tests/membership/test_gossip.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from kumquatridge.membership import health
 from kumquatridge.membership import member as members
 from tests.membership import fleet
 
@@ -230,3 +231,13 @@
             lambda: knows(rest, {one.name for one in rest}), 60.0
         )
         await again.crash()
+
+
+@pytest.mark.looptime
+async def test_an_unwell_daemon_still_notices_the_death_of_the_last() -> None:
+    async with fleet.run_fleet(fleet.Network(11), 2) as nodes:
+        await settle(nodes)
+        for _ in range(health.MAX_SCORE):
+            nodes[0].gossip._shared.health.record_bad()
+        await nodes[1].crash()
+        await fleet.wait_until(lambda: knows(nodes[:1], {"n0"}), 30.0)
