--- a/kumquatridge/benchmarks/fleet.py
+++ b/kumquatridge/benchmarks/fleet.py
@@ -17,12 +17,12 @@
 import tempfile
 
 import click
-from opentelemetry import metrics as otel_metrics
 import psutil
 
 from kumquatridge.benchmarks import processes
 from kumquatridge.daemon import settings as daemon_settings
 from kumquatridge.membership import member as members
+from kumquatridge.membership import recorder
 from kumquatridge.membership import table
 from kumquatridge.peers import control
 from kumquatridge.peers import topic_codec
@@ -120,39 +120,17 @@
     change_bytes: float
 
 
-class ByteCounter(otel_metrics.NoOpMeterProvider):
-    """Stands for metrics; counts the bytes of control messages."""
+class ByteCounter(recorder.NoRecorder):
+    """Counts the control messages of all planes and their bytes."""
 
     def __init__(self) -> None:
         self.messages = 0
         self.size_bytes = 0
 
-    def get_meter(self, *_: object, **__: object) -> otel_metrics.Meter:
-        """Returns a meter whose byte counter is this object's."""
-        return _CountingMeter(self)
-
-
-class _CountingMeter(otel_metrics.NoOpMeter):
-    def __init__(self, owner: ByteCounter) -> None:
-        super().__init__("fleet")
-        self._owner = owner
-
-    def create_counter(
-        self, name: str, *_: object, **__: object
-    ) -> otel_metrics.Counter:
-        if name.endswith("control_bytes"):
-            return _ByteCounter(self._owner)
-        return otel_metrics.NoOpCounter(name)
-
-
-class _ByteCounter(otel_metrics.NoOpCounter):
-    def __init__(self, owner: ByteCounter) -> None:
-        super().__init__("control_bytes")
-        self._owner = owner
-
-    def add(self, amount: float, *_: object, **__: object) -> None:
-        self._owner.messages += 1
-        self._owner.size_bytes += int(amount)
+    def record_control_bytes(self, direction: str, size_bytes: int) -> None:
+        """Counts one message."""
+        self.messages += 1
+        self.size_bytes += size_bytes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -186,7 +164,7 @@
 def make_node(
     settings: daemon_settings.DaemonSettings,
     index: int,
-    provider: otel_metrics.MeterProvider,
+    counter: recorder.Recorder,
 ) -> Node:
     """Returns a control plane whose worker has been announced."""
     own = members.Member(
@@ -200,7 +178,7 @@
         ),
     )
     known = table.MemberTable(own)
-    plane = control.ControlPlane(settings, known, provider)
+    plane = control.ControlPlane(settings, known, counter)
     entries = Entries()
     plane.gossip.add_topic(topic_codec.make_topic(TOPIC, entries, Entry))
     return Node(known, plane, entries)
--- a/kumquatridge/benchmarks/restart.py
+++ b/kumquatridge/benchmarks/restart.py
@@ -11,11 +11,11 @@
 import random
 
 import click
-from opentelemetry import metrics as otel_metrics
 
 from kumquatridge.benchmarks import fleet
 from kumquatridge.daemon import settings_plane
 from kumquatridge.encoding import settings_text
+from kumquatridge.membership import recorder
 from kumquatridge.platform import contact_repository
 from kumquatridge.platform import repository as platform_repository
 from kumquatridge.settings import credentials
@@ -47,9 +47,9 @@
 async def measure_restart(count: int, phase_s: float) -> RestartReport:
     """Measures one data centre in its first minute and at rest."""
     store = platform_store.PlatformStore()
-    provider = otel_metrics.NoOpMeterProvider()
+    counter = recorder.NoRecorder()
     nodes = [
-        fleet.make_node(fleet.make_settings(index, ()), index, provider)
+        fleet.make_node(fleet.make_settings(index, ()), index, counter)
         for index in range(count)
     ]
     async with contextlib.AsyncExitStack() as stack:
--- a/kumquatridge/daemon/runtime.py
+++ b/kumquatridge/daemon/runtime.py
@@ -33,6 +33,7 @@
 from kumquatridge.operators import server as operators_server
 from kumquatridge.operators import worker_registry
 from kumquatridge.peers import control
+from kumquatridge.peers import metrics as peer_metrics
 from kumquatridge.platform import contact_repository
 from kumquatridge.quarantine import register as crash_register
 from kumquatridge.routing import chooser as routing
@@ -71,6 +72,8 @@
         exporter = self._stack.enter_context(metrics.MetricExporter(recorder))
         self._add_gauges(exporter)
         self._plane.add_metrics(exporter)
+        control_counts = peer_metrics.ControlCounts()
+        control_counts.expose(exporter)
         session = await enter(client.make_session())
         credential = call_credential.CallCredential(
             settings.peer_key, settings.previous_peer_keys
@@ -122,7 +125,7 @@
             )
         )
         peers = await enter(
-            control.ControlPlane(settings, self._members, exporter.provider)
+            control.ControlPlane(settings, self._members, control_counts)
         )
         self._plane.spread(peers.gossip)
         await enter(self._plane)
--- a/kumquatridge/encoding/chain_codec.py
+++ b/kumquatridge/encoding/chain_codec.py
@@ -1,6 +1,7 @@
 """The chain's context as it travels between daemons."""
 
 import msgspec
+from returns import result
 
 from kumquatridge import clock
 from kumquatridge.calls import importance as call_importance
@@ -31,17 +32,18 @@
     return _encoder.encode(message).decode()
 
 
-def decode_chain(text: str) -> context.ChainContext | None:
-    """Returns the context, or None when the text is not one."""
+def decode_chain(text: str) -> result.Result[context.ChainContext, str]:
+    """Returns the context, or what is wrong with the text."""
     try:
         message = _decoder.decode(text)
         importance = call_importance.Importance(message.importance)
-    except (msgspec.DecodeError, ValueError):
-        return None
-    return context.ChainContext(
+    except (msgspec.DecodeError, ValueError) as error:
+        return result.Failure(str(error))
+    chain = context.ChainContext(
         root_id=message.root_id,
         importance=importance,
         expires_at_ms=clock.get_now_ms() + message.remaining_ms,
         retries=message.retries,
         depth=message.depth,
     )
+    return result.Success(chain)
--- a/kumquatridge/encoding/refusal_codec.py
+++ b/kumquatridge/encoding/refusal_codec.py
@@ -3,6 +3,7 @@
 import typing
 
 import msgspec
+from returns import result
 
 from kumquatridge.calls import refusals
 
@@ -17,15 +18,17 @@
     return msgspec.json.encode(refusal).decode()
 
 
-def decode_refusal(code: str, fields: str) -> refusals.Refusal | None:
-    """Returns the refusal, or None when code or fields are not known."""
+def decode_refusal(
+    code: str, fields: str
+) -> result.Result[refusals.Refusal, str]:
+    """Returns the refusal, or what is wrong with code or fields."""
     refusal_class = _CLASSES.get(code)
     if refusal_class is None:
-        return None
+        return result.Failure(f"unknown reason {code!r}")
     try:
         decoded: refusals.Refusal = msgspec.json.decode(
             fields, type=refusal_class
         )
-    except msgspec.DecodeError:
-        return None
-    return decoded
+    except msgspec.DecodeError as error:
+        return result.Failure(str(error))
+    return result.Success(decoded)
--- a/kumquatridge/http/peer_client.py
+++ b/kumquatridge/http/peer_client.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 import multidict
+from returns import result
 
 from kumquatridge import clock
 from kumquatridge.calls import call as calls
@@ -93,11 +94,15 @@
                 shed=headers.WORKER_SHED in marks,
             )
         case headers.OUTCOME_NOT_RUN:
-            refusal = refusal_codec.decode_refusal(
+            decoded = refusal_codec.decode_refusal(
                 marks.get(headers.REASON, ""), marks.get(headers.REFUSAL, "")
             )
-            if refusal is not None:
-                return outcomes.NotRun(refusal, unspent_retries, report)
+            match decoded:
+                case result.Success(refusal):
+                    return outcomes.NotRun(refusal, unspent_retries, report)
+                case result.Failure(fault):
+                    detail = f"refused without a known reason: {fault}"
+                    return outcomes.Unknown(detail, unspent_retries)
         case headers.OUTCOME_FAILED:
             return outcomes.Failed(
                 marks.get(headers.DETAIL, ""), unspent_retries, report
--- a/kumquatridge/http/peer_server.py
+++ b/kumquatridge/http/peer_server.py
@@ -1,6 +1,7 @@
 """The front end for calls that other daemons send to the own worker."""
 
 from aiohttp import web
+from returns import result
 
 from kumquatridge import clock
 from kumquatridge.callpath import inbound
@@ -77,11 +78,11 @@
         self, request: web.BaseRequest
     ) -> calls.Call | refusals.Refusal:
         marks = request.headers
-        chain = chain_codec.decode_chain(marks.get(headers.CHAIN, ""))
-        if chain is None:
-            raise errors.MalformedRequestError(
-                f"{headers.CHAIN}: missing or not a chain's context"
-            )
+        match chain_codec.decode_chain(marks.get(headers.CHAIN, "")):
+            case result.Success(chain):
+                pass
+            case result.Failure(fault):
+                raise errors.MalformedRequestError(f"{headers.CHAIN}: {fault}")
         service, path = caller_server.split_path(request.path_qs)
         policy = self._intake.find_policy(service, request.method, path)
         if policy is None:
--- a/kumquatridge/peers/control.py
+++ b/kumquatridge/peers/control.py
@@ -5,12 +5,11 @@
 import types
 from typing import Self
 
-from opentelemetry import metrics as otel_metrics
-
 from kumquatridge.daemon import settings as daemon_settings
 from kumquatridge.membership import bootstrap
 from kumquatridge.membership import gossip as membership_gossip
 from kumquatridge.membership import member_source
+from kumquatridge.membership import recorder as membership_recorder
 from kumquatridge.membership import remote_exchange
 from kumquatridge.membership import settings as gossip_settings
 from kumquatridge.membership import table
@@ -19,7 +18,6 @@
 from kumquatridge.peers import link as nng_link
 from kumquatridge.peers import listener
 from kumquatridge.peers import messages
-from kumquatridge.peers import metrics
 from kumquatridge.peers import threads
 from kumquatridge.peers import topic_codec
 
@@ -36,13 +34,13 @@
         self,
         settings: daemon_settings.DaemonSettings,
         members_table: table.MemberTable,
-        provider: otel_metrics.MeterProvider,
+        recorder: membership_recorder.Recorder,
         rates: gossip_settings.GossipSettings | None = None,
     ) -> None:
         threads.bound_threads()
         self._settings = settings
         self._members = members_table
-        self._recorder = recorder = metrics.ControlMetricRecorder(provider)
+        self._recorder = recorder
         credential = peer_credential.Credential(
             settings.peer_key, settings.previous_peer_keys
         )
--- a/kumquatridge/telemetry/gauges.py
+++ b/kumquatridge/telemetry/gauges.py
@@ -78,6 +78,22 @@
     "0: only the settings file, 1: some versions, 2: all versions known.",
 )
 
+PEER_FAILURES = CounterSpec(
+    "kumquatridge_peer_failures",
+    ("reason",),
+    "Control messages that came to nothing.",
+)
+MEMBER_VERDICTS = CounterSpec(
+    "kumquatridge_member_verdicts",
+    ("verdict",),
+    "Members suspected, dead, refuted or left.",
+)
+CONTROL_BYTES = CounterSpec(
+    "kumquatridge_control_bytes",
+    ("direction",),
+    "Bytes of control messages between daemons.",
+)
+
 COUNTERS = (
     REFUSALS,
     RETRIES,
@@ -86,6 +102,9 @@
     SETTINGS_REJECTIONS,
     PLATFORM_FAILURES,
     MISSED_CHANGES,
+    PEER_FAILURES,
+    MEMBER_VERDICTS,
+    CONTROL_BYTES,
 )
 GAUGES = (
     IN_PROGRESS,
--- a/kumquatridge/telemetry/metrics.py
+++ b/kumquatridge/telemetry/metrics.py
@@ -100,11 +100,6 @@
         """Stops exporting."""
         self._provider.shutdown()
 
-    @property
-    def provider(self) -> otel_metrics.MeterProvider:
-        """The provider, for instruments of other parts of the daemon."""
-        return self._provider
-
     def add_gauge(self, spec: gauges.GaugeSpec, read: ReadGauge) -> None:
         """Exposes the number that `read` returns at each scrape."""
 
--- a/tests/encoding/test_refusal_codec.py
+++ b/tests/encoding/test_refusal_codec.py
@@ -3,6 +3,7 @@
 import typing
 
 import pytest
+from returns import result
 
 from kumquatridge.calls import refusals
 from kumquatridge.encoding import refusal_codec
@@ -13,7 +14,8 @@
 def test_round_trip(refusal_class: type) -> None:
     refusal = test_explanations.make_refusal(refusal_class)
     fields = refusal_codec.encode_refusal(refusal)
-    assert refusal_codec.decode_refusal(refusal.code, fields) == refusal
+    decoded = refusal_codec.decode_refusal(refusal.code, fields)
+    assert decoded == result.Success(refusal)
 
 
 @pytest.mark.parametrize(
@@ -26,4 +28,5 @@
     ],
 )
 def test_wrong_text_is_no_refusal(code: str, fields: str) -> None:
-    assert refusal_codec.decode_refusal(code, fields) is None
+    decoded = refusal_codec.decode_refusal(code, fields)
+    assert isinstance(decoded, result.Failure)
--- a/tests/peers/test_control.py
+++ b/tests/peers/test_control.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 
-from opentelemetry import metrics as otel_metrics
 import pytest
 
 from kumquatridge.membership import errors
@@ -15,6 +14,7 @@
 from kumquatridge.peers import control
 from kumquatridge.peers import credential
 from kumquatridge.peers import link
+from kumquatridge.peers import metrics
 from tests import processes
 from tests.membership import fleet
 
@@ -31,8 +31,8 @@
         name, 1, "landshut", "c", settings.control_address, None
     )
     known = table.MemberTable(own)
-    provider = otel_metrics.NoOpMeterProvider()
-    return control.ControlPlane(settings, known, provider, HASTY), known
+    counts = metrics.ControlCounts()
+    return control.ControlPlane(settings, known, counts, HASTY), known
 
 
 async def test_open_and_close_under_traffic() -> None:
