Run background tasks by one owner that outlives errors

Cause: five owners each had the same start and stop, and a task that ended by an unforeseen error fell silent for good. Change: one base class that logs KQ1004 and starts the task again. Two tests of admission had been made easier while they were written: the crests of a swing had a statistical allowance only, and long work was tried with one importance only. The sum over all crests now meets the 90% with no allowance, and a second case mixes importances.

--- a/kumquatridge/idempotency/stalls.py
+++ b/kumquatridge/idempotency/stalls.py
@@ -5,9 +5,9 @@
 """
 
 import asyncio
-import types
-from typing import Protocol, Self
+from typing import Protocol
 
+from kumquatridge import background
 from kumquatridge import clock
 
 TICK_MS = 250.0
@@ -22,31 +22,13 @@
         ...
 
 
-class StallWatch:
+class StallWatch(background.BackgroundOwner):
     """Measures the lateness of a timer while its context is open."""
 
     def __init__(self) -> None:
         self._ticked_ms = 0.0
         self._lost_ms = 0.0
         self._lost_at_ms = float("-inf")
-        self._task: asyncio.Task[None] | None = None
-
-    async def __aenter__(self) -> Self:
-        """Starts to watch."""
-        self._ticked_ms = clock.get_now_ms()
-        self._task = asyncio.create_task(self._watch())
-        return self
-
-    async def __aexit__(
-        self,
-        error_type: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: types.TracebackType | None,
-    ) -> None:
-        """Stops watching."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
 
     def get_lost_ms(self) -> float:
         """Returns the length of a pause that ended just now, or 0."""
@@ -55,7 +37,8 @@
             return 0.0
         return self._lost_ms
 
-    async def _watch(self) -> None:
+    async def _run(self) -> None:
+        self._ticked_ms = clock.get_now_ms()
         while True:
             await asyncio.sleep(TICK_MS / 1000.0)
             self._note()
--- a/kumquatridge/membership/bootstrap.py
+++ b/kumquatridge/membership/bootstrap.py
@@ -9,9 +9,9 @@
 from collections.abc import Awaitable, Callable, Iterable
 import dataclasses
 import random
-import types
-from typing import Protocol, Self
+from typing import Protocol
 
+from kumquatridge import background
 from kumquatridge import clock
 from kumquatridge.membership import errors
 from kumquatridge.membership import recorder as membership_recorder
@@ -69,7 +69,7 @@
     contacts: int = 8
 
 
-class Bootstrap:
+class Bootstrap(background.BackgroundOwner):
     """Reads and writes contacts while its context is open.
 
     `meet` tries addresses of the own data centre, `join_remote` takes those
@@ -96,23 +96,6 @@
         self._join_remote = join_remote
         self._published: tuple[str, ...] = ()
         self._read_others_at_ms = float("-inf")
-        self._task: asyncio.Task[None] | None = None
-
-    async def __aenter__(self) -> Self:
-        """Starts the task that calls the platform."""
-        self._task = asyncio.create_task(self._run())
-        return self
-
-    async def __aexit__(
-        self,
-        error_type: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: types.TracebackType | None,
-    ) -> None:
-        """Stops calling the platform."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
 
     async def _run(self) -> None:
         settings = self._settings
--- a/kumquatridge/operators/worker_registry.py
+++ b/kumquatridge/operators/worker_registry.py
@@ -4,9 +4,8 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
-import types
-from typing import Self
 
+from kumquatridge import background
 from kumquatridge import clock
 from kumquatridge.admission import guard as admission_guard
 from kumquatridge.membership import member as members
@@ -17,7 +16,7 @@
 REFUSED_CHECKS = 2
 
 
-class WorkerRegistry:
+class WorkerRegistry(background.BackgroundOwner):
     """Keeps the own member in step with the worker.
 
     While its context is open, a worker that lets its lease lapse, or whose
@@ -35,23 +34,6 @@
         self._guard = guard
         self._on_change = on_change
         self._renewed_at_ms = 0.0
-        self._watching: asyncio.Task[None] | None = None
-
-    async def __aenter__(self) -> Self:
-        """Starts to watch the worker."""
-        self._watching = asyncio.create_task(self._watch())
-        return self
-
-    async def __aexit__(
-        self,
-        error_type: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: types.TracebackType | None,
-    ) -> None:
-        """Stops watching."""
-        if self._watching is not None:
-            self._watching.cancel()
-            await asyncio.gather(self._watching, return_exceptions=True)
 
     def announce(self, announcement: members.Announcement) -> None:
         """Takes an announcement; one that is repeated renews the lease."""
@@ -85,7 +67,7 @@
             dataclasses.replace(self._members.own, state=members.Leaving())
         )
 
-    async def _watch(self) -> None:
+    async def _run(self) -> None:
         refused = 0
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
--- a/kumquatridge/settings/relay.py
+++ b/kumquatridge/settings/relay.py
@@ -10,9 +10,9 @@
 from collections.abc import Iterable, Mapping
 import dataclasses
 import random
-import types
-from typing import Protocol, Self
+from typing import Protocol
 
+from kumquatridge import background
 from kumquatridge import clock
 from kumquatridge.settings import errors
 from kumquatridge.settings import record as settings_record
@@ -51,7 +51,7 @@
     jitter_ratio: float = 0.2
 
 
-class SettingsRelay:
+class SettingsRelay(background.BackgroundOwner):
     """Follows the platform while its context is open."""
 
     def __init__(
@@ -70,7 +70,6 @@
         self._duty = duty
         self._recorder = recorder
         self._rng = rng
-        self._task: asyncio.Task[None] | None = None
         self._seen: dict[str, int] = {}
         self._revision: int | None = None
         self._next_listing_ms = 0.0
@@ -82,22 +81,6 @@
         """When the platform stopped to answer, on the local clock."""
         return self._lost_at_ms
 
-    async def __aenter__(self) -> Self:
-        """Starts to follow the platform."""
-        self._task = asyncio.create_task(self._run())
-        return self
-
-    async def __aexit__(
-        self,
-        error_type: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: types.TracebackType | None,
-    ) -> None:
-        """Stops."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
-
     async def _run(self) -> None:
         await asyncio.sleep(self._settings.start_delay_s * self._rng.random())
         while True:
--- a/kumquatridge/settings/reporter.py
+++ b/kumquatridge/settings/reporter.py
@@ -5,9 +5,9 @@
 import dataclasses
 import random
 import time
-import types
-from typing import Protocol, Self
+from typing import Protocol
 
+from kumquatridge import background
 from kumquatridge.settings import errors
 from kumquatridge.settings import in_force
 from kumquatridge.settings import instances
@@ -46,7 +46,7 @@
     repeat_s: float = 30.0
 
 
-class InForceReporter:
+class InForceReporter(background.BackgroundOwner):
     """Writes a report on change while its context is open."""
 
     def __init__(
@@ -69,23 +69,6 @@
         self._rng = rng
         self._written: in_force.InForceReport | None = None
         self._gap_s = settings.first_gap_s
-        self._task: asyncio.Task[None] | None = None
-
-    async def __aenter__(self) -> Self:
-        """Starts to report."""
-        self._task = asyncio.create_task(self._run())
-        return self
-
-    async def __aexit__(
-        self,
-        error_type: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: types.TracebackType | None,
-    ) -> None:
-        """Stops."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
 
     async def _run(self) -> None:
         settings = self._settings
--- a/kumquatridge/telemetry/events.py
+++ b/kumquatridge/telemetry/events.py
@@ -40,6 +40,15 @@
     unfinished: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class BackgroundTaskFailed:
+    """A background task ended by an error and is started again."""
+
+    number: ClassVar[int] = 1004
+    owner: str
+    error: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkerAnnounced:
     """A worker announced itself to its daemon."""
--- a/tests/admission/test_overload.py
+++ b/tests/admission/test_overload.py
@@ -113,10 +113,10 @@
         for ratio in (2.0, 0.5)
     ]
     results = await load.send(worker, phases, make_maker(Mix(), rng), rng)
-    for crest in range(8):
-        from_s = crest * 0.5 + 0.05
-        done = count_done(results, from_s, from_s + 0.2)
-        assert done >= 0.9 * CAPACITY_PER_S * 0.2 - 2 * (done**0.5)
+    starts_s = [crest * 0.5 + 0.05 for crest in range(8)]
+    done = [count_done(results, start_s, start_s + 0.2) for start_s in starts_s]
+    assert sum(done) >= 0.9 * CAPACITY_PER_S * 0.2 * len(done)
+    assert min(done) >= 0.9 * CAPACITY_PER_S * 0.2 - 2 * (min(done) ** 0.5)
 
 
 @pytest.mark.looptime
@@ -143,8 +143,15 @@
 
 @pytest.mark.looptime
 @pytest.mark.parametrize("short_ratio", [0.2, 0.6])
+@pytest.mark.parametrize(
+    "others",
+    [
+        pytest.param((IMPORTANCE.NORMAL,), id="one importance"),
+        pytest.param((IMPORTANCE.NORMAL, IMPORTANCE.SHEDDABLE), id="two"),
+    ],
+)
 async def test_short_calls_are_not_behind_long_ones(
-    short_ratio: float,
+    others: tuple[IMPORTANCE, ...], short_ratio: float
 ) -> None:
     slots, long_factor = 35, 50
 
@@ -159,7 +166,7 @@
         )
         rate_per_s = slots * 1000.0 / SERVICE_MS * short_ratio
         phases = [load.Phase(rate_per_s / (1.0 - long_ratio), 8.0)]
-        mix = Mix(0.0, long_ratio, others=(IMPORTANCE.NORMAL,))
+        mix = Mix(0.0, long_ratio, others=others)
         return await load.send(worker, phases, make_maker(mix, rng), rng)
 
     def get_short_p99_ms(results: list[load.Result]) -> float:
--- /dev/null
+++ b/tests/test_background.py
@@ -0,0 +1,42 @@
+"""A background task outlives errors and ends with its owner."""
+
+import asyncio
+
+import pytest
+
+from kumquatridge import background
+from kumquatridge.telemetry import events
+
+
+class FailingOwner(background.BackgroundOwner):
+    """Fails so many times, then waits for ever."""
+
+    def __init__(self, failures: int) -> None:
+        self.failures = failures
+        self.starts = 0
+        self.is_cancelled = False
+
+    async def _run(self) -> None:
+        self.starts += 1
+        if self.starts <= self.failures:
+            raise ValueError("seldom")
+        try:
+            await asyncio.Event().wait()
+        finally:
+            self.is_cancelled = True
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("failures", [0, 1, 3])
+async def test_task_is_started_again(
+    failures: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    logged: list[events.Event] = []
+    monkeypatch.setattr(events, "log", logged.append)
+    async with FailingOwner(failures) as owner:
+        await asyncio.sleep((failures + 1) * background.RESTART_S)
+        assert owner.starts == failures + 1
+        assert not owner.is_cancelled
+    assert owner.is_cancelled
+    failed = events.BackgroundTaskFailed("FailingOwner", "ValueError('seldom')")
+    assert logged == [failed] * failures
