--- a/kumquatridge/operators/explanations.py
+++ b/kumquatridge/operators/explanations.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from kumquatridge.admission import levels
 from kumquatridge.calls import refusals
 from kumquatridge.telemetry import decisions
 
@@ -51,8 +52,8 @@
     match refusal:
         case refusals.Overloaded(level, limit, retry_after_ms):
             return (
-                f"only importance {level} and above is admitted, with at most "
-                f"{limit} calls at once; retry after {retry_after_ms} ms"
+                f"only calls {_describe_level(level)} are admitted, with at "
+                f"most {limit} calls at once; retry after {retry_after_ms} ms"
             )
         case refusals.QueueTimeout(waited_ms, _):
             return f"it waited {waited_ms} ms in the queue"
@@ -92,3 +93,12 @@
             return f"its sender did not prove to be a member: {detail}"
         case refusals.InvalidRequest(detail):
             return detail
+
+
+def _describe_level(rank: int) -> str:
+    """Says which calls have at least a rank."""
+    level = levels.AdmissionLevel.from_rank(rank)
+    return (
+        f"of importance {level.importance.name.lower()}, depth class "
+        f"{level.depth_class} and root hash up to {level.threshold}, and above,"
+    )
