Say in one line why a daemon can't start

Cause: an address that is taken or foreign gave a traceback for control messages, exit code 3 and a traceback for the operators' API, and left connections open; port 99999, a negative duration and an empty key were taken. Change: each listener turns the fault into its layer's error, a half-open daemon closes what it had opened, daemon settings are checked fully.

--- a/kumquatridge/daemon/main.py
+++ b/kumquatridge/daemon/main.py
@@ -28,7 +28,7 @@
         settings = daemon_text.read_daemon_settings(settings_file)
         eliot.to_file(sys.stderr)
         uvloop.run(runtime.run(settings))
-    except (errors.KumquatridgeError, OSError) as error:
+    except errors.KumquatridgeError as error:
         click.echo(f"kumquatridged: {error}", err=True)
         sys.exit(1)
 
--- a/kumquatridge/daemon/runtime.py
+++ b/kumquatridge/daemon/runtime.py
@@ -65,7 +65,19 @@
         self._registry: worker_registry.WorkerRegistry | None = None
 
     async def __aenter__(self) -> Self:
-        """Opens the connections and listeners."""
+        """Opens the connections and listeners.
+
+        Raises:
+          KumquatridgeError: an address can't be listened at.
+        """
+        try:
+            await self._open()
+        except BaseException:
+            await self._stack.aclose()
+            raise
+        return self
+
+    async def _open(self) -> None:
         settings = self._settings
         enter = self._stack.enter_async_context
         recorder = self._recorder
@@ -178,7 +190,6 @@
                 settings.caller_address,
             )
         )
-        return self
 
     async def __aexit__(
         self,
--- a/kumquatridge/encoding/daemon_text.py
+++ b/kumquatridge/encoding/daemon_text.py
@@ -1,8 +1,8 @@
 """Reads a daemon's settings from JSON with comments."""
 
 import dataclasses
+import ipaddress
 import pathlib
-import re
 
 import msgspec
 
@@ -10,7 +10,8 @@
 from kumquatridge.encoding import settings_text
 from kumquatridge.settings import errors
 
-_ADDRESS = re.compile(r"(\d{1,3}\.){3}\d{1,3}:\d{1,5}")
+MAX_PORT = 65535
+_NAMES = ("instance", "data_centre", "peer_key")
 
 
 def read_daemon_settings(
@@ -49,6 +50,8 @@
     except msgspec.ValidationError as error:
         raise errors.SettingsError(f"{source}: {error}") from error
     _check_addresses(source, decoded)
+    _check_names(source, decoded)
+    _check_durations(source, decoded)
     return decoded
 
 
@@ -71,7 +74,37 @@
     if settings.platform_address is not None:
         named["platform_address"] = settings.platform_address
     for name, address in named.items():
-        if not _ADDRESS.fullmatch(address):
+        if not _is_address(address):
             raise errors.InvalidValueError(
                 source, name, address, '"host:port" by IP number'
             )
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    if not port.isascii() or not port.isdigit():
+        return False
+    return 0 < int(port) <= MAX_PORT
+
+
+def _check_names(source: str, settings: daemon_settings.DaemonSettings) -> None:
+    for name in _NAMES:
+        if not getattr(settings, name).strip():
+            raise errors.InvalidValueError(
+                source, name, "", "a text that is not empty"
+            )
+
+
+def _check_durations(
+    source: str, settings: daemon_settings.DaemonSettings
+) -> None:
+    for field in dataclasses.fields(settings):
+        value = getattr(settings, field.name)
+        if field.name.endswith("_ms") and value < 0:
+            raise errors.InvalidValueError(
+                source, field.name, value, "0 or more milliseconds"
+            )
--- a/kumquatridge/http/server.py
+++ b/kumquatridge/http/server.py
@@ -6,6 +6,8 @@
 
 from aiohttp import web
 
+from kumquatridge.http import errors
+
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 LINGER_S = 2.0
@@ -33,10 +35,20 @@
         )
 
     async def __aenter__(self) -> Self:
-        """Starts to listen."""
+        """Starts to listen.
+
+        Raises:
+          ListenError: the address is taken, or not this instance's.
+        """
         await self._runner.setup()
         site = web.TCPSite(self._runner, self._host, self._port)
-        await site.start()
+        try:
+            await site.start()
+        except OSError as error:
+            await self._runner.cleanup()
+            raise errors.ListenError(
+                f"can't listen at {self._host}:{self._port}: {error.strerror}"
+            ) from error
         return self
 
     async def __aexit__(
--- a/kumquatridge/operators/server.py
+++ b/kumquatridge/operators/server.py
@@ -10,6 +10,8 @@
 import litestar
 import uvicorn
 
+from kumquatridge.operators import errors
+
 STOP_TIMEOUT_S = 1
 
 
@@ -33,12 +35,10 @@
     """Serves the operators' API while its context is open."""
 
     def __init__(self, address: str, app: litestar.Litestar) -> None:
-        host, port = address.rsplit(":", 1)
+        self._address = address
         self._server = _Server(
             uvicorn.Config(
                 app,
-                host=host,
-                port=int(port),
                 lifespan="off",
                 access_log=False,
                 log_level="warning",
@@ -48,8 +48,13 @@
         self._task: asyncio.Task[None] | None = None
 
     async def __aenter__(self) -> Self:
-        """Starts to serve."""
-        self._task = asyncio.create_task(self._server.serve())
+        """Starts to serve.
+
+        Raises:
+          ListenError: the address is taken, or not this instance's.
+        """
+        listener = self._listen()
+        self._task = asyncio.create_task(self._server.serve([listener]))
         listening = asyncio.create_task(self._server.listening.wait())
         await asyncio.wait(
             (listening, self._task), return_when=asyncio.FIRST_COMPLETED
@@ -59,6 +64,16 @@
             self._task.result()
         return self
 
+    def _listen(self) -> socket.socket:
+        """Returns a listening socket; the library would end the process."""
+        host, port = self._address.rsplit(":", 1)
+        try:
+            return socket.create_server((host, int(port)))
+        except OSError as error:
+            raise errors.ListenError(
+                f"can't listen at {self._address}: {error.strerror}"
+            ) from error
+
     async def __aexit__(
         self,
         error_type: type[BaseException] | None,
--- a/kumquatridge/peers/errors.py
+++ b/kumquatridge/peers/errors.py
@@ -7,6 +7,10 @@
     """A control message that could not be exchanged."""
 
 
+class ListenError(PeerError):
+    """The address for control messages can't be listened at."""
+
+
 class MalformedMessageError(PeerError):
     """The bytes of a message can't be decoded."""
 
--- a/kumquatridge/peers/listener.py
+++ b/kumquatridge/peers/listener.py
@@ -42,17 +42,29 @@
         self._refused: set[str] = set()
 
     async def __aenter__(self) -> Self:
-        """Listens and starts to answer."""
-        self._socket = pynng.Rep0(
-            listen=f"tcp://{self._address}",
-            recv_max_size=frames.MAX_FRAME_BYTES,
-        )
+        """Listens and starts to answer.
+
+        Raises:
+          ListenError: the address is taken, or not this instance's.
+        """
+        self._socket = self._listen()
         self._tasks = [
             asyncio.create_task(self._answer_requests(self._socket))
             for _ in range(ANSWERING_TASKS)
         ]
         return self
 
+    def _listen(self) -> pynng.Rep0:
+        try:
+            return pynng.Rep0(
+                listen=f"tcp://{self._address}",
+                recv_max_size=frames.MAX_FRAME_BYTES,
+            )
+        except pynng.exceptions.NNGException as error:
+            raise errors.ListenError(
+                f"can't listen at {self._address}: {error}"
+            ) from error
+
     async def __aexit__(
         self,
         error_type: type[BaseException] | None,
--- /dev/null
+++ b/tests/daemon/test_start.py
@@ -0,0 +1,75 @@
+"""A daemon that can't start says why in one line."""
+
+import asyncio
+import dataclasses
+import json
+import pathlib
+import socket
+import sys
+
+import pytest
+
+from tests import processes
+
+FOREIGN_ADDRESS = "192.0.2.1:8000"
+START_TIMEOUT_S = 20.0
+
+
+async def run_to_end(settings: dict[str, object], folder: pathlib.Path) -> str:
+    """Runs a daemon that must end by itself with exit code 1."""
+    file = folder / "daemon.jsonc"
+    file.write_text(json.dumps(settings))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "kumquatridge.daemon.main",
+        "--settings",
+        str(file),
+        stderr=asyncio.subprocess.PIPE,
+    )
+    async with asyncio.timeout(START_TIMEOUT_S):
+        _, stderr = await process.communicate()
+    assert process.returncode == 1
+    return stderr.decode()
+
+
+@pytest.mark.parametrize("is_taken", [True, False], ids=["taken", "foreign"])
+@pytest.mark.parametrize(
+    "name",
+    ["caller_address", "call_address", "control_address", "operator_address"],
+)
+async def test_address_that_cannot_be_used(
+    tmp_path: pathlib.Path, name: str, is_taken: bool
+) -> None:
+    settings = dataclasses.asdict(processes.make_settings("planning-1"))
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        port = taken.getsockname()[1]
+        address = f"127.0.0.1:{port}" if is_taken else FOREIGN_ADDRESS
+        stderr = await run_to_end({**settings, name: address}, tmp_path)
+    assert stderr.startswith(f"kumquatridged: can't listen at {address}: ")
+    assert stderr.count("\n") == 1
+
+
+@pytest.mark.parametrize(
+    ("change", "part"),
+    [
+        pytest.param({"caller_address": "999.1.1.1:80"}, "IP number", id="ip"),
+        pytest.param({"call_address": "127.0.0.1:0"}, "IP number", id="port 0"),
+        pytest.param(
+            {"call_address": "127.0.0.1:65536"}, "IP number", id="high port"
+        ),
+        pytest.param({"seeds": ["localhost:80"]}, "seeds[0]", id="name"),
+        pytest.param({"tree_file": "/none"}, "can't be read", id="no tree"),
+        pytest.param({"drain_ms": -1}, "0 or more", id="negative"),
+        pytest.param({"drain_ms": "3s"}, "drain_ms", id="unit in the value"),
+        pytest.param({"peer_key": " "}, "not empty", id="no key"),
+    ],
+)
+async def test_wrong_settings(
+    tmp_path: pathlib.Path, change: dict[str, object], part: str
+) -> None:
+    settings = dataclasses.asdict(processes.make_settings("planning-1"))
+    stderr = await run_to_end({**settings, **change}, tmp_path)
+    assert part in stderr
+    assert stderr.startswith("kumquatridged: ")
+    assert stderr.count("\n") == 1
