Show admission in status and metrics; check the examples' sizes

Cause: what admission stands at could not be seen, and nothing compared the examples with the deployments they stand for. Change: level, limit and latency in status and three gauges; a table over both examples.

--- a/kumquatridge/daemon/runtime.py
+++ b/kumquatridge/daemon/runtime.py
@@ -221,6 +221,16 @@
         exporter.add_gauge(gauges.IN_PROGRESS, lambda: guard.in_progress)
         exporter.add_gauge(gauges.QUEUED, lambda: guard.queued)
         exporter.add_gauge(gauges.LIMIT, lambda: guard.limit)
+        exporter.add_gauge(
+            gauges.OVERLOADED, lambda: guard.snapshot.is_overloaded
+        )
+        exporter.add_gauge(
+            gauges.ADMITTED_IMPORTANCE,
+            lambda: guard.snapshot.level.importance,
+        )
+        exporter.add_gauge(
+            gauges.WORKER_LATENCY_MS, lambda: guard.snapshot.latency_ms
+        )
         exporter.add_gauge(
             gauges.MEMBERS, lambda: sum(1 for _ in self._members)
         )
--- a/kumquatridge/operators/app.py
+++ b/kumquatridge/operators/app.py
@@ -30,7 +30,8 @@
     limit: int
     members: tuple[fleet_status.MemberStatus, ...]
     settings: settings_store.StoreStatus
-    data_centres: tuple[fleet_status.DataCentreStatus, ...] = ()
+    data_centres: tuple[fleet_status.DataCentreStatus, ...]
+    admission: admission_guard.GuardSnapshot
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,6 +86,7 @@
         fleet_status.describe_members(daemon.members),
         daemon.settings.get_status(),
         fleet_status.describe_data_centres(daemon.members),
+        guard.snapshot,
     )
 
 
--- a/kumquatridge/telemetry/gauges.py
+++ b/kumquatridge/telemetry/gauges.py
@@ -50,6 +50,16 @@
 LIMIT = GaugeSpec(
     "kumquatridge_limit", "Calls that may hold a slot of the own worker."
 )
+OVERLOADED = GaugeSpec(
+    "kumquatridge_overloaded", "1 while the own worker is overloaded, else 0."
+)
+ADMITTED_IMPORTANCE = GaugeSpec(
+    "kumquatridge_admitted_importance",
+    "The least importance admitted: 0 background to 3 critical.",
+)
+WORKER_LATENCY_MS = GaugeSpec(
+    "kumquatridge_worker_latency_ms", "Median latency of the own worker."
+)
 MEMBERS = GaugeSpec(
     "kumquatridge_members", "Members that the daemon knows, itself included."
 )
@@ -110,6 +120,9 @@
     IN_PROGRESS,
     QUEUED,
     LIMIT,
+    OVERLOADED,
+    ADMITTED_IMPORTANCE,
+    WORKER_LATENCY_MS,
     MEMBERS,
     SETTINGS_NODES,
     SETTINGS_ORIGIN,
--- a/kumquatridge/ui/status.py
+++ b/kumquatridge/ui/status.py
@@ -6,6 +6,7 @@
 
 import click
 
+from kumquatridge.calls import importance as call_importance
 from kumquatridge.ui import failures
 from kumquatridge.ui import operator_client
 
@@ -40,6 +41,7 @@
         f"{one['in_progress']} of {one['limit']} in progress, "
         f"{one['queued']} queued"
     )
+    yield f"  {_render_admission(one['admission'])}"
     settings = one["settings"]
     yield (
         f"  settings: {settings['origin']}, {settings['nodes']} nodes, "
@@ -53,6 +55,18 @@
         yield f"  {_render_data_centre(data_centre)}"
 
 
+def _render_admission(admission: dict[str, Any]) -> str:
+    level = admission["level"]
+    importance = call_importance.Importance(level["importance"]).name.lower()
+    state = "overloaded" if admission["is_overloaded"] else "calm"
+    return (
+        f"admission: {state}, limit {admission['limit']} of "
+        f"{admission['slots']} slots, admits importance {importance} at depth "
+        f"class {level['depth_class']} and root hash up to "
+        f"{level['threshold']}, latency {admission['latency_ms']:.1f} ms"
+    )
+
+
 def _render_member(member: dict[str, Any]) -> str:
     service = member["service"] or "no worker"
     line = f"{member['instance']} ({service}): {member['state']}"
--- /dev/null
+++ b/tests/test_examples.py
@@ -0,0 +1,51 @@
+"""The examples are valid and have the sizes that they are meant to have."""
+
+import dataclasses
+import pathlib
+
+import pytest
+
+from kumquatridge.bench import scenario_text
+from kumquatridge.encoding import settings_text
+
+EXAMPLES = pathlib.Path(__file__).parents[1] / "examples"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Case:
+    """An example's folder and what it should hold."""
+
+    folder: str
+    data_centres: int
+    workers: dict[str, int]
+
+
+@pytest.mark.parametrize(
+    "case",
+    [
+        Case(
+            "milchdienst",
+            3,
+            {
+                "round-planning": 6,
+                "ordering": 4,
+                "dairy-intake": 3,
+                "household-registry": 3,
+            },
+        ),
+        Case(
+            "botellas",
+            4,
+            {"storefront": 5, "commissions": 4, "printing": 4, "tracking": 4},
+        ),
+    ],
+    ids=lambda case: case.folder,
+)
+def test_example(case: Case) -> None:
+    folder = EXAMPLES / case.folder
+    policies = settings_text.read_tree(folder / "tree.jsonc").compile()
+    deployment = scenario_text.read_deployment(EXAMPLES, case.folder)
+    workers = {one.name: one.workers for one in deployment.services}
+    assert workers == case.workers
+    assert len(deployment.data_centres) == case.data_centres
+    assert set(policies.services) == set(case.workers)
--- a/tests/ui/test_status.py
+++ b/tests/ui/test_status.py
@@ -15,6 +15,13 @@
     "in_progress": 1,
     "queued": 0,
     "limit": 35,
+    "admission": {
+        "is_overloaded": True,
+        "limit": 30,
+        "slots": 35,
+        "level": {"importance": 2, "depth_class": 1, "threshold": 100},
+        "latency_ms": 21.04,
+    },
     "settings": {"origin": "complete", "nodes": 3, "digest": 255},
     "members": [
         {
@@ -40,6 +47,7 @@
 @pytest.mark.parametrize(
     "expected",
     [
+        "admission: overloaded, limit 30 of 35 slots, admits importance normal",
         "n1 in landshut: 1 of 35 in progress",
         "settings: complete, 3 nodes, digest ff",
         "n2 (no worker): suspected for 1.5 s: no answer to n1",
