Name things by the terms of the field

Cause: a daemon's place in the roster of homes and the load before and after an overload went by words of our own. Change: registration, normal load, recovery.

--- a/kumquatridge/admission/limits.py
+++ b/kumquatridge/admission/limits.py
@@ -5,8 +5,8 @@
 the worker finishes as many calls as before: then the calls only stood in
 each other's way. Otherwise the slowness lies elsewhere, in a slow neighbour
 or upstream; a lower limit would only waste slots, so it goes up instead.
-Overload answers of the worker itself lower the limit at once. In calm the
-limit grows back by a ratio for each window.
+Overload answers of the worker itself lower the limit at once. Without
+overload the limit grows back by a ratio for each window.
 
 Sources: N. Cardwell et al., "BBR: Congestion-Based Congestion Control", ACM
 Queue 2016 (throughput and latency as two signals); D. Chiu and R. Jain,
--- a/kumquatridge/demo/report.py
+++ b/kumquatridge/demo/report.py
@@ -41,7 +41,7 @@
     repeated_runs: int,
     in_force_s: float,
 ) -> DemoReport:
-    """Sums up the results of a demo with a calm phase at its end."""
+    """Sums up the results of a demo whose last phase is normal load."""
     reports = []
     start_s = 0.0
     for phase in phases:
@@ -49,25 +49,27 @@
         due = [one for one in results if start_s <= one.due_s < end_s]
         reports.append(_report_phase(phase, due))
         start_s = end_s
-    calm_start_s = start_s - phases[-1].duration_s
-    calm = [one for one in results if one.due_s >= calm_start_s]
+    last_start_s = start_s - phases[-1].duration_s
+    last_phase = [one for one in results if one.due_s >= last_start_s]
     return DemoReport(
         capacity_per_s,
         tuple(reports),
-        get_recovery_s(calm, calm_start_s),
+        get_recovery_s(last_phase, last_start_s),
         repeated_runs,
         in_force_s,
     )
 
 
-def get_recovery_s(calm: list[load.CallResult], start_s: float) -> float | None:
+def get_recovery_s(
+    last_phase: list[load.CallResult], start_s: float
+) -> float | None:
     """Returns how long after the start nearly all calls are good again.
 
     Looks at windows of calls by the time they were due; None when the last
     window is not good yet.
     """
     windows: dict[int, list[bool]] = collections.defaultdict(list)
-    for one in calm:
+    for one in last_phase:
         windows[int((one.due_s - start_s) / WINDOW_S)].append(one.is_good)
     bad = [
         number
@@ -116,7 +118,7 @@
     for phase in report.phases:
         lines += _render_phase(phase)
     if report.recovery_s is None:
-        lines.append("recovery: not within the calm phase")
+        lines.append("recovery: not within the last phase")
     else:
         lines.append(
             f"recovery: within {report.recovery_s:.2f} s after the overload"
--- a/kumquatridge/demo/runner.py
+++ b/kumquatridge/demo/runner.py
@@ -8,9 +8,9 @@
 from kumquatridge.demo import settings_change
 
 PHASES = (
-    load.Phase("calm", 0.6, 3.0),
+    load.Phase("normal", 0.6, 3.0),
     load.Phase("overload", 2.0, 6.0),
-    load.Phase("calm again", 0.6, 4.0),
+    load.Phase("normal again", 0.6, 4.0),
 )
 
 
--- a/kumquatridge/http/service_news.py
+++ b/kumquatridge/http/service_news.py
@@ -116,9 +116,9 @@
         if news.data_centre != self._members.own.data_centre:
             self._take_remote(news)
             return self._encode(service, self._homes.ask())
-        seats = self._roster.seats
+        registrations = self._roster.registrations
         answer = self._homes.answer(news.homes)
-        self._take_crashes(news, seats)
+        self._take_crashes(news, registrations)
         return self._encode(service, answer)
 
     async def _follow(self) -> None:
@@ -202,9 +202,9 @@
         if news.data_centre != self._members.own.data_centre:
             self._take_remote(news)
             return True
-        seats = self._roster.seats
+        registrations = self._roster.registrations
         self._homes.conclude(news.homes)
-        self._take_crashes(news, seats)
+        self._take_crashes(news, registrations)
         return True
 
     def _take_remote(self, news: ServiceNews) -> None:
@@ -213,11 +213,13 @@
             self.announce()
 
     def _take_crashes(
-        self, news: ServiceNews, seats: tuple[home_roster.Seat, ...]
+        self,
+        news: ServiceNews,
+        registrations: tuple[home_roster.Registration, ...],
     ) -> None:
-        """Takes the crashes, and tells of seats that were news."""
+        """Takes the crashes, and tells of registrations that were news."""
         self._crashes.merge(news.crashes)
-        if self._roster.seats != seats:
+        if self._roster.registrations != registrations:
             self.announce()
 
     def _encode(self, service: str, homes: handover.HomeNews) -> bytes:
--- a/kumquatridge/idempotency/handover.py
+++ b/kumquatridge/idempotency/handover.py
@@ -30,9 +30,9 @@
 class HomeNews:
     """One daemon's word to another."""
 
-    own: home_roster.Seat
+    own: home_roster.Registration
     is_established: bool
-    seats: tuple[home_roster.Seat, ...]
+    registrations: tuple[home_roster.Registration, ...]
     handover: Handover | None
 
 
@@ -106,7 +106,7 @@
     def conclude(self, news: HomeNews) -> None:
         """Takes the answer to the own news."""
         self._learn(news)
-        if self._roster.own not in news.seats:
+        if self._roster.own not in news.registrations:
             return
         covered_ms = 0.0
         if news.handover is not None:
@@ -122,10 +122,13 @@
         if news.own.left and news.handover is not None:
             self._handed.add(news.own.instance, news.handover.scopes)
             self._roster.take_leave(news.own, news.handover.covered_ms)
-        self._roster.learn(news.seats)
+        self._roster.learn(news.registrations)
 
     def _make_news(
-        self, *, with_keys: bool, asked_by: home_roster.Seat | None = None
+        self,
+        *,
+        with_keys: bool,
+        asked_by: home_roster.Registration | None = None,
     ) -> HomeNews:
         handover = None
         if with_keys:
@@ -136,6 +139,6 @@
         return HomeNews(
             self._roster.current,
             self._roster.is_established,
-            self._roster.seats,
+            self._roster.registrations,
             handover,
         )
--- a/kumquatridge/idempotency/roster.py
+++ b/kumquatridge/idempotency/roster.py
@@ -22,7 +22,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Seat:
+class Registration:
     """One daemon of the roster, as daemons tell each other.
 
     The higher `number` of an instance is the newer process, and `left` is
@@ -68,9 +68,9 @@
         self, settings: key_settings.KeySettings, instance: str, number: int
     ) -> None:
         self._settings = settings
-        self._own = Seat(instance, number)
+        self._own = Registration(instance, number)
         self._joined = False
-        self._seats: dict[str, Seat] = {}
+        self._registrations: dict[str, Registration] = {}
         self._has_left = False
         self._left_floor_ms: dict[str, float] = {}
         self._floor_ms: dict[str, float] = {}
@@ -88,38 +88,39 @@
 
     @property
     def has_left(self) -> bool:
-        """Whether this daemon gave its seat up."""
+        """Whether this daemon gave its registration up."""
         return self._has_left
 
     @property
-    def current(self) -> Seat:
-        """This daemon's own seat, marked once it is given up."""
+    def current(self) -> Registration:
+        """This daemon's own registration, marked once it is given up."""
         return dataclasses.replace(self._own, left=self._has_left)
 
     @property
-    def own(self) -> Seat:
-        """This daemon's own seat."""
+    def own(self) -> Registration:
+        """This daemon's own registration."""
         return self._own
 
     @property
-    def seats(self) -> tuple[Seat, ...]:
-        """All seats for the peers, the own included."""
-        return tuple(self._seats.values())
+    def registrations(self) -> tuple[Registration, ...]:
+        """All registrations for the peers, the own included."""
+        return tuple(self._registrations.values())
 
     @property
     def pending(self) -> frozenset[str]:
         """Instances that have not yet acknowledged this daemon."""
         waiting = {
-            seat.instance
-            for seat in self._seats.values()
-            if not seat.left
-            and seat.instance != self._own.instance
-            and self._acknowledged.get(seat.instance) != seat.number
+            registration.instance
+            for registration in self._registrations.values()
+            if not registration.left
+            and registration.instance != self._own.instance
+            and self._acknowledged.get(registration.instance)
+            != registration.number
         }
         return frozenset(waiting | self._unmet)
 
     def join(self, *, may_found: bool) -> None:
-        """Takes the own seat when the worker first announces itself.
+        """Takes the own registration when the worker first announces itself.
 
         Only with `may_found` can a daemon be established before it has heard
         of one that is; otherwise two that restart while cut off from a third
@@ -127,51 +128,59 @@
         """
         if not self._joined:
             self._joined = True
-            self._seats[self._own.instance] = self._own
+            self._registrations[self._own.instance] = self._own
         self._may_found = may_found
         self._check_established()
 
     def leave(self) -> None:
-        """Gives the own seat up for good; no bare key runs here any more."""
+        """Ends the own registration for good; no bare key runs here then."""
         if self._joined and not self._has_left:
             self._has_left = True
-            self._learn_seat(self.current)
+            self._learn_registration(self.current)
 
     def meet(self, instances: Iterable[str]) -> None:
         """Takes the instances that membership knows of this service."""
         for instance in instances:
-            if instance not in self._seats:
+            if instance not in self._registrations:
                 self._unmet.add(instance)
 
-    def learn(self, seats: Iterable[Seat]) -> bool:
-        """Takes seats that a peer tells; returns whether any was news."""
-        changed = [seat for seat in seats if self._learn_seat(seat)]
+    def learn(self, registrations: Iterable[Registration]) -> bool:
+        """Takes a peer's registrations; returns whether any was new."""
+        changed = [
+            registration
+            for registration in registrations
+            if self._learn_registration(registration)
+        ]
         return bool(changed)
 
     def acknowledge(
-        self, seat: Seat, *, is_established: bool, covered_ms: float
+        self,
+        registration: Registration,
+        *,
+        is_established: bool,
+        covered_ms: float,
     ) -> None:
-        """Takes the word of a daemon that it knows this daemon's seat.
+        """Takes the word of a daemon that it knows this daemon's registration.
 
         It has told all keys that it knows, complete for those made during
         the last `covered_ms`.
         """
-        self._learn_seat(seat)
+        self._learn_registration(registration)
         self._knows_established |= is_established
-        self._floor_ms[seat.instance] = clock.get_now_ms() - covered_ms
-        self._acknowledged[seat.instance] = seat.number
+        self._floor_ms[registration.instance] = clock.get_now_ms() - covered_ms
+        self._acknowledged[registration.instance] = registration.number
         self._check_established()
 
-    def take_leave(self, seat: Seat, covered_ms: float) -> None:
+    def take_leave(self, registration: Registration, covered_ms: float) -> None:
         """Takes the word of a daemon that it leaves, with all its keys."""
-        self._learn_seat(seat)
-        if self._seats.get(seat.instance) == seat:
-            self._left_floor_ms[seat.instance] = min(
-                self._left_floor_ms[seat.instance],
+        self._learn_registration(registration)
+        if self._registrations.get(registration.instance) == registration:
+            self._left_floor_ms[registration.instance] = min(
+                self._left_floor_ms[registration.instance],
                 clock.get_now_ms() - covered_ms,
             )
 
-    def get_covered_ms(self, asked_by: Seat | None) -> float:
+    def get_covered_ms(self, asked_by: Registration | None) -> float:
         """Returns how far back this daemon knows of every key.
 
         It knows of none that the asking daemon's own predecessor claimed,
@@ -190,25 +199,31 @@
         if instance == self._own.instance:
             return False
         if instance in self._unmet:
-            return self._learn_seat(Seat(instance, NEVER_MET_NUMBER, True))
-        seat = self._seats.get(instance)
-        if seat is None or seat.left:
+            return self._learn_registration(
+                Registration(instance, NEVER_MET_NUMBER, True)
+            )
+        registration = self._registrations.get(instance)
+        if registration is None or registration.left:
             return False
-        return self._learn_seat(dataclasses.replace(seat, left=True))
+        return self._learn_registration(
+            dataclasses.replace(registration, left=True)
+        )
 
     def judge(self, scope: str, key_age_ms: float) -> Judgement:
         """Decides whether this daemon may run a bare key.
 
         `key_age_ms` is how long ago the caller may have made the key.
         """
-        present = [s.instance for s in self._seats.values() if not s.left]
+        present = [
+            s.instance for s in self._registrations.values() if not s.left
+        ]
         present.extend(self._unmet)
         if not present:
             return Unproved("this daemon is not a home of the service")
         home = max(present, key=lambda name: keys.rank(name, scope))
         if home != self._own.instance:
             return Elsewhere(home)
-        if self._seats[home] != self._own:
+        if self._registrations[home] != self._own:
             return Unproved("another process took this daemon's place")
         if self._since_ms is None:
             return Unproved("daemons of the service have yet to agree")
@@ -221,9 +236,9 @@
             return Unproved("the key may be older than its home's memory")
         return Home()
 
-    def _has_replaced(self, seat: Seat) -> bool:
-        """Tells whether a seat's predecessor ended without a word."""
-        return self._replaced.get(seat.instance) == seat.number
+    def _has_replaced(self, registration: Registration) -> bool:
+        """Tells whether a registration's predecessor ended without a word."""
+        return self._replaced.get(registration.instance) == registration.number
 
     def _get_left_floor_ms(self, scope: str) -> float:
         """Returns since when keys of homes that left are known here."""
@@ -237,18 +252,22 @@
             default=float("-inf"),
         )
 
-    def _learn_seat(self, seat: Seat) -> bool:
-        known = self._seats.get(seat.instance)
-        if known is not None and known.age >= seat.age:
+    def _learn_registration(self, registration: Registration) -> bool:
+        known = self._registrations.get(registration.instance)
+        if known is not None and known.age >= registration.age:
             return False
-        if seat.instance == self._own.instance and not self._joined:
+        if registration.instance == self._own.instance and not self._joined:
             return False
-        if known is not None and not known.left and seat.number > known.number:
-            self._replaced[seat.instance] = seat.number
-        self._seats[seat.instance] = seat
-        self._unmet.discard(seat.instance)
-        if seat.left and seat.instance != self._own.instance:
-            self._left_floor_ms[seat.instance] = clock.get_now_ms()
+        if (
+            known is not None
+            and not known.left
+            and registration.number > known.number
+        ):
+            self._replaced[registration.instance] = registration.number
+        self._registrations[registration.instance] = registration
+        self._unmet.discard(registration.instance)
+        if registration.left and registration.instance != self._own.instance:
+            self._left_floor_ms[registration.instance] = clock.get_now_ms()
         self._check_established()
         return True
 
--- a/kumquatridge/ui/demo.py
+++ b/kumquatridge/ui/demo.py
@@ -20,7 +20,7 @@
     if not as_json:
         click.echo(
             f"{settings.workers} workers with {settings.slots} slots each, "
-            "calm, then twice the capacity, then calm; 13 s ..."
+            "normal load, then twice the capacity, then normal; 13 s ..."
         )
     with failures.report_errors():
         found = uvloop.run(runner.run_demo(settings))
--- a/kumquatridge/ui/status.py
+++ b/kumquatridge/ui/status.py
@@ -58,7 +58,7 @@
 def _render_admission(admission: dict[str, Any]) -> str:
     level = admission["level"]
     importance = call_importance.Importance(level["importance"]).name.lower()
-    state = "overloaded" if admission["is_overloaded"] else "calm"
+    state = "overloaded" if admission["is_overloaded"] else "not overloaded"
     return (
         f"admission: {state}, limit {admission['limit']} of "
         f"{admission['slots']} slots, admits importance {importance} at depth "
--- a/tests/demo/test_report.py
+++ b/tests/demo/test_report.py
@@ -10,7 +10,7 @@
 CALLS_A_WINDOW = 10
 
 
-def make_calm(good_by_window: list[int]) -> list[load.CallResult]:
+def make_last_phase(good_by_window: list[int]) -> list[load.CallResult]:
     """Returns ten calls a window of which so many are good."""
     return [
         load.CallResult(
@@ -37,5 +37,5 @@
     ],
 )
 def test_recovery(good_by_window: list[int], recovery_s: float | None) -> None:
-    calm = make_calm(good_by_window)
-    assert report.get_recovery_s(calm, 5.0) == recovery_s
+    last_phase = make_last_phase(good_by_window)
+    assert report.get_recovery_s(last_phase, 5.0) == recovery_s
