Expose the settings version; test what is scraped and explained

Cause: no test scraped a daemon, metrics carried three empty labels of the library, and the version of the settings was not among them. Change: a gauge that grows with every change, no library labels, a test from a refused call to its counter and its explanation. Figures: the test failed on the labels before, passes after.

--- a/kumquatridge/daemon/settings_plane.py
+++ b/kumquatridge/daemon/settings_plane.py
@@ -110,6 +110,10 @@
         exporter.add_gauge(
             gauges.SETTINGS_NODES, lambda: len(self.store.get_versions())
         )
+        exporter.add_gauge(
+            gauges.SETTINGS_VERSION,
+            lambda: sum(self.store.get_versions().values()),
+        )
         exporter.add_gauge(
             gauges.SETTINGS_ORIGIN,
             lambda: settings_store.rank_origin(self.store.origin),
--- a/kumquatridge/telemetry/gauges.py
+++ b/kumquatridge/telemetry/gauges.py
@@ -83,6 +83,10 @@
     "kumquatridge_settings_nodes",
     "Nodes of which a version is known, deleted ones included.",
 )
+SETTINGS_VERSION = GaugeSpec(
+    "kumquatridge_settings_version",
+    "Sum of the versions of all nodes; grows with every change.",
+)
 SETTINGS_ORIGIN = GaugeSpec(
     "kumquatridge_settings_origin",
     "0: only the settings file, 1: some versions, 2: all versions known.",
@@ -125,5 +129,6 @@
     WORKER_LATENCY_MS,
     MEMBERS,
     SETTINGS_NODES,
+    SETTINGS_VERSION,
     SETTINGS_ORIGIN,
 )
--- a/kumquatridge/telemetry/metrics.py
+++ b/kumquatridge/telemetry/metrics.py
@@ -81,7 +81,11 @@
         self._recorder = recorder
         self._registry = prometheus_client.CollectorRegistry()
         self._provider = sdk_metrics.MeterProvider(
-            [prometheus.PrometheusMetricReader(registry=self._registry)],
+            [
+                prometheus.PrometheusMetricReader(
+                    scope_info_enabled=False, registry=self._registry
+                )
+            ],
             shutdown_on_exit=False,
         )
         self._meter = self._provider.get_meter(METER_NAME)
--- /dev/null
+++ b/tests/daemon/test_metrics.py
@@ -0,0 +1,48 @@
+"""What a daemon counts can be scraped, and a refusal can be explained."""
+
+import pathlib
+
+import httpx
+
+from kumquatridge.http import headers
+from kumquatridge.telemetry import gauges
+from tests import processes
+
+REFUSED_LINE = (
+    'kumquatridge_refusals_total{importance="critical",'
+    'reason="no_instance",service="ordering"} 1.0'
+)
+REJECTED_LINE = 'kumquatridge_rejections_total{reason="unknown_service"} 1.0'
+
+
+async def test_refusals_are_counted_and_explained(
+    tmp_path: pathlib.Path,
+) -> None:
+    settings = processes.make_settings("ordering-1")
+    operator = f"http://{settings.operator_address}"
+    callers = f"http://{settings.caller_address}"
+    async with (
+        processes.run_daemon(settings, tmp_path),
+        httpx.AsyncClient() as client,
+    ):
+        refused = await client.post(f"{callers}/ordering/bookings")
+        rejected = await client.get(f"{callers}/no-such-service/x")
+        scraped = (await client.get(f"{operator}/metrics")).text
+        root_id = refused.headers[headers.ROOT_ID]
+        explained = await client.get(
+            f"{operator}/v1/decisions", params={"root_id": root_id}
+        )
+    assert refused.status_code == 503
+    assert refused.headers[headers.OUTCOME] == headers.OUTCOME_NOT_RUN
+    assert rejected.status_code == 404
+    lines = scraped.splitlines()
+    assert [line for line in lines if REFUSED_LINE in line] == [REFUSED_LINE]
+    assert REJECTED_LINE in lines
+    missing = [
+        one.name
+        for one in gauges.GAUGES
+        if not any(line.startswith(f"{one.name} ") for line in lines)
+    ]
+    assert missing == []
+    assert [one["reason"] for one in explained.json()] == ["no_instance"]
+    assert "no instance of ordering" in explained.json()[0]["text"]
