--- a/kumquatridge/daemon/runtime.py
+++ b/kumquatridge/daemon/runtime.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import random
 import signal
 import time
 import types
 from typing import Self
 
+import aiohttp
+
 from kumquatridge.admission import guard as admission_guard
 from kumquatridge.callpath import inbound
 from kumquatridge.callpath import intake as call_intake
@@ -43,6 +46,15 @@
 from kumquatridge.telemetry import metrics
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _CallPaths:
+    """What serves calls: at the own worker, by request key, and their news."""
+
+    own: inbound.InboundPath
+    keyed: keyed.KeyedPath
+    news: service_news.ServiceNewsExchange
+
+
 class Daemon:
     """One daemon, serving while its context is open."""
 
@@ -61,7 +73,12 @@
         self._homes = home_parts.HomeParts(settings, self._members)
         self._news: service_news.ServiceNewsExchange | None = None
         self._peers: control.ControlPlane | None = None
+        self._control_counts = peer_metrics.ControlCounts()
+        self._credential = call_credential.CallCredential(
+            settings.peer_key, settings.previous_peer_keys
+        )
         self._stack = contextlib.AsyncExitStack()
+        self._enter = self._stack.enter_async_context
         self._registry: worker_registry.WorkerRegistry | None = None
 
     async def __aenter__(self) -> Self:
@@ -78,116 +95,144 @@
         return self
 
     async def _open(self) -> None:
-        settings = self._settings
-        enter = self._stack.enter_async_context
-        recorder = self._recorder
-        exporter = self._stack.enter_context(metrics.MetricExporter(recorder))
+        exporter = self._open_telemetry()
+        paths = await self._open_paths()
+        await self._open_control()
+        self._registry = await self._enter(
+            worker_registry.WorkerRegistry(
+                self._members, self._guard, self._announce_member
+            )
+        )
+        await self._open_call_listeners(paths)
+        await self._open_operators(self._registry, paths.news, exporter)
+        events.log(
+            events.DaemonStarted(
+                self._settings.instance,
+                self._settings.data_centre,
+                self._settings.caller_address,
+            )
+        )
+
+    def _open_telemetry(self) -> metrics.MetricExporter:
+        exporter = self._stack.enter_context(
+            metrics.MetricExporter(self._recorder)
+        )
         self._add_gauges(exporter)
         self._plane.add_metrics(exporter)
-        control_counts = peer_metrics.ControlCounts()
-        control_counts.expose(exporter)
-        session = await enter(client.make_session())
-        credential = call_credential.CallCredential(
-            settings.peer_key, settings.previous_peer_keys
-        )
+        self._control_counts.expose(exporter)
+        return exporter
+
+    async def _open_paths(self) -> _CallPaths:
+        session = await self._enter(client.make_session())
         crashes = crash_register.CrashRegister(
             crash_register.QuarantineSettings(),
-            settings.instance,
+            self._settings.instance,
             self._announce_news,
         )
-        news = await enter(
+        own = inbound.InboundPath(
+            self._members,
+            self._guard,
+            self._ledger,
+            worker_client.HttpWorkerLink(session),
+            self._recorder,
+            crashes=crashes,
+        )
+        self._news = await self._open_news(session, crashes)
+        return _CallPaths(own, await self._open_keyed(session, own), self._news)
+
+    async def _open_news(
+        self,
+        session: aiohttp.ClientSession,
+        crashes: crash_register.CrashRegister,
+    ) -> service_news.ServiceNewsExchange:
+        return await self._enter(
             service_news.ServiceNewsExchange(
                 self._members,
                 self._homes.roster,
                 self._homes.exchange,
                 crashes,
                 session,
-                credential=credential,
-                seeds=settings.seeds,
+                credential=self._credential,
+                seeds=self._settings.seeds,
             )
         )
-        self._news = news
-        own_path = inbound.InboundPath(
-            self._members,
-            self._guard,
-            self._ledger,
-            worker_client.HttpWorkerLink(session),
-            recorder,
-            crashes=crashes,
-        )
-        peer_link = peer_client.HttpPeerLink(session, credential)
+
+    async def _open_keyed(
+        self, session: aiohttp.ClientSession, own: inbound.InboundPath
+    ) -> keyed.KeyedPath:
+        peer_link = peer_client.HttpPeerLink(session, self._credential)
         path = outbound.OutboundPath(
             self._members,
             routing.InstanceChooser(self._members, random.getrandbits(64)),
-            own_path,
+            own,
             peer_link,
-            recorder,
+            self._recorder,
             ratio=retry_ratio.RetryRatio(retry_ratio.RatioSettings()),
         )
-        await enter(self._homes.stalls)
-        keyed_path = await enter(
+        await self._enter(self._homes.stalls)
+        return await self._enter(
             keyed.KeyedPath(
                 self._members,
-                own_path,
+                own,
                 path,
                 peer_link,
-                recorder,
+                self._recorder,
                 home_finder=self._homes.finder,
                 memory=self._homes.memory,
             )
         )
-        peers = await enter(
-            control.ControlPlane(settings, self._members, control_counts)
+
+    async def _open_control(self) -> None:
+        peers = await self._enter(
+            control.ControlPlane(
+                self._settings, self._members, self._control_counts
+            )
         )
         self._plane.spread(peers.gossip)
-        await enter(self._plane)
+        await self._enter(self._plane)
         if self._plane.client is not None:
             contacts = contact_repository.PlatformContacts(self._plane.client)
-            await enter(peers.make_bootstrap(contacts))
-        self._registry = await enter(
-            worker_registry.WorkerRegistry(
-                self._members, self._guard, self._announce_member
-            )
-        )
+            await self._enter(peers.make_bootstrap(contacts))
         self._peers = peers
+
+    async def _open_call_listeners(self, paths: _CallPaths) -> None:
         peer_handler = peer_server.PeerHandler(
             self._intake,
-            own_path,
-            credential,
-            recorder,
-            home=keyed_path,
-            news=news,
-        )
-        await enter(
-            server.HttpServer(settings.call_address, peer_handler.handle)
+            paths.own,
+            self._credential,
+            self._recorder,
+            home=paths.keyed,
+            news=paths.news,
         )
         caller_handler = caller_server.CallerHandler(
-            self._intake, keyed_path, recorder, self._homes.issuer
+            self._intake, paths.keyed, self._recorder, self._homes.issuer
+        )
+        settings = self._settings
+        await self._enter(
+            server.HttpServer(settings.call_address, peer_handler.handle)
         )
-        await enter(
+        await self._enter(
             server.HttpServer(settings.caller_address, caller_handler.handle)
         )
-        await enter(
-            operators_server.OperatorServer(
-                settings.operator_address,
-                operators_app.make_app(
-                    operators_app.OperatorState(
-                        self._registry,
-                        self._guard,
-                        self._members,
-                        self._decisions,
-                        exporter,
-                        self._plane.store,
-                        news,
-                    )
-                ),
-            )
+
+    async def _open_operators(
+        self,
+        registry: worker_registry.WorkerRegistry,
+        news: service_news.ServiceNewsExchange,
+        exporter: metrics.MetricExporter,
+    ) -> None:
+        state = operators_app.OperatorState(
+            registry,
+            self._guard,
+            self._members,
+            self._decisions,
+            exporter,
+            self._plane.store,
+            news,
         )
-        events.log(
-            events.DaemonStarted(
-                settings.instance,
-                settings.data_centre,
-                settings.caller_address,
+        await self._enter(
+            operators_server.OperatorServer(
+                self._settings.operator_address, operators_app.make_app(state)
             )
         )
 
