--- a/kumquatridge/benchmarks/hops.py
+++ b/kumquatridge/benchmarks/hops.py
@@ -209,8 +209,10 @@
         )
 
 
-async def measure_all(load: LoadSettings) -> list[Figures]:
-    """Measures every candidate and the daemons, one after the other."""
+async def measure_all(
+    load: LoadSettings, kinds: tuple[str, ...]
+) -> list[Figures]:
+    """Measures bare hops of some kinds and the daemons, one by one."""
     worker_address = loopback.get_free_address()
     direct_url = f"http://{worker_address}/"
     found = []
@@ -220,7 +222,7 @@
             worker_address,
             address=worker_address,
         ):
-            for kind in bare_hops.KINDS:
+            for kind in kinds:
                 async with run_bare(kind, worker_address) as target:
                     found.append(await measure(direct_url, target, load))
             for count in (1, 2):
@@ -252,18 +254,28 @@
 @click.option("--rounds", default=15, show_default=True)
 @click.option("--burst-calls", default=5000, show_default=True)
 @click.option("--burst-concurrency", default=20, show_default=True)
+@click.option(
+    "--kind",
+    "kinds",
+    multiple=True,
+    type=click.Choice(bare_hops.KINDS),
+    default=bare_hops.KINDS,
+    help="A bare hop to measure beside the daemons; may be given again.",
+)
 def main(
+    *,
     rate_per_s: float,
     round_s: float,
     rounds: int,
     burst_calls: int,
     burst_concurrency: int,
+    kinds: tuple[str, ...],
 ) -> None:
     """Measures what each hop adds and prints a table."""
     load = LoadSettings(
         rate_per_s, round_s, rounds, burst_calls, burst_concurrency
     )
-    click.echo(render(uvloop.run(measure_all(load))), nl=False)
+    click.echo(render(uvloop.run(measure_all(load, kinds))), nl=False)
 
 
 if __name__ == "__main__":
