Keep the demo within what one process can carry

Cause: in a slow hour the demo answered 220 of 400 calls/s well: callers, daemons and workers share one process, which 800 calls/s kept fully busy. Ruled out: the decisions, which refused for slots that stood idle. Change: workers take 300 ms, so that the capacity is 200 calls/s. Conclusion: the demo shows the decisions and not the process.

--- a/kumquatridge/demo/deployment.py
+++ b/kumquatridge/demo/deployment.py
@@ -27,7 +27,7 @@
 
     workers: int = 3
     slots: int = 20
-    service_ms: float = 150.0
+    service_ms: float = 300.0
 
     @property
     def capacity_per_s(self) -> float:
