Remove what nothing calls

Cause: a read of the whole change found a refusal that no decision gives, a digest kept at every heartbeat and never read, three properties, a recorder, a topic number, a constant and a type variable without a use. Change: they are gone; resends of a running key wait for its answer, as before.

--- a/kumquatridge/calls/refusals.py
+++ b/kumquatridge/calls/refusals.py
@@ -77,14 +77,6 @@
     retry_after_ms: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class DuplicateInProgress:
-    """A call with the same request key is running now."""
-
-    code: ClassVar[str] = "duplicate_in_progress"
-    retry_after_ms: int
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class BodyTooLarge:
     """The announced body is larger than the settings allow."""
@@ -162,7 +154,6 @@
     | UnknownService
     | Unreachable
     | Quarantined
-    | DuplicateInProgress
     | BodyTooLarge
     | RetriesExhausted
     | ParentEnded
@@ -182,7 +173,6 @@
             | QueueTimeout(retry_after_ms=wait_ms)
             | NoInstance(retry_after_ms=wait_ms)
             | Quarantined(retry_after_ms=wait_ms)
-            | DuplicateInProgress(retry_after_ms=wait_ms)
             | KeyMemoryFull(retry_after_ms=wait_ms)
         ):
             return wait_ms
--- a/kumquatridge/demo/load.py
+++ b/kumquatridge/demo/load.py
@@ -12,7 +12,6 @@
 LOOKUP = "lookup"
 BOOKING = "booking"
 BOOKING_EVERY = 10
-CALLER_TIMEOUT_S = 10.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kumquatridge/http/answers.py
+++ b/kumquatridge/http/answers.py
@@ -30,7 +30,7 @@
             return 429
         case refusals.KeyMemoryFull() | refusals.NotHome():
             return 503
-        case refusals.DuplicateInProgress() | refusals.ParentEnded():
+        case refusals.ParentEnded():
             return 409
         case refusals.KeyReused():
             return 422
--- a/kumquatridge/membership/exchange.py
+++ b/kumquatridge/membership/exchange.py
@@ -41,7 +41,6 @@
         self.recorder = recorder
         self.random = random.Random(seed)
         self.health = local_health.LocalHealth()
-        self.heard_digests: dict[str, tuple[messages.TopicDigest, ...]] = {}
         self._on_change = on_change
         self._on_content = on_content
         self._pulled_at_ms: dict[int, float] = {}
@@ -93,7 +92,6 @@
 
     def take(self, heartbeat: messages.Heartbeat) -> None:
         """Takes in the news of a heartbeat."""
-        self.heard_digests[heartbeat.sender] = heartbeat.digests
         for member in heartbeat.news:
             self.learn(member)
 
--- a/kumquatridge/membership/gossip.py
+++ b/kumquatridge/membership/gossip.py
@@ -70,11 +70,6 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    @property
-    def health_score(self) -> int:
-        """0 when this daemon is well; grows when it seems slow itself."""
-        return self._shared.health.score
-
     def add_topic(self, topic: gossip_topics.GossipTopic) -> None:
         """Adds a topic that spreads along with the heartbeats."""
         self._shared.board.add(topic)
@@ -100,13 +95,6 @@
         """Tells some peers as soon as the rate allows; they pass it on."""
         self._announced.set()
 
-    def get_heard_digest(self, instance: str, topic: int) -> int | None:
-        """Returns the digest of a topic that a peer told last."""
-        for one in self._shared.heard_digests.get(instance, ()):
-            if one.topic == topic:
-                return one.digest
-        return None
-
     async def answer(self, request: messages.Request) -> messages.Answer:
         """Answers a request of another daemon."""
         match request:
--- a/kumquatridge/membership/topics.py
+++ b/kumquatridge/membership/topics.py
@@ -12,7 +12,6 @@
 
 MEMBERS = 1
 SETTINGS = 2
-QUARANTINE = 3
 REMOTE = 4
 IN_FORCE = 5
 
--- a/kumquatridge/operators/explanations.py
+++ b/kumquatridge/operators/explanations.py
@@ -72,8 +72,6 @@
                 f"calls with fingerprint {fingerprint} crashed workers; "
                 f"retry after {retry_after_ms} ms"
             )
-        case refusals.DuplicateInProgress():
-            return "a call with the same request key is running"
         case refusals.BodyTooLarge(length_bytes, limit_bytes):
             return f"its body has {length_bytes} bytes of {limit_bytes} allowed"
         case refusals.RetriesExhausted(last_reason):
--- a/kumquatridge/peers/messages.py
+++ b/kumquatridge/peers/messages.py
@@ -1,7 +1,5 @@
 """The bytes of control messages, in MessagePack."""
 
-from typing import TypeVar
-
 import msgspec
 
 from kumquatridge import clock
@@ -15,8 +13,6 @@
 LEAVING = 2
 DEAD = 3
 
-AnyT = TypeVar("AnyT")
-
 
 class _Announcement(msgspec.Struct, frozen=True, array_like=True):
     service: str
--- a/kumquatridge/routing/instances.py
+++ b/kumquatridge/routing/instances.py
@@ -45,11 +45,6 @@
         self._reported_ms = 0.0
         self._least_rank = levels.OPEN_RANK
 
-    @property
-    def in_flight(self) -> int:
-        """Calls that this daemon sent and that have no answer."""
-        return len(self._flights)
-
     @property
     def samples(self) -> int:
         """Answer times taken since the last change of standing."""
--- a/kumquatridge/settings/recorder.py
+++ b/kumquatridge/settings/recorder.py
@@ -21,19 +21,3 @@
     def record_missed_change(self) -> None:
         """Counts a change that a watch should have told, but did not."""
         ...
-
-
-class NullRecorder:
-    """Counts nothing."""
-
-    def record_applied(self, nodes: int) -> None:
-        """Does nothing."""
-
-    def record_rejection(self, reason: str) -> None:
-        """Does nothing."""
-
-    def record_platform_failure(self, operation: str) -> None:
-        """Does nothing."""
-
-    def record_missed_change(self) -> None:
-        """Does nothing."""
--- a/kumquatridge/settings/relay.py
+++ b/kumquatridge/settings/relay.py
@@ -76,11 +76,6 @@
         self._backoff_s = settings.first_backoff_s
         self._lost_at_ms: float | None = None
 
-    @property
-    def cut_off_since_ms(self) -> float | None:
-        """When the platform stopped to answer, on the local clock."""
-        return self._lost_at_ms
-
     async def _run(self) -> None:
         await asyncio.sleep(self._settings.start_delay_s * self._rng.random())
         while True:
