--- a/tests/processes.py
+++ b/tests/processes.py
@@ -53,7 +53,7 @@
             stderr=log,
         )
     try:
-        await wait_until_serving(settings)
+        await wait_until_serving(settings, process)
         yield process
     finally:
         if process.returncode is None:
@@ -61,20 +61,25 @@
         await process.wait()
 
 
-async def wait_until_serving(settings: daemon_settings.DaemonSettings) -> None:
-    """Waits until the operators' API of a daemon answers."""
+async def wait_until_serving(
+    settings: daemon_settings.DaemonSettings,
+    process: asyncio.subprocess.Process,
+) -> None:
+    """Waits until the operators' API of that very daemon answers."""
     async with (
         asyncio.timeout(START_TIMEOUT_S),
         httpx.AsyncClient() as client,
     ):
         while True:
+            assert process.returncode is None, "the daemon has ended"
             try:
-                await client.get(
+                answer = await client.get(
                     f"http://{settings.operator_address}/v1/status"
                 )
             except httpx.TransportError:
                 await asyncio.sleep(POLL_S)
             else:
+                assert answer.json()["instance"] == settings.instance
                 return
 
 
