Cut a streamed answer off at its deadline

Cause: the deadline ended only the wait for an answer's head. A stream without an end, or a caller that reads nothing, held the worker and its slot for good.

Change: the body is written under the rest of the deadline; then the connection is closed, here and so at the worker, and the cut is counted by reason. An answer whose sender is lost is counted the same way. The three observers of counters by key are one.

Before: tests/test_streaming.py, four rows (one and two daemons, slow worker and standing caller) failed, the worker streaming on after 3 s with a deadline of 1.5 s. After: all pass.

--- a/kumquatridge/http/answers.py
+++ b/kumquatridge/http/answers.py
@@ -1,18 +1,25 @@
 """Writes outcomes as HTTP answers, with statuses from RFC 9110."""
 
+import asyncio
+from collections.abc import AsyncIterator
 import math
 
+import aiohttp
 from aiohttp import web
 
 from kumquatridge.calls import body as call_body
+from kumquatridge.calls import call as calls
 from kumquatridge.calls import outcomes
 from kumquatridge.calls import refusals
 from kumquatridge.encoding import refusal_codec
 from kumquatridge.encoding import report_codec
 from kumquatridge.http import headers
+from kumquatridge.telemetry import recorder as telemetry
 
 STATUS_UNKNOWN = 502
 STATUS_FAILED = 502
+CUT_AT_DEADLINE = "deadline"
+CUT_WITH_SENDER = "sender_lost"
 
 
 def get_status(refusal: refusals.Refusal) -> int:
@@ -45,7 +52,10 @@
 
 
 async def write_outcome(
-    request: web.BaseRequest, outcome: outcomes.Outcome, root_id: str
+    request: web.BaseRequest,
+    call: calls.Call,
+    outcome: outcomes.Outcome,
+    recorder: telemetry.FrontEndRecorder,
 ) -> web.StreamResponse:
     """Writes an outcome as the answer to a request.
 
@@ -54,7 +64,7 @@
     """
     match outcome:
         case outcomes.Completed():
-            return await _write_completed(request, outcome)
+            return await _write_completed(request, call, outcome, recorder)
         case outcomes.NotRun(refusal):
             answer = make_refusal_answer(refusal, outcome.unspent_retries)
         case outcomes.Failed(detail):
@@ -67,7 +77,7 @@
             )
             if outcome.worker_lost:
                 answer.headers[headers.WORKER_LOST] = headers.TRUE
-    answer.headers[headers.ROOT_ID] = root_id
+    answer.headers[headers.ROOT_ID] = call.chain.root_id
     _add_report(answer, outcome)
     return answer
 
@@ -107,7 +117,10 @@
 
 
 async def _write_completed(
-    request: web.BaseRequest, outcome: outcomes.Completed
+    request: web.BaseRequest,
+    call: calls.Call,
+    outcome: outcomes.Completed,
+    recorder: telemetry.FrontEndRecorder,
 ) -> web.StreamResponse:
     match outcome.body:
         case call_body.BufferedBody(data):
@@ -119,12 +132,38 @@
             _add_headers(streamed, outcome)
             streamed.content_length = length_bytes
             await streamed.prepare(request)
-            async for chunk in chunks:
-                await streamed.write(chunk)
-            await streamed.write_eof()
+            cut = await _write_chunks(streamed, chunks, call)
+            if cut is not None:
+                recorder.record_cut_answer(call, cut)
+                _abort(request)
             return streamed
 
 
+async def _write_chunks(
+    answer: web.StreamResponse, chunks: AsyncIterator[bytes], call: calls.Call
+) -> str | None:
+    """Writes until the end or the deadline; returns why it was cut off.
+
+    The deadline holds also while the receiver reads nothing.
+    """
+    try:
+        async with asyncio.timeout(call.chain.get_remaining_ms() / 1000.0):
+            async for chunk in chunks:
+                await answer.write(chunk)
+            await answer.write_eof()
+    except TimeoutError:
+        return CUT_AT_DEADLINE
+    except aiohttp.ClientError:
+        return CUT_WITH_SENDER
+    return None
+
+
+def _abort(request: web.BaseRequest) -> None:
+    """Closes the connection, so that nobody takes the answer for whole."""
+    if request.transport is not None:
+        request.transport.abort()
+
+
 def _add_headers(
     response: web.StreamResponse, outcome: outcomes.Completed
 ) -> None:
--- a/kumquatridge/http/caller_server.py
+++ b/kumquatridge/http/caller_server.py
@@ -30,7 +30,7 @@
         self,
         intake: call_intake.Intake,
         path: keyed.KeyedPath,
-        recorder: telemetry.RejectionRecorder,
+        recorder: telemetry.FrontEndRecorder,
         issuer: keys.KeyIssuer,
     ) -> None:
         self._issuer = issuer
@@ -68,7 +68,7 @@
         async with self._path.dispatch(call) as outcome:
             self._intake.settle(asked, outcome)
             return await answers.write_outcome(
-                request, outcome, call.chain.root_id
+                request, call, outcome, self._recorder
             )
 
 
--- a/kumquatridge/http/peer_server.py
+++ b/kumquatridge/http/peer_server.py
@@ -30,7 +30,7 @@
         intake: call_intake.Intake,
         path: inbound.InboundPath,
         credential: call_credential.CallCredential,
-        recorder: telemetry.RejectionRecorder,
+        recorder: telemetry.FrontEndRecorder,
         *,
         home: keyed.KeyedPath,
         news: service_news.ServiceNewsExchange,
@@ -59,7 +59,7 @@
                 path = self._home if is_home else self._path
                 async with path.serve(call) as outcome:
                     return await answers.write_outcome(
-                        request, outcome, call.chain.root_id
+                        request, call, outcome, self._recorder
                     )
             case refusal:
                 return self._reject(refusal)
--- a/kumquatridge/standins/worker.py
+++ b/kumquatridge/standins/worker.py
@@ -8,7 +8,7 @@
 import dataclasses
 import hashlib
 import types
-from typing import Self
+from typing import NoReturn, Self
 
 from aiohttp import web
 import click
@@ -17,6 +17,8 @@
 from kumquatridge.http import headers
 from kumquatridge.http import server
 
+CHUNK = b"proof sheet " * 4096
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkerSettings:
@@ -24,7 +26,9 @@
 
     `service_ms` is how long each call takes; the query parameter
     `service_ms` of a request overrides it. At most `slots` calls are worked
-    on at once, the others wait in order of arrival.
+    on at once, the others wait in order of arrival. With the query parameter
+    `chunk_ms` a call is answered by a stream that has no end, with a pause of
+    so many milliseconds after each chunk.
     """
 
     address: str
@@ -42,6 +46,7 @@
         self.runs_by_key: collections.Counter[str] = collections.Counter()
         self.started = 0
         self.finished = 0
+        self.stream_ended = asyncio.Event()
 
     async def __aenter__(self) -> Self:
         """Starts to listen."""
@@ -72,9 +77,23 @@
         )
         async with self._slots:
             await asyncio.sleep(service_ms / 1000.0)
+        if "chunk_ms" in request.query:
+            await self._stream(request, float(request.query["chunk_ms"]))
         self.finished += 1
         return web.Response(text=f"{length_bytes} {digest.hexdigest()}")
 
+    async def _stream(
+        self, request: web.BaseRequest, chunk_ms: float
+    ) -> NoReturn:
+        answer = web.StreamResponse()
+        await answer.prepare(request)
+        try:
+            while True:
+                await answer.write(CHUNK)
+                await asyncio.sleep(chunk_ms / 1000.0)
+        finally:
+            self.stream_ended.set()
+
 
 async def run(settings: WorkerSettings) -> None:
     """Runs a worker until the process is ended."""
--- a/kumquatridge/telemetry/gauges.py
+++ b/kumquatridge/telemetry/gauges.py
@@ -40,6 +40,11 @@
     ("reason",),
     "Requests that were refused before they became calls.",
 )
+CUT_ANSWERS = CounterSpec(
+    "kumquatridge_cut_answers",
+    ("reason", "service"),
+    "Answers cut off after their head was sent.",
+)
 
 IN_PROGRESS = GaugeSpec(
     "kumquatridge_in_progress", "Calls that hold a slot of the own worker."
@@ -113,6 +118,7 @@
     RETRIES,
     RETRIES_DENIED,
     REJECTIONS,
+    CUT_ANSWERS,
     SETTINGS_REJECTIONS,
     PLATFORM_FAILURES,
     MISSED_CHANGES,
--- a/kumquatridge/telemetry/metrics.py
+++ b/kumquatridge/telemetry/metrics.py
@@ -5,9 +5,9 @@
 """
 
 import collections
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Mapping
 import types
-from typing import NamedTuple, Self
+from typing import NamedTuple, Self, TypeVar
 
 from opentelemetry import metrics as otel_metrics
 from opentelemetry.exporter import prometheus
@@ -33,24 +33,30 @@
     importance: str
 
 
-class RetryKey(NamedTuple):
-    """The labels of the retry counter."""
+class ServiceKey(NamedTuple):
+    """The labels of what is counted by reason and service."""
 
     reason: str
     service: str
 
 
+Key = TypeVar("Key", RefusalKey, ServiceKey)
+
+
 class MetricRecorder:
     """Counts refusals and retries and keeps the latest decisions."""
 
     def __init__(self, log: decisions.DecisionLog) -> None:
         self._log = log
         self.refusals: collections.Counter[RefusalKey] = collections.Counter()
-        self.retries: collections.Counter[RetryKey] = collections.Counter()
-        self.retries_denied: collections.Counter[RetryKey] = (
+        self.retries: collections.Counter[ServiceKey] = collections.Counter()
+        self.retries_denied: collections.Counter[ServiceKey] = (
             collections.Counter()
         )
         self.rejections: collections.Counter[str] = collections.Counter()
+        self.cut_answers: collections.Counter[ServiceKey] = (
+            collections.Counter()
+        )
 
     def record_refusal(
         self, call: calls.Call, refusal: refusals.Refusal
@@ -62,17 +68,21 @@
 
     def record_retry(self, call: calls.Call, reason: str) -> None:
         """Counts another attempt at a call and why."""
-        self.retries[RetryKey(reason, call.service)] += 1
+        self.retries[ServiceKey(reason, call.service)] += 1
         self._log.add_retry(call, reason)
 
     def record_retry_denied(self, call: calls.Call, reason: str) -> None:
         """Counts an attempt that would have helped but wasn't allowed."""
-        self.retries_denied[RetryKey(reason, call.service)] += 1
+        self.retries_denied[ServiceKey(reason, call.service)] += 1
 
     def record_rejection(self, refusal: refusals.Refusal) -> None:
         """Counts a request that never became a call and why."""
         self.rejections[refusal.code] += 1
 
+    def record_cut_answer(self, call: calls.Call, reason: str) -> None:
+        """Counts an answer that was cut off after its head was sent."""
+        self.cut_answers[ServiceKey(reason, call.service)] += 1
+
 
 class MetricExporter:
     """Exposes a recorder and gauges for scraping while its context is open."""
@@ -135,37 +145,24 @@
         return prometheus_client.generate_latest(self._registry)
 
     def _create_counters(self) -> None:
-        observers = {
-            gauges.REFUSALS: self._observe_refusals,
-            gauges.RETRIES: self._observe_retries,
-            gauges.RETRIES_DENIED: self._observe_retries_denied,
-            gauges.REJECTIONS: self._observe_rejections,
-        }
-        for spec, observe in observers.items():
-            self._meter.create_observable_counter(
-                spec.name, callbacks=[observe], description=spec.description
-            )
-
-    def _observe_refusals(
-        self, options: otel_metrics.CallbackOptions
-    ) -> Iterator[otel_metrics.Observation]:
-        for key, count in self._recorder.refusals.items():
-            yield otel_metrics.Observation(count, key._asdict())
-
-    def _observe_retries(
-        self, options: otel_metrics.CallbackOptions
-    ) -> Iterator[otel_metrics.Observation]:
-        for key, count in self._recorder.retries.items():
-            yield otel_metrics.Observation(count, key._asdict())
-
-    def _observe_retries_denied(
-        self, options: otel_metrics.CallbackOptions
-    ) -> Iterator[otel_metrics.Observation]:
-        for key, count in self._recorder.retries_denied.items():
-            yield otel_metrics.Observation(count, key._asdict())
-
-    def _observe_rejections(
-        self, options: otel_metrics.CallbackOptions
-    ) -> Iterator[otel_metrics.Observation]:
-        for reason, count in self._recorder.rejections.items():
-            yield otel_metrics.Observation(count, {"reason": reason})
+        recorder = self._recorder
+        self.add_counter(gauges.REJECTIONS, lambda: recorder.rejections)
+        self._add_keyed_counter(gauges.REFUSALS, recorder.refusals)
+        self._add_keyed_counter(gauges.RETRIES, recorder.retries)
+        self._add_keyed_counter(gauges.RETRIES_DENIED, recorder.retries_denied)
+        self._add_keyed_counter(gauges.CUT_ANSWERS, recorder.cut_answers)
+
+    def _add_keyed_counter(
+        self, spec: gauges.CounterSpec, counts: Mapping[Key, int]
+    ) -> None:
+        """Exposes counts by keys that hold all labels of a counter."""
+
+        def observe(
+            options: otel_metrics.CallbackOptions,
+        ) -> Iterable[otel_metrics.Observation]:
+            for key, count in counts.items():
+                yield otel_metrics.Observation(count, key._asdict())
+
+        self._meter.create_observable_counter(
+            spec.name, callbacks=[observe], description=spec.description
+        )
--- a/kumquatridge/telemetry/recorder.py
+++ b/kumquatridge/telemetry/recorder.py
@@ -24,9 +24,13 @@
         ...
 
 
-class RejectionRecorder(Protocol):
-    """Counts requests that never became calls."""
+class FrontEndRecorder(Protocol):
+    """Counts requests that never became calls, and answers cut off."""
 
     def record_rejection(self, refusal: refusals.Refusal) -> None:
         """Counts a request that was refused before it was a call."""
         ...
+
+    def record_cut_answer(self, call: calls.Call, reason: str) -> None:
+        """Counts an answer that was cut off after its head was sent."""
+        ...
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 import contextlib
+import dataclasses
 import hashlib
 import pathlib
 
@@ -10,6 +11,7 @@
 import psutil
 import pytest
 
+from kumquatridge.daemon import settings as daemon_settings
 from kumquatridge.http import headers
 from kumquatridge.standins import worker as worker_standin
 from tests import processes
@@ -18,6 +20,7 @@
 MEGABYTE = 1_000_000
 LONG_BODY_BYTES = 200 * MEGABYTE
 ALLOWED_GROWTH_BYTES = 16 * MEGABYTE
+CUT_TIMEOUT_MS = 1500
 CHUNKS = LONG_BODY_BYTES // len(CHUNK) + 1
 
 
@@ -57,27 +60,14 @@
 async def test_long_upload_is_not_held(
     tmp_path: pathlib.Path, daemons: int
 ) -> None:
-    first = processes.make_settings("intake-1")
-    second = processes.make_settings("intake-2", first.control_address)
-    started = (first, second)[:daemons]
-    address = processes.get_free_address()
     path = "/manifests/7"
     async with contextlib.AsyncExitStack() as stack:
-        enter = stack.enter_async_context
-        pids = [
-            (await enter(processes.run_daemon(settings, tmp_path))).pid
-            for settings in started
-        ]
-        await enter(
-            worker_standin.SampleWorker(worker_standin.WorkerSettings(address))
-        )
-        await processes.announce(started[-1], "dairy-intake", address, 10)
-        await processes.wait_for_instances(first, "dairy-intake", 1)
-        session = await enter(aiohttp.ClientSession())
-        url = f"http://{first.caller_address}/dairy-intake{path}"
+        intake = await start_intake(stack, tmp_path, daemons)
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        url = f"{intake.url}{path}"
         async with session.put(url, data=b"x" * 1000) as answer:
             assert answer.status == 200
-        watch = MemoryWatch(pids)
+        watch = MemoryWatch(intake.pids)
         watching = asyncio.create_task(watch.watch())
         async with session.put(url, data=iter_long_body()) as answer:
             assert await answer.text() == make_long_answer(path)
@@ -105,3 +95,89 @@
     assert lines[0].startswith("http/1.1 413 ")
     assert f"{headers.REASON}: body_too_large" in lines
     assert sample.started == 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CutCase:
+    """A stream without an end, and how its caller reads it."""
+
+    daemons: int
+    chunk_ms: int
+    reads: bool
+
+
+@pytest.mark.parametrize(
+    "case",
+    [
+        pytest.param(CutCase(1, 50, True), id="one daemon, slow worker"),
+        pytest.param(CutCase(2, 50, True), id="two daemons, slow worker"),
+        pytest.param(CutCase(1, 0, False), id="one daemon, caller stands"),
+        pytest.param(CutCase(2, 0, False), id="two daemons, caller stands"),
+    ],
+)
+async def test_answer_is_cut_off_at_its_deadline(
+    tmp_path: pathlib.Path, case: CutCase
+) -> None:
+    async with contextlib.AsyncExitStack() as stack:
+        enter = stack.enter_async_context
+        intake = await start_intake(stack, tmp_path, case.daemons)
+        session = await enter(aiohttp.ClientSession())
+        answer = await enter(
+            session.get(
+                f"{intake.url}/manifests/7?chunk_ms={case.chunk_ms}",
+                headers={headers.TIMEOUT: str(CUT_TIMEOUT_MS)},
+            )
+        )
+        assert answer.status == 200
+        assert not intake.worker.stream_ended.is_set()
+        async with asyncio.timeout(2 * CUT_TIMEOUT_MS / 1000.0):
+            await intake.worker.stream_ended.wait()
+        if case.reads:
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await answer.read()
+        metrics = await read_metrics(session, intake.first)
+    assert 'kumquatridge_cut_answers_total{reason="' in metrics
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Intake:
+    """Running daemons, the last of them beside a worker."""
+
+    first: daemon_settings.DaemonSettings
+    pids: list[int]
+    worker: worker_standin.SampleWorker
+
+    @property
+    def url(self) -> str:
+        """Where callers send to the service."""
+        return f"http://{self.first.caller_address}/dairy-intake"
+
+
+async def start_intake(
+    stack: contextlib.AsyncExitStack, folder: pathlib.Path, daemons: int
+) -> Intake:
+    """Starts daemons and a worker that run until the stack is closed."""
+    enter = stack.enter_async_context
+    first = processes.make_settings("intake-1")
+    second = processes.make_settings("intake-2", first.control_address)
+    started = (first, second)[:daemons]
+    pids = [
+        (await enter(processes.run_daemon(settings, folder))).pid
+        for settings in started
+    ]
+    address = processes.get_free_address()
+    worker = await enter(
+        worker_standin.SampleWorker(worker_standin.WorkerSettings(address))
+    )
+    await processes.announce(started[-1], "dairy-intake", address, 10)
+    await processes.wait_for_instances(first, "dairy-intake", 1)
+    return Intake(first, pids, worker)
+
+
+async def read_metrics(
+    session: aiohttp.ClientSession, settings: daemon_settings.DaemonSettings
+) -> str:
+    """Returns what a daemon exposes for scraping."""
+    url = f"http://{settings.operator_address}/metrics"
+    async with session.get(url) as answer:
+        return await answer.text()
