--- a/kumquatridge/peers/control.py
+++ b/kumquatridge/peers/control.py
@@ -17,7 +17,8 @@
 from kumquatridge.peers import credential as peer_credential
 from kumquatridge.peers import link as nng_link
 from kumquatridge.peers import listener
-from kumquatridge.peers import messages
+from kumquatridge.peers import member_codec
+from kumquatridge.peers import summary_codec
 from kumquatridge.peers import threads
 from kumquatridge.peers import topic_codec
 
@@ -107,15 +108,15 @@
                 member_source.MemberSource(
                     members_table, self.gossip.learn_pulled
                 ),
-                messages.encode_member,
-                messages.decode_member,
+                member_codec.encode_member,
+                member_codec.decode_member,
             )
         )
         self.gossip.add_topic(
             topic_codec.EncodedTopic(
                 gossip_topics.REMOTE,
                 members_table.remote,
-                messages.encode_remote,
-                messages.decode_remote,
+                summary_codec.encode_remote,
+                summary_codec.decode_remote,
             )
         )
--- a/kumquatridge/peers/messages.py
+++ b/kumquatridge/peers/messages.py
@@ -2,35 +2,10 @@
 
 import msgspec
 
-from kumquatridge import clock
-from kumquatridge.membership import member as members
 from kumquatridge.membership import messages
-from kumquatridge.membership import remote
 from kumquatridge.peers import errors
-
-ALIVE = 0
-SUSPECTED = 1
-LEAVING = 2
-DEAD = 3
-
-
-class _Announcement(msgspec.Struct, frozen=True, array_like=True):
-    service: str
-    address: str
-    slots: int
-    connections: int
-    warm_up_ms: int
-
-
-class _News(msgspec.Struct, frozen=True, array_like=True):
-    instance: str
-    incarnation: int
-    data_centre: str
-    call_address: str
-    control_address: str
-    announcement: _Announcement | None
-    state: int
-    reason: str = ""
+from kumquatridge.peers import member_codec
+from kumquatridge.peers import summary_codec
 
 
 class _Digest(msgspec.Struct, frozen=True, array_like=True):
@@ -40,7 +15,7 @@
 
 class _Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag=1):
     sender: str
-    news: tuple[_News, ...]
+    news: tuple[member_codec.MemberStruct, ...]
     digests: tuple[_Digest, ...]
     knows_receiver: bool
 
@@ -81,22 +56,10 @@
     known: int
 
 
-class _Gateway(msgspec.Struct, frozen=True, array_like=True):
-    instance: str
-    call_address: str
-
-
-class _Service(msgspec.Struct, frozen=True, array_like=True):
-    service: str
-    instances: int
-    slots: int
-    gateways: tuple[_Gateway, ...]
-
-
 class _SummaryAnswer(msgspec.Struct, frozen=True, array_like=True, tag=9):
     data_centre: str
     digest: int
-    services: tuple[_Service, ...] | None
+    services: tuple[summary_codec.ServiceStruct, ...] | None
     contacts: tuple[str, ...]
 
 
@@ -115,7 +78,6 @@
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[_Wire] = msgspec.msgpack.Decoder(_Wire)
-_news_decoder = msgspec.msgpack.Decoder(_News)
 
 
 def encode(message: Message) -> bytes:
@@ -161,23 +123,6 @@
             raise errors.MalformedMessageError("not an answer")
 
 
-def encode_member(member: members.Member) -> bytes:
-    """Returns the bytes of one member."""
-    return _encoder.encode(_make_news(member))
-
-
-def decode_member(data: bytes) -> members.Member:
-    """Returns the member of some bytes.
-
-    Raises:
-      MalformedMessageError: the bytes are not a member.
-    """
-    try:
-        return _read_news(_news_decoder.decode(data))
-    except msgspec.DecodeError as error:
-        raise errors.MalformedMessageError(str(error)) from error
-
-
 def _decode(data: bytes) -> _Wire:
     try:
         return _decoder.decode(data)
@@ -190,7 +135,7 @@
         case messages.Heartbeat(sender, news, digests, knows_receiver):
             return _Heartbeat(
                 sender,
-                tuple(_make_news(one) for one in news),
+                tuple(member_codec.write_member(one) for one in news),
                 tuple(_Digest(one.topic, one.digest) for one in digests),
                 knows_receiver,
             )
@@ -219,7 +164,7 @@
         case _Heartbeat():
             return messages.Heartbeat(
                 wire.sender,
-                tuple(_read_news(one) for one in wire.news),
+                tuple(member_codec.read_member(one) for one in wire.news),
                 tuple(
                     messages.TopicDigest(one.topic, one.digest)
                     for one in wire.digests
@@ -256,160 +201,17 @@
         answer.digest,
         None
         if services is None
-        else tuple(_make_service(one) for one in services),
+        else tuple(summary_codec.write_service(one) for one in services),
         answer.contacts,
     )
 
 
-def _make_service(summary: messages.ServiceSummary) -> _Service:
-    return _Service(
-        summary.service,
-        summary.instances,
-        summary.slots,
-        tuple(
-            _Gateway(one.instance, one.call_address) for one in summary.gateways
-        ),
-    )
-
-
 def _read_summary(wire: _SummaryAnswer) -> messages.SummaryAnswer:
     return messages.SummaryAnswer(
         wire.data_centre,
         wire.digest,
         None
         if wire.services is None
-        else tuple(_read_service(one) for one in wire.services),
-        wire.contacts,
-    )
-
-
-def _read_service(wire: _Service) -> messages.ServiceSummary:
-    return messages.ServiceSummary(
-        wire.service,
-        wire.instances,
-        wire.slots,
-        tuple(
-            messages.Gateway(one.instance, one.call_address)
-            for one in wire.gateways
-        ),
-    )
-
-
-def _make_news(member: members.Member) -> _News:
-    number, reason = _get_state_number(member.state)
-    announcement = member.announcement
-    return _News(
-        member.instance,
-        member.incarnation,
-        member.data_centre,
-        member.call_address,
-        member.control_address,
-        None if announcement is None else _make_announcement(announcement),
-        number,
-        reason,
-    )
-
-
-def _make_announcement(announcement: members.Announcement) -> _Announcement:
-    """Returns what peers are told; the lease concerns the own daemon only."""
-    return _Announcement(
-        announcement.service,
-        announcement.address,
-        announcement.slots,
-        announcement.connections,
-        announcement.warm_up_ms,
-    )
-
-
-def _get_state_number(state: members.State) -> tuple[int, str]:
-    match state:
-        case members.Alive():
-            return ALIVE, ""
-        case members.Suspected(_, reason):
-            return SUSPECTED, reason
-        case members.Leaving():
-            return LEAVING, ""
-        case members.Dead(_, reason):
-            return DEAD, reason
-
-
-def _read_news(news: _News) -> members.Member:
-    announcement = news.announcement
-    return members.Member(
-        news.instance,
-        news.incarnation,
-        news.data_centre,
-        news.call_address,
-        news.control_address,
-        None
-        if announcement is None
-        else members.Announcement(
-            announcement.service,
-            announcement.address,
-            announcement.slots,
-            announcement.connections,
-            announcement.warm_up_ms,
-        ),
-        _read_state(news.state, news.reason),
-    )
-
-
-def _read_state(number: int, reason: str) -> members.State:
-    """Returns a state; times are those of the local clock."""
-    match number:
-        case 0:
-            return members.Alive()
-        case 1:
-            return members.Suspected(clock.get_now_ms(), reason)
-        case 2:
-            return members.Leaving()
-        case 3:
-            return members.Dead(clock.get_now_ms(), reason)
-        case _:
-            raise errors.MalformedMessageError(f"unknown state {number}")
-
-
-class _Remote(msgspec.Struct, frozen=True, array_like=True):
-    name: str
-    version: int
-    digest: int
-    reachable: bool
-    services: tuple[_Service, ...]
-    contacts: tuple[str, ...]
-
-
-_remote_decoder = msgspec.msgpack.Decoder(_Remote)
-
-
-def encode_remote(known: remote.RemoteDataCentre) -> bytes:
-    """Returns the bytes of what is known of a data centre."""
-    return _encoder.encode(
-        _Remote(
-            known.name,
-            known.version,
-            known.digest,
-            known.reach == remote.Reachable(),
-            tuple(_make_service(one) for one in known.services),
-            known.contacts,
-        )
-    )
-
-
-def decode_remote(data: bytes) -> remote.RemoteDataCentre:
-    """Returns what is known of a data centre.
-
-    Raises:
-      MalformedMessageError: the bytes are something else.
-    """
-    try:
-        wire = _remote_decoder.decode(data)
-    except msgspec.DecodeError as error:
-        raise errors.MalformedMessageError(str(error)) from error
-    return remote.RemoteDataCentre(
-        wire.name,
-        wire.version,
-        wire.digest,
-        remote.Reachable() if wire.reachable else remote.CutOff(),
-        tuple(_read_service(one) for one in wire.services),
+        else tuple(summary_codec.read_service(one) for one in wire.services),
         wire.contacts,
     )
--- a/tests/membership/fleet.py
+++ b/tests/membership/fleet.py
@@ -17,7 +17,9 @@
 from kumquatridge.membership import settings as gossip_settings
 from kumquatridge.membership import table
 from kumquatridge.membership import topics
+from kumquatridge.peers import member_codec
 from kumquatridge.peers import messages as codec
+from kumquatridge.peers import summary_codec
 from kumquatridge.peers import topic_codec
 
 SERVICE = "stock"
@@ -185,16 +187,16 @@
                 member_source.MemberSource(
                     self.table, self.gossip.learn_pulled
                 ),
-                codec.encode_member,
-                codec.decode_member,
+                member_codec.encode_member,
+                member_codec.decode_member,
             )
         )
         self.gossip.add_topic(
             topic_codec.EncodedTopic(
                 topics.REMOTE,
                 self.table.remote,
-                codec.encode_remote,
-                codec.decode_remote,
+                summary_codec.encode_remote,
+                summary_codec.decode_remote,
             )
         )
 
--- /dev/null
+++ b/tests/peers/test_member_codec.py
@@ -0,0 +1,63 @@
+"""A member survives its encoding in each state."""
+
+import dataclasses
+
+import msgspec
+import pytest
+
+from kumquatridge import clock
+from kumquatridge.membership import member as members
+from kumquatridge.peers import errors
+from kumquatridge.peers import member_codec
+
+MEMBER = members.Member(
+    "n1",
+    7,
+    "landshut",
+    "10.0.0.1:1",
+    "10.0.0.1:2",
+    members.Announcement("stock", "10.0.0.1:3", 10, 40, 500),
+)
+UNKNOWN_STATE = 9
+
+
+@pytest.mark.parametrize(
+    "state",
+    [
+        members.Alive(),
+        members.Suspected(0.0, "no answer to n2"),
+        members.Leaving(),
+        members.Dead(0.0, "suspected for too long"),
+    ],
+    ids=lambda one: type(one).__name__,
+)
+def test_states(state: members.State, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(clock, "get_now_ms", lambda: 0.0)
+    member = dataclasses.replace(MEMBER, state=state)
+    data = member_codec.encode_member(member)
+    assert member_codec.decode_member(data) == member
+
+
+def test_a_member_without_a_worker() -> None:
+    member = dataclasses.replace(MEMBER, announcement=None)
+    data = member_codec.encode_member(member)
+    assert member_codec.decode_member(data) == member
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        pytest.param(b"", id="nothing"),
+        pytest.param(b"\xff\xff", id="no MessagePack"),
+        pytest.param(b"\x91\x63", id="too few fields"),
+        pytest.param(
+            msgspec.msgpack.encode(
+                ("n1", 7, "landshut", "", "", None, UNKNOWN_STATE)
+            ),
+            id="unknown state",
+        ),
+    ],
+)
+def test_noise_is_refused(data: bytes) -> None:
+    with pytest.raises(errors.MalformedMessageError):
+        member_codec.decode_member(data)
--- a/tests/peers/test_messages.py
+++ b/tests/peers/test_messages.py
@@ -4,7 +4,6 @@
 
 from kumquatridge.membership import member as members
 from kumquatridge.membership import messages
-from kumquatridge.membership import remote
 from kumquatridge.peers import errors
 from kumquatridge.peers import messages as codec
 
@@ -52,17 +51,9 @@
     assert codec.decode_answer(codec.encode(answer)) == answer
 
 
-@pytest.mark.parametrize("reach", [remote.Reachable(), remote.CutOff()])
-def test_remote_data_centres(reach: remote.Reach) -> None:
-    known = remote.RemoteDataCentre("passau", 1, 2, reach, (SERVICE,), ("a",))
-    assert codec.decode_remote(codec.encode_remote(known)) == known
-
-
 @pytest.mark.parametrize("data", [b"", b"\xff\xff", b"\x91\x63"])
 def test_noise_is_refused(data: bytes) -> None:
     with pytest.raises(errors.MalformedMessageError):
         codec.decode_request(data)
     with pytest.raises(errors.MalformedMessageError):
         codec.decode_answer(data)
-    with pytest.raises(errors.MalformedMessageError):
-        codec.decode_member(data)
--- /dev/null
+++ b/tests/peers/test_summary_codec.py
@@ -0,0 +1,25 @@
+"""What is known of a data centre survives its encoding."""
+
+import pytest
+
+from kumquatridge.membership import messages
+from kumquatridge.membership import remote
+from kumquatridge.peers import errors
+from kumquatridge.peers import summary_codec
+
+SERVICE = messages.ServiceSummary(
+    "stock", 2, 20, (messages.Gateway("n1", "10.0.0.1:1"),)
+)
+
+
+@pytest.mark.parametrize("reach", [remote.Reachable(), remote.CutOff()])
+def test_remote_data_centres(reach: remote.Reach) -> None:
+    known = remote.RemoteDataCentre("passau", 1, 2, reach, (SERVICE,), ("a",))
+    data = summary_codec.encode_remote(known)
+    assert summary_codec.decode_remote(data) == known
+
+
+@pytest.mark.parametrize("data", [b"", b"\xff\xff", b"\x91\x63"])
+def test_noise_is_refused(data: bytes) -> None:
+    with pytest.raises(errors.MalformedMessageError):
+        summary_codec.decode_remote(data)
