Normalise a request's target before its route is found

Cause: the route was found by the target as sent, while the HTTP client resolved dot segments and needless percent-encoding on the way to the worker. Trial over real daemons: '/a/../b' and '/%62' were judged as written and arrived as '/b'; so a caller could give a lookup the importance of bookings, or have a booking taken for an idempotent call and sent twice.

Change: the caller's target is normalised as in RFC 3986, section 6.2.2, before anything else reads it, and sent on byte for byte. The proof of a call between daemons covers the target, and a proof that is too short is named as such whatever the length of what it covers.

--- a/kumquatridge/http/caller_server.py
+++ b/kumquatridge/http/caller_server.py
@@ -16,6 +16,7 @@
 from kumquatridge.http import bodies
 from kumquatridge.http import errors
 from kumquatridge.http import headers
+from kumquatridge.http import targets
 from kumquatridge.idempotency import keys
 from kumquatridge.telemetry import recorder as telemetry
 
@@ -78,12 +79,12 @@
     Raises:
       MalformedRequestError: a path without a service or a bad timeout.
     """
-    service, path = split_path(request.path_qs)
+    target = targets.split(targets.normalize(request.path_qs))
     marks = request.headers
     return call_intake.Request(
-        service=service,
+        service=target.service,
         method=request.method,
-        path=path,
+        path=target.path,
         headers=headers.keep_end_to_end(marks.items()),
         body=await bodies.read_body(request),
         caller=marks.get(headers.CALLER, ""),
@@ -94,20 +95,6 @@
     )
 
 
-def split_path(path: str) -> tuple[str, str]:
-    """Splits "/SERVICE/PATH" into the service and "/PATH".
-
-    Raises:
-      MalformedRequestError: the path names no service.
-    """
-    service, slash, rest = path.lstrip("/").partition("/")
-    if not service or not slash:
-        raise errors.MalformedRequestError(
-            f"path {path!r} is not of the form /SERVICE/PATH"
-        )
-    return service, f"/{rest}"
-
-
 def read_ms(marks: Mapping[str, str], name: str, least_ms: int) -> int | None:
     """Reads a header with a duration, or returns None when it is absent.
 
--- a/kumquatridge/http/client.py
+++ b/kumquatridge/http/client.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 import multidict
+import yarl
 
 from kumquatridge.calls import body as call_body
 from kumquatridge.calls import call as calls
@@ -85,7 +86,7 @@
         async with asyncio.timeout(call.chain.get_remaining_ms() / 1000.0):
             response = await session.request(
                 call.method,
-                url,
+                yarl.URL(url, encoded=True),
                 headers=multidict.CIMultiDict(
                     (*headers, *_make_length(call.body))
                 ),
--- a/kumquatridge/http/peer_client.py
+++ b/kumquatridge/http/peer_client.py
@@ -53,13 +53,14 @@
         self, call: calls.Call, member: members.Member, marks: outcomes.Headers
     ) -> AsyncIterator[outcomes.Outcome]:
         sent = (*call.headers, *marks)
+        target = f"/{call.service}{call.path}"
         proof = self._credential.make_mark(
-            call.method, multidict.CIMultiDict(sent)
+            call.method, target, multidict.CIMultiDict(sent)
         )
         async with client.send(
             self._session,
             call,
-            f"http://{member.call_address}/{call.service}{call.path}",
+            f"http://{member.call_address}{target}",
             (*sent, (headers.PEER_PROOF, proof)),
             member.instance,
         ) as reply:
--- a/kumquatridge/http/peer_server.py
+++ b/kumquatridge/http/peer_server.py
@@ -17,6 +17,7 @@
 from kumquatridge.http import errors
 from kumquatridge.http import headers
 from kumquatridge.http import service_news
+from kumquatridge.http import targets
 from kumquatridge.telemetry import recorder as telemetry
 
 STATUS_CONFLICT = 409
@@ -44,7 +45,9 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answers one request of a daemon."""
-        fault = self._credential.find_fault(request.method, request.headers)
+        fault = self._credential.find_fault(
+            request.method, request.path_qs, request.headers
+        )
         if fault is not None:
             return self._reject(refusals.WrongCredential(fault))
         if request.path == service_news.NEWS_PATH:
@@ -83,14 +86,16 @@
                 pass
             case result.Failure(fault):
                 raise errors.MalformedRequestError(f"{headers.CHAIN}: {fault}")
-        service, path = caller_server.split_path(request.path_qs)
-        policy = self._intake.find_policy(service, request.method, path)
+        target = targets.split(request.path_qs)
+        policy = self._intake.find_policy(
+            target.service, request.method, target.path
+        )
         if policy is None:
-            return refusals.UnknownService(service)
+            return refusals.UnknownService(target.service)
         return calls.Call(
-            service=service,
+            service=target.service,
             method=request.method,
-            path=path,
+            path=target.path,
             headers=headers.keep_end_to_end(marks.items()),
             body=await bodies.read_body(request),
             caller=marks.get(headers.CALLER, ""),
--- a/kumquatridge/http/service_news.py
+++ b/kumquatridge/http/service_news.py
@@ -186,7 +186,7 @@
         service = self._get_service()
         if service is None:
             return False
-        proof = self._credential.make_mark("POST", {})
+        proof = self._credential.make_mark("POST", NEWS_PATH, {})
         try:
             async with self._session.post(
                 f"http://{address}{NEWS_PATH}",
--- a/kumquatridge/peers/credential.py
+++ b/kumquatridge/peers/credential.py
@@ -17,6 +17,7 @@
 MAC_BYTES = 16
 CLOCK_TOLERANCE_S = 60
 _HEADER = struct.Struct(">QQ")
+PROOF_BYTES = _HEADER.size + MAC_BYTES
 _REQUEST = b"request"
 _ANSWER = b"answer"
 
@@ -70,7 +71,13 @@
 
 
 def attach(proof: bytes, body: bytes) -> bytes:
-    """Returns the sealed request that `detach` took the body from."""
+    """Returns the sealed request that `detach` took the body from.
+
+    Raises:
+      CredentialError: that is no proof.
+    """
+    if len(proof) != PROOF_BYTES:
+        raise errors.CredentialError("no credential")
     return proof[: _HEADER.size] + body + proof[_HEADER.size :]
 
 
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 import pytest
+import yarl
 
 from kumquatridge.daemon import settings as daemon_settings
 from kumquatridge.http import headers
@@ -71,6 +72,36 @@
                 group.create_task(ask(session, first.caller_address, number))
 
 
+@pytest.mark.parametrize(
+    ("sent", "seen"),
+    [
+        pytest.param("/rounds/7?day=2", "/rounds/7?day=2", id="as it is"),
+        pytest.param("/bookings/../rounds/7", "/rounds/7", id="dot segments"),
+        pytest.param("/%72ounds/7", "/rounds/7", id="needless encoding"),
+        pytest.param("/a%2Fb/[1]|2", "/a%2Fb/%5B1%5D%7C2", id="reserved"),
+    ],
+)
+async def test_worker_sees_the_path_that_was_judged(
+    tmp_path: pathlib.Path, sent: str, seen: str
+) -> None:
+    first = make_settings(tmp_path, "planning-1")
+    second = make_settings(tmp_path, "planning-2", first.control_address)
+    sample = worker_standin.WorkerSettings(processes.get_free_address())
+    async with contextlib.AsyncExitStack() as stack:
+        for settings in (first, second):
+            await stack.enter_async_context(
+                processes.run_daemon(settings, tmp_path)
+            )
+        await stack.enter_async_context(worker_standin.SampleWorker(sample))
+        await processes.announce(second, "round-planning", sample.address, 10)
+        await processes.wait_for_instances(first, "round-planning", 1)
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        for settings in (first, second):
+            url = f"http://{settings.caller_address}/round-planning{sent}"
+            async with session.get(yarl.URL(url, encoded=True)) as answer:
+                assert await answer.text() == expect_answer(seen, b"")
+
+
 def make_settings(
     folder: pathlib.Path, instance: str, *seeds: str
 ) -> daemon_settings.DaemonSettings:
