Match routes by whole path segments, those with methods first

Cause: a prefix covered every path that began with its letters: '/bookings' also '/bookings-open'. Of two routes with one prefix, the one whose name came first in the alphabet won, so that a route for some methods could be hidden.

Change: a prefix covers its path and what lies below; of one prefix the route with methods is tried first.

Before: rows 'a longer name' and 'method before all' of tests/settings/test_policy.py failed. After: all eight pass.

--- a/kumquatridge/settings/policy.py
+++ b/kumquatridge/settings/policy.py
@@ -4,6 +4,8 @@
 
 from kumquatridge.calls import importance as call_importance
 
+PATH_BREAKS = "/?"
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RoutePolicy:
@@ -32,12 +34,24 @@
         """Tells whether a request belongs to this route."""
         if self.methods and method not in self.methods:
             return False
-        return path.startswith(self.path_prefix)
+        return self._covers(path)
+
+    def _covers(self, path: str) -> bool:
+        """Tells whether a path is the prefix or lies below it."""
+        prefix = self.path_prefix
+        if not path.startswith(prefix):
+            return False
+        rest = path[len(prefix) :]
+        return not rest or prefix.endswith("/") or rest[0] in PATH_BREAKS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServicePolicies:
-    """A service's routes, longest prefix first, and its own policy."""
+    """A service's routes in the order they are tried, and its own policy.
+
+    The longest prefix comes first; of the same prefix, those for some methods
+    come before one for all.
+    """
 
     routes: tuple[RouteMatcher, ...]
     fallback: RoutePolicy
--- a/kumquatridge/settings/tree.py
+++ b/kumquatridge/settings/tree.py
@@ -110,7 +110,7 @@
             self._compile_route(route, service)
             for route in self._routes.get(path, ())
         ]
-        matchers.sort(key=lambda matcher: -len(matcher.path_prefix))
+        matchers.sort(key=lambda one: (-len(one.path_prefix), not one.methods))
         return policy.ServicePolicies(
             tuple(matchers), self._make_policy(path, service, "")
         )
--- /dev/null
+++ b/tests/settings/test_policy.py
@@ -0,0 +1,37 @@
+"""The route that a request belongs to."""
+
+import pytest
+
+from kumquatridge.encoding import settings_text
+
+TREE = """{
+  "settings": {"importance": "normal", "idempotent": false,
+    "deadline_ms": 1000, "retry_allowance": 0, "long_running": false,
+    "max_body_bytes": 1000, "queue_wait_ms": 100},
+  "children": {"rounds": {"children": {"planning": {"children": {
+    "any-booking": {"settings": {"path_prefix": "/bookings"}},
+    "read": {"settings": {"path_prefix": "/bookings", "methods": ["GET"]}},
+    "old": {"settings": {"path_prefix": "/bookings/old"}},
+    "file": {"settings": {"path_prefix": "/files/"}}
+  }}}}}
+}"""
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "route"),
+    [
+        pytest.param("POST", "/bookings", "any-booking", id="the prefix"),
+        pytest.param("POST", "/bookings/7", "any-booking", id="below it"),
+        pytest.param("POST", "/bookings?day=2", "any-booking", id="query"),
+        pytest.param("POST", "/bookings-open", "", id="a longer name"),
+        pytest.param("GET", "/bookings/7", "read", id="method before all"),
+        pytest.param("GET", "/bookings/old/7", "old", id="longest prefix"),
+        pytest.param("GET", "/files/7", "file", id="prefix with a slash"),
+        pytest.param("GET", "/files", "", id="above that prefix"),
+    ],
+)
+def test_route(method: str, path: str, route: str) -> None:
+    policies = settings_text.decode_tree("tree", TREE).compile()
+    found = policies.find("planning", method, path)
+    assert found is not None
+    assert found.route == route
