Read the requests of callers and daemons in one place

Cause: the front ends for callers and for daemons read service, path, headers, body, caller and key by two near twins.

Change: http/requests.py reads both; the intake makes the call of either, with a chain of its own making or the one that a daemon sent.

--- a/kumquatridge/callpath/intake.py
+++ b/kumquatridge/callpath/intake.py
@@ -91,6 +91,15 @@
         with record.track_child():
             yield self._make_child_call(request, policy, record)
 
+    def adopt(
+        self, request: Request, chain: context.ChainContext
+    ) -> calls.Call | refusals.Refusal:
+        """Makes a call of what another daemon sent with its chain."""
+        policy = self.find_policy(request.service, request.method, request.path)
+        if policy is None:
+            return refusals.UnknownService(request.service)
+        return _make_call(request, policy, chain)
+
     def settle(self, request: Request, outcome: outcomes.Outcome) -> None:
         """Books what a call came to on the inbound call that it served."""
         record = self._ledger.find(request.token) if request.token else None
--- a/kumquatridge/http/caller_server.py
+++ b/kumquatridge/http/caller_server.py
@@ -4,8 +4,6 @@
 "/-/keys" is answered with a new request key.
 """
 
-from collections.abc import Mapping
-
 from aiohttp import web
 
 from kumquatridge.callpath import intake as call_intake
@@ -13,9 +11,8 @@
 from kumquatridge.calls import call as calls
 from kumquatridge.calls import refusals
 from kumquatridge.http import answers
-from kumquatridge.http import bodies
 from kumquatridge.http import errors
-from kumquatridge.http import headers
+from kumquatridge.http import requests
 from kumquatridge.http import targets
 from kumquatridge.idempotency import keys
 from kumquatridge.telemetry import recorder as telemetry
@@ -46,7 +43,8 @@
                 status=STATUS_CREATED, text=f"{self._issuer.issue()}\n"
             )
         try:
-            asked = await read_request(request)
+            target = targets.split(targets.normalize(request.path_qs))
+            asked = await requests.read_request(request, target)
         except errors.MalformedRequestError as error:
             return self._reject(refusals.InvalidRequest(str(error)))
         with self._intake.open(asked) as opened:
@@ -71,42 +69,3 @@
             return await answers.write_outcome(
                 request, call, outcome, self._recorder
             )
-
-
-async def read_request(request: web.BaseRequest) -> call_intake.Request:
-    """Reads what a request asks for.
-
-    Raises:
-      MalformedRequestError: a path without a service or a bad timeout.
-    """
-    target = targets.split(targets.normalize(request.path_qs))
-    marks = request.headers
-    return call_intake.Request(
-        service=target.service,
-        method=request.method,
-        path=target.path,
-        headers=headers.keep_end_to_end(marks.items()),
-        body=await bodies.read_body(request),
-        caller=marks.get(headers.CALLER, ""),
-        request_key=marks.get(headers.REQUEST_KEY),
-        timeout_ms=read_ms(marks, headers.TIMEOUT, least_ms=1),
-        key_age_ms=read_ms(marks, headers.KEY_AGE, least_ms=0),
-        token=marks.get(headers.CONTEXT),
-    )
-
-
-def read_ms(marks: Mapping[str, str], name: str, least_ms: int) -> int | None:
-    """Reads a header with a duration, or returns None when it is absent.
-
-    Raises:
-      MalformedRequestError: not a whole number, or below `least_ms`.
-    """
-    text = marks.get(name)
-    if text is None:
-        return None
-    if not text.isascii() or not text.isdigit() or int(text) < least_ms:
-        raise errors.MalformedRequestError(
-            f"{name}: got {text!r}, expected a whole number of milliseconds "
-            f"of at least {least_ms}"
-        )
-    return int(text)
--- a/kumquatridge/http/peer_server.py
+++ b/kumquatridge/http/peer_server.py
@@ -3,7 +3,6 @@
 from aiohttp import web
 from returns import result
 
-from kumquatridge import clock
 from kumquatridge.callpath import inbound
 from kumquatridge.callpath import intake as call_intake
 from kumquatridge.callpath import keyed
@@ -11,11 +10,10 @@
 from kumquatridge.calls import refusals
 from kumquatridge.encoding import chain_codec
 from kumquatridge.http import answers
-from kumquatridge.http import bodies
 from kumquatridge.http import call_credential
-from kumquatridge.http import caller_server
 from kumquatridge.http import errors
 from kumquatridge.http import headers
+from kumquatridge.http import requests
 from kumquatridge.http import service_news
 from kumquatridge.http import targets
 from kumquatridge.telemetry import recorder as telemetry
@@ -80,30 +78,12 @@
     async def _read_call(
         self, request: web.BaseRequest
     ) -> calls.Call | refusals.Refusal:
-        marks = request.headers
-        match chain_codec.decode_chain(marks.get(headers.CHAIN, "")):
+        mark = request.headers.get(headers.CHAIN, "")
+        match chain_codec.decode_chain(mark):
             case result.Success(chain):
                 pass
             case result.Failure(fault):
                 raise errors.MalformedRequestError(f"{headers.CHAIN}: {fault}")
         target = targets.split(request.path_qs)
-        policy = self._intake.find_policy(
-            target.service, request.method, target.path
-        )
-        if policy is None:
-            return refusals.UnknownService(target.service)
-        return calls.Call(
-            service=target.service,
-            method=request.method,
-            path=target.path,
-            headers=headers.keep_end_to_end(marks.items()),
-            body=await bodies.read_body(request),
-            caller=marks.get(headers.CALLER, ""),
-            request_key=marks.get(headers.REQUEST_KEY),
-            policy=policy,
-            chain=chain,
-            key_age_ms=caller_server.read_ms(
-                marks, headers.KEY_AGE, least_ms=0
-            ),
-            received_ms=clock.get_now_ms(),
-        )
+        asked = await requests.read_request(request, target)
+        return self._intake.adopt(asked, chain)
