Split the bench's fleet and scenario by job

No decision, figure or check changes.

Where things went, all in kumquatridge/bench: - product.py keeps ProductFleet; ProductInstance is in product_instance.py, FakeWorkerLink and FakePeerLink in fake_links.py, RunRecorder (was _RunRecorder) in run_recorder.py.

--- a/kumquatridge/bench/callers.py
+++ b/kumquatridge/bench/callers.py
@@ -7,6 +7,8 @@
 
 from kumquatridge import clock
 from kumquatridge.bench import capacity
+from kumquatridge.bench import demands
+from kumquatridge.bench import deployments
 from kumquatridge.bench import fleets
 from kumquatridge.bench import jobs
 from kumquatridge.bench import process
@@ -75,7 +77,7 @@
                     requests.create_task(self._run_demand(demand, requests))
 
     async def _run_demand(
-        self, demand: scenario.Demand, requests: asyncio.TaskGroup
+        self, demand: demands.Demand, requests: asyncio.TaskGroup
     ) -> None:
         await virtual_time.sleep_until(demand.span.starts_ms)
         capacity_per_s = capacity.get_rate_per_s(
@@ -92,7 +94,7 @@
             )
             await asyncio.sleep(self._random.expovariate(rate_per_s))
 
-    async def _request(self, chain: scenario.Chain, number: int) -> None:
+    async def _request(self, chain: deployments.Chain, number: int) -> None:
         arrived_ms = clock.get_now_ms()
         centres = self._script.deployment.data_centres
         origin = _Origin(arrived_ms, self._random.choice(centres))
@@ -117,14 +119,14 @@
                 )
             )
 
-    async def _pause(self, callers: scenario.Callers) -> None:
+    async def _pause(self, callers: demands.Callers) -> None:
         spread = self._random.uniform(
             1 - PAUSE_SPREAD_RATIO, 1 + PAUSE_SPREAD_RATIO
         )
         await asyncio.sleep(callers.pause_ms * spread / 1000.0)
 
     async def _attempt(
-        self, chain: scenario.Chain, number: int, origin: _Origin
+        self, chain: deployments.Chain, number: int, origin: _Origin
     ) -> Ending:
         is_double = self._script.callers.double_ratio > self._random.random()
         if not is_double:
@@ -136,7 +138,7 @@
         return max(endings, key=lambda ending: ending.is_good)
 
     async def _send(
-        self, chain: scenario.Chain, number: int, origin: _Origin
+        self, chain: deployments.Chain, number: int, origin: _Origin
     ) -> Ending:
         job = self._book.make_root(chain, number, origin.made_ms)
         instance = self._random.choice(self._reachable[origin.data_centre])
@@ -157,15 +159,15 @@
 
 
 def get_rate_per_s(
-    demand: scenario.Demand, now_ms: float, capacity_per_s: float
+    demand: demands.Demand, now_ms: float, capacity_per_s: float
 ) -> float:
     """Returns the rate of new requests at a time."""
     match demand.rate:
-        case scenario.OfCapacity(ratio):
+        case demands.OfCapacity(ratio):
             return ratio * capacity_per_s
-        case scenario.Absolute(per_s):
+        case demands.Absolute(per_s):
             return per_s
-        case scenario.Swing(low_ratio, high_ratio, period_ms):
+        case demands.Swing(low_ratio, high_ratio, period_ms):
             phase = (now_ms - demand.span.starts_ms) % period_ms / period_ms
             height = 1 - abs(2 * phase - 1)
             ratio = low_ratio + (high_ratio - low_ratio) * height
--- a/kumquatridge/bench/capacity.py
+++ b/kumquatridge/bench/capacity.py
@@ -2,13 +2,16 @@
 
 from collections.abc import Mapping
 
+from kumquatridge.bench import demands
+from kumquatridge.bench import deployments
 from kumquatridge.bench import network
-from kumquatridge.bench import scenario
 
 SlotTimes = Mapping[str, float]
 
 
-def get_hold_ms(step: scenario.Step, deployment: scenario.Deployment) -> float:
+def get_hold_ms(
+    step: deployments.Step, deployment: deployments.Deployment
+) -> float:
     """Returns for how long an undisturbed step holds its slot.
 
     A child adds the way to it and back inside a data centre.
@@ -24,23 +27,23 @@
 
 
 def get_slot_times(
-    chain: scenario.Chain, deployment: scenario.Deployment
+    chain: deployments.Chain, deployment: deployments.Deployment
 ) -> SlotTimes:
     """Returns the slot time, in ms, that a chain takes of each service."""
     times: dict[str, float] = {}
-    for step in scenario.iter_steps(chain.root):
+    for step in deployments.iter_steps(chain.root):
         held_ms = get_hold_ms(step, deployment)
         times[step.service] = times.get(step.service, 0.0) + held_ms
     return times
 
 
-def get_slots(deployment: scenario.Deployment) -> Mapping[str, int]:
+def get_slots(deployment: deployments.Deployment) -> Mapping[str, int]:
     """Returns the slots of each service."""
     return {one.name: one.workers * one.slots for one in deployment.services}
 
 
 def get_rate_per_s(
-    deployment: scenario.Deployment, mix: tuple[scenario.Share, ...]
+    deployment: deployments.Deployment, mix: tuple[demands.Share, ...]
 ) -> float:
     """Returns the highest rate of the mix at which no service is full."""
     chains = {one.name: one for one in deployment.chains}
@@ -56,6 +59,6 @@
 
 
 def _get_service(
-    deployment: scenario.Deployment, step: scenario.Step
-) -> scenario.Service:
+    deployment: deployments.Deployment, step: deployments.Step
+) -> deployments.Service:
     return next(one for one in deployment.services if one.name == step.service)
--- /dev/null
+++ b/kumquatridge/bench/deployment_text.py
@@ -0,0 +1,115 @@
+"""Reads deployments from text; the base for whatever names their parts."""
+
+import pathlib
+from typing import Any
+
+from kumquatridge.bench import deployments
+from kumquatridge.bench import grammar
+from kumquatridge.bench import spans
+
+_DEPLOYMENT_FILE = "deployment.scenario"
+
+
+class _Group(tuple[Any, ...]):
+    """The decoded items of a grammar rule that occurs once."""
+
+
+class PartsDecoder(grammar.Decoder):
+    """Turns the parts of a syntax tree that scenario and deployment share.
+
+    Each method decodes the grammar rule of its name.
+    """
+
+    NAME = str
+    METHOD = str
+    PATH = str
+    INT = int
+    NUMBER = float
+
+    def STRING(self, token: str) -> str:  # noqa: N802
+        """Decodes a text in quotes."""
+        return token[1:-1]
+
+    def seconds(self, items: list[Any]) -> float:
+        """Decodes seconds, in ms."""
+        return float(items[0]) * 1000.0
+
+    def milliseconds(self, items: list[Any]) -> float:
+        """Decodes milliseconds."""
+        return float(items[0])
+
+    def percent(self, items: list[Any]) -> float:
+        """Decodes a part of a hundred, as a ratio."""
+        return float(items[0]) / 100.0
+
+    def span(self, items: list[Any]) -> spans.Span:
+        """Decodes a stretch of time."""
+        return spans.Span(*items)
+
+    def work(self, items: list[Any]) -> float:
+        """Decodes a factor on a service's time."""
+        return float(items[0])
+
+    def in_turn(self, items: list[Any]) -> _Group:
+        """Decodes calls made one after another."""
+        return _Group((tuple(items), False))
+
+    def together(self, items: list[Any]) -> _Group:
+        """Decodes calls made at the same time."""
+        return _Group((tuple(items), True))
+
+    def step(self, items: list[Any]) -> deployments.Step:
+        """Decodes a call and what it leads to."""
+        method, service, path, *rest = items
+        work_ratio = next((one for one in rest if type(one) is float), 1.0)
+        groups = [one for one in rest if type(one) is _Group]
+        children, is_parallel = groups[0] if groups else ((), False)
+        return deployments.Step(
+            method, service, path, work_ratio, children, is_parallel
+        )
+
+    def poison(self, _: list[Any]) -> bool:
+        """Decodes the mark of a poisonous chain."""
+        return True
+
+    def chain(self, items: list[Any]) -> deployments.Chain:
+        """Decodes a whole request."""
+        *poison, name, root = items
+        return deployments.Chain(name, root, bool(poison))
+
+
+class _DeploymentDecoder(PartsDecoder):
+    """Decodes a deployment."""
+
+    start = "deployment"
+
+    def service(self, items: list[Any]) -> deployments.Service:
+        return deployments.Service(*items)
+
+    def deployment(self, items: list[Any]) -> deployments.Deployment:
+        name, *rest = items
+        centres = tuple(one for one in rest if type(one) is str)
+        delay_ms, caller_delay_ms, scale = (
+            one for one in rest if type(one) is float
+        )
+        return deployments.Deployment(
+            name,
+            centres,
+            delay_ms,
+            caller_delay_ms,
+            scale,
+            tuple(one for one in rest if type(one) is deployments.Service),
+            tuple(one for one in rest if type(one) is deployments.Chain),
+        )
+
+
+def read_deployment(
+    examples: pathlib.Path, name: str
+) -> deployments.Deployment:
+    """Reads the deployment of an example."""
+    file = examples / name / _DEPLOYMENT_FILE
+    decoded = grammar.decode(
+        str(file), grammar.read(file), _DeploymentDecoder()
+    )
+    assert isinstance(decoded, deployments.Deployment)
+    return decoded
--- a/kumquatridge/bench/faults.py
+++ b/kumquatridge/bench/faults.py
@@ -6,6 +6,8 @@
 from kumquatridge import clock
 from kumquatridge.bench import fleets
 from kumquatridge.bench import scenario
+from kumquatridge.bench import spans
+from kumquatridge.bench import troubles
 from kumquatridge.bench import virtual_time
 
 MEMBERSHIP_DELAY_S = 2.0
@@ -27,10 +29,10 @@
             for fault in self._script.faults:
                 group.create_task(self._run_fault(fault))
 
-    async def _run_fault(self, fault: scenario.Fault) -> None:
+    async def _run_fault(self, fault: troubles.Fault) -> None:
         await virtual_time.sleep_until(fault.span.starts_ms)
         match fault.trouble:
-            case scenario.Slow(service, workers_ratio, slowdown_ratio):
+            case troubles.Slow(service, workers_ratio, slowdown_ratio):
                 self._slow(
                     [
                         one
@@ -41,19 +43,19 @@
                     slowdown_ratio,
                     fault.span.ends_ms,
                 )
-            case scenario.SlowMoments():
+            case troubles.SlowMoments():
                 await self._slow_moments(fault.trouble, fault.span)
-            case scenario.CrashWorker(service, number):
+            case troubles.CrashWorker(service, number):
                 self._find(service, number).worker.crash(fault.span.length_ms)
-            case scenario.Stall(service, number):
+            case troubles.Stall(service, number):
                 await self._pause(self._find(service, number).worker, fault)
-            case scenario.PauseDaemon(service, number):
+            case troubles.PauseDaemon(service, number):
                 await self._pause(self._find(service, number), fault)
-            case scenario.RestartDaemon(service, number):
+            case troubles.RestartDaemon(service, number):
                 await self._restart(self._find(service, number), fault)
-            case scenario.Cut(data_centre):
+            case troubles.Cut(data_centre):
                 await self._cut(data_centre, fault)
-            case scenario.Lose(half, ratio):
+            case troubles.Lose(half, ratio):
                 self._fleet.network.set_lost(half, ratio)
                 await _wait(fault)
                 self._fleet.network.set_lost(half, 0.0)
@@ -76,7 +78,7 @@
             instance.worker.slow_down(slowdown_ratio, ends_ms)
 
     async def _slow_moments(
-        self, trouble: scenario.SlowMoments, span: scenario.Span
+        self, trouble: troubles.SlowMoments, span: spans.Span
     ) -> None:
         while (now_ms := clock.get_now_ms()) < span.ends_ms:
             self._slow(
@@ -88,14 +90,14 @@
             await asyncio.sleep(trouble.period_ms / 1000.0)
 
     async def _pause(
-        self, owner: fleets.HasProcess, fault: scenario.Fault
+        self, owner: fleets.HasProcess, fault: troubles.Fault
     ) -> None:
         owner.process.pause()
         await _wait(fault)
         owner.process.resume()
 
     async def _restart(
-        self, instance: fleets.Instance, fault: scenario.Fault
+        self, instance: fleets.Instance, fault: troubles.Fault
     ) -> None:
         instance.process.lose()
         await instance.restart_daemon()
@@ -103,7 +105,7 @@
         instance.process.start()
         self._fleet.note_reachability()
 
-    async def _cut(self, data_centre: str, fault: scenario.Fault) -> None:
+    async def _cut(self, data_centre: str, fault: troubles.Fault) -> None:
         self._fleet.network.cut(data_centre)
         async with asyncio.TaskGroup() as group:
             group.create_task(self._follow())
@@ -116,5 +118,5 @@
         self._fleet.note_reachability()
 
 
-async def _wait(fault: scenario.Fault) -> None:
+async def _wait(fault: troubles.Fault) -> None:
     await asyncio.sleep(fault.span.length_ms / 1000.0)
--- a/kumquatridge/bench/fleets.py
+++ b/kumquatridge/bench/fleets.py
@@ -4,11 +4,11 @@
 import types
 from typing import Protocol, Self
 
+from kumquatridge.bench import deployments
 from kumquatridge.bench import jobs
 from kumquatridge.bench import network as bench_network
 from kumquatridge.bench import process
 from kumquatridge.bench import records as bench_records
-from kumquatridge.bench import scenario
 from kumquatridge.bench import workers
 from kumquatridge.calls import outcomes
 from kumquatridge.settings import policy as settings_policy
@@ -18,7 +18,7 @@
 class Environment:
     """What all instances of a fleet share in one run."""
 
-    deployment: scenario.Deployment
+    deployment: deployments.Deployment
     network: bench_network.FakeNetwork
     policies: settings_policy.PolicyLookup
     book: jobs.JobBook
--- a/kumquatridge/bench/jobs.py
+++ b/kumquatridge/bench/jobs.py
@@ -5,7 +5,7 @@
 import math
 
 from kumquatridge import clock
-from kumquatridge.bench import scenario
+from kumquatridge.bench import deployments
 from kumquatridge.callpath import intake
 from kumquatridge.calls import body as call_body
 from kumquatridge.calls import outcomes
@@ -26,7 +26,7 @@
 
     call_id: int
     key: str | None
-    step: scenario.Step
+    step: deployments.Step
     path: str
     is_poison: bool
     key_made_ms: float
@@ -40,7 +40,7 @@
         self._jobs: dict[int, Job] = {}
 
     def make_root(
-        self, chain: scenario.Chain, number: int, made_ms: float
+        self, chain: deployments.Chain, number: int, made_ms: float
     ) -> Job:
         """Makes the first call of a whole request, or sends it again."""
         job = Job(
--- a/kumquatridge/bench/measures.py
+++ b/kumquatridge/bench/measures.py
@@ -5,9 +5,11 @@
 import itertools
 import math
 
+from kumquatridge.bench import bounds
 from kumquatridge.bench import capacity
 from kumquatridge.bench import records as bench_records
 from kumquatridge.bench import scenario
+from kumquatridge.bench import spans
 
 RECOVERY_STEP_MS = 250.0
 RECOVERY_WINDOW_MS = 4000.0
@@ -43,33 +45,33 @@
         bounds = [self._measure(bound) for bound in self._script.bounds]
         return (*bounds, *self._measure_promises())
 
-    def _measure(self, bound: scenario.Bound) -> Measured:
+    def _measure(self, bound: bounds.Bound) -> Measured:
         match bound:
-            case scenario.Goodput(span, least):
+            case bounds.Goodput(span, least):
                 found = self.get_goodput(span)
                 return _at_least(f"goodput {_show(span)}", found, least)
-            case scenario.Success(chains, span, least):
+            case bounds.Success(chains, span, least):
                 found = get_success(self._arrived(chains, span))
                 name = f"success of {' '.join(chains)} {_show(span)}"
                 return _at_least(name, found, least)
-            case scenario.Recovery():
+            case bounds.Recovery():
                 found_s = self.get_recovery_ms(bound) / 1000.0
                 most_s = bound.most_ms / 1000.0
                 name = f"recovery after {bound.after_ms / 1000:g} s"
                 return _at_most(name, found_s, most_s, "s")
-            case scenario.TailLatency(chain, span, quiet, most):
+            case bounds.TailLatency(chain, span, quiet, most):
                 p99_ms = get_p99_ms(self._arrived((chain,), span))
                 quiet_ms = get_p99_ms(self._arrived((chain,), quiet))
                 name = f"p99 of {chain} {_show(span)} over {_show(quiet)}"
                 return _at_most(name, p99_ms / quiet_ms, most, "times")
-            case scenario.Standstill(span, most_ms):
+            case bounds.Standstill(span, most_ms):
                 found_s = self.get_standstill_ms(span) / 1000.0
                 name = f"standstill {_show(span)}"
                 return _at_most(name, found_s, most_ms / 1000.0, "s")
-            case scenario.Crashes(service, most):
+            case bounds.Crashes(service, most):
                 crashes = self._records.crashes[service]
                 return _at_most(f"crashes of {service}", crashes, most, "")
-            case scenario.InnocentQuarantine(most_ms):
+            case bounds.InnocentQuarantine(most_ms):
                 found_s = self.get_innocent_quarantine_ms() / 1000.0
                 name = "quarantine of an innocent"
                 return _at_most(name, found_s, most_ms / 1000.0, "s")
@@ -87,7 +89,7 @@
             yield _at_most(name, count, 0, "")
 
     def _arrived(
-        self, chains: tuple[str, ...], span: scenario.Span
+        self, chains: tuple[str, ...], span: spans.Span
     ) -> list[bench_records.Finished]:
         return [
             one
@@ -95,7 +97,7 @@
             if one.chain in chains and span.contains(one.arrived_ms)
         ]
 
-    def get_goodput(self, span: scenario.Span) -> float:
+    def get_goodput(self, span: spans.Span) -> float:
         """Returns useful work over what demand and capacity allow."""
         done = [
             one
@@ -111,7 +113,7 @@
         return self._get_use(done, span) / allowed if allowed else 1.0
 
     def _get_use(
-        self, requests: list[bench_records.Finished], span: scenario.Span
+        self, requests: list[bench_records.Finished], span: spans.Span
     ) -> float:
         """Returns the part of the fullest service's slots that is used."""
         held_ms: dict[str, float] = {}
@@ -127,7 +129,7 @@
             default=0.0,
         )
 
-    def get_recovery_ms(self, bound: scenario.Recovery) -> float:
+    def get_recovery_ms(self, bound: bounds.Recovery) -> float:
         """Returns how long after its time the service is as before.
 
         Infinite when it is not as before within the run.
@@ -137,7 +139,7 @@
         p99_ms = get_p99_ms(before)
         starts_ms = bound.after_ms
         while starts_ms + RECOVERY_WINDOW_MS <= self._script.duration_ms:
-            window = scenario.Span(starts_ms, starts_ms + RECOVERY_WINDOW_MS)
+            window = spans.Span(starts_ms, starts_ms + RECOVERY_WINDOW_MS)
             now = self._arrived(bound.chains, window)
             is_good = get_success(now) >= success - RECOVERY_TOLERANCE_RATIO
             most_ms = p99_ms * (1 + RECOVERY_TOLERANCE_RATIO)
@@ -146,7 +148,7 @@
             starts_ms += RECOVERY_STEP_MS
         return math.inf
 
-    def get_standstill_ms(self, span: scenario.Span) -> float:
+    def get_standstill_ms(self, span: spans.Span) -> float:
         """Returns the longest time in a span without a success."""
         times_ms = sorted(
             one.finished_ms
@@ -184,7 +186,7 @@
     return latencies_ms[math.ceil(P99_RATIO * len(latencies_ms)) - 1]
 
 
-def _show(span: scenario.Span) -> str:
+def _show(span: spans.Span) -> str:
     return f"{span.starts_ms / 1000:g}-{span.ends_ms / 1000:g} s"
 
 
--- a/kumquatridge/bench/naive.py
+++ b/kumquatridge/bench/naive.py
@@ -9,7 +9,7 @@
 from kumquatridge.bench import jobs
 from kumquatridge.bench import placement
 from kumquatridge.bench import process as bench_process
-from kumquatridge.bench import scenario
+from kumquatridge.bench import troubles
 from kumquatridge.bench import workers
 from kumquatridge.calls import outcomes
 
@@ -114,12 +114,12 @@
     ) -> outcomes.Outcome:
         carry = self._fleet.network.carry
         here, there = self.data_centre, target.data_centre
-        if not await carry(here, there, scenario.Half.CALLS):
+        if not await carry(here, there, troubles.Half.CALLS):
             await asyncio.sleep(LOST_S)
         outcome = await target.worker.process.run(
             target.worker.handle(job, target.send)
         )
-        if not await carry(there, here, scenario.Half.ANSWERS):
+        if not await carry(there, here, troubles.Half.ANSWERS):
             await asyncio.sleep(LOST_S)
         return outcome
 
--- a/kumquatridge/bench/network.py
+++ b/kumquatridge/bench/network.py
@@ -3,7 +3,8 @@
 import asyncio
 import random
 
-from kumquatridge.bench import scenario
+from kumquatridge.bench import deployments
+from kumquatridge.bench import troubles
 
 LOCAL_DELAY_MS = 0.2
 
@@ -11,11 +12,11 @@
 class FakeNetwork:
     """Delays messages, and loses them when a fault says so."""
 
-    def __init__(self, deployment: scenario.Deployment, seed: str) -> None:
+    def __init__(self, deployment: deployments.Deployment, seed: str) -> None:
         self._deployment = deployment
         self._random = random.Random(f"{seed}/network")
         self._cut: set[str] = set()
-        self._lost_ratio = dict.fromkeys(scenario.Half, 0.0)
+        self._lost_ratio = dict.fromkeys(troubles.Half, 0.0)
 
     def cut(self, data_centre: str) -> None:
         """Cuts a data centre off from the others."""
@@ -25,7 +26,7 @@
         """Ends a cut."""
         self._cut.discard(data_centre)
 
-    def set_lost(self, half: scenario.Half, ratio: float) -> None:
+    def set_lost(self, half: troubles.Half, ratio: float) -> None:
         """Loses a part of the calls or of the answers from now on."""
         self._lost_ratio[half] = ratio
 
@@ -34,7 +35,7 @@
         return source != target and (source in self._cut or target in self._cut)
 
     async def carry(
-        self, source: str, target: str, half: scenario.Half
+        self, source: str, target: str, half: troubles.Half
     ) -> bool:
         """Takes the time of one way; returns whether the message arrived."""
         delay_ms = LOCAL_DELAY_MS
--- a/kumquatridge/bench/news.py
+++ b/kumquatridge/bench/news.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from kumquatridge.bench import product
+    from kumquatridge.bench import product_instance
 
 ROUND_S = 0.5
 MESSAGE_S = 0.01
@@ -23,12 +24,12 @@
         await asyncio.sleep(ROUND_S)
 
 
-def tell_later(instance: "product.ProductInstance") -> None:
+def tell_later(instance: "product_instance.ProductInstance") -> None:
     """Has a daemon tell at once what changed."""
     asyncio.get_running_loop().call_later(MESSAGE_S, tell, instance)
 
 
-def tell(instance: "product.ProductInstance") -> None:
+def tell(instance: "product_instance.ProductInstance") -> None:
     """Exchanges a daemon's news with the others of its service."""
     peers = tuple(_iter_peers(instance))
     near = [one for one in peers if one.data_centre == instance.data_centre]
@@ -44,8 +45,8 @@
 
 
 def _iter_peers(
-    instance: "product.ProductInstance",
-) -> Iterator["product.ProductInstance"]:
+    instance: "product_instance.ProductInstance",
+) -> Iterator["product_instance.ProductInstance"]:
     for other in instance.fleet.instances:
         if (
             other is not instance
@@ -55,7 +56,8 @@
 
 
 def _can_talk(
-    instance: "product.ProductInstance", peer: "product.ProductInstance"
+    instance: "product_instance.ProductInstance",
+    peer: "product_instance.ProductInstance",
 ) -> bool:
     pair = (instance, peer)
     if any(one.process.is_paused or not one.process.is_up for one in pair):
--- a/kumquatridge/bench/placement.py
+++ b/kumquatridge/bench/placement.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 import dataclasses
 
-from kumquatridge.bench import scenario
+from kumquatridge.bench import deployments
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -12,10 +12,10 @@
 
     name: str
     data_centre: str
-    service: scenario.Service
+    service: deployments.Service
 
 
-def iter_places(deployment: scenario.Deployment) -> Iterator[Place]:
+def iter_places(deployment: deployments.Deployment) -> Iterator[Place]:
     """Spreads the workers of each service over the data centres."""
     centres = deployment.data_centres
     position = 0
--- a/kumquatridge/bench/plots.py
+++ b/kumquatridge/bench/plots.py
@@ -8,7 +8,7 @@
 from kumquatridge.bench import measures
 from kumquatridge.bench import records as bench_records
 from kumquatridge.bench import runner
-from kumquatridge.bench import scenario
+from kumquatridge.bench import spans
 
 STEP_MS = 1000.0
 DOTS_PER_INCH = 90
@@ -53,15 +53,15 @@
     return plt
 
 
-def _make_spans(duration_ms: float) -> list[scenario.Span]:
+def _make_spans(duration_ms: float) -> list[spans.Span]:
     return [
-        scenario.Span(number * STEP_MS, (number + 1) * STEP_MS)
+        spans.Span(number * STEP_MS, (number + 1) * STEP_MS)
         for number in range(int(duration_ms / STEP_MS))
     ]
 
 
 def _pick(
-    result: runner.RunResult, span: scenario.Span
+    result: runner.RunResult, span: spans.Span
 ) -> list[bench_records.Finished]:
     return [
         one for one in result.records.finished if span.contains(one.arrived_ms)
--- /dev/null
+++ b/kumquatridge/bench/product_instance.py
@@ -0,0 +1,203 @@
+"""An instance of the product's fleet: real decisions between stand-ins."""
+
+import dataclasses
+import itertools
+import random
+from typing import TYPE_CHECKING
+
+from kumquatridge import clock
+from kumquatridge.admission import guard as admission_guard
+from kumquatridge.bench import fake_links
+from kumquatridge.bench import jobs
+from kumquatridge.bench import news
+from kumquatridge.bench import placement
+from kumquatridge.bench import process as bench_process
+from kumquatridge.bench import run_recorder
+from kumquatridge.bench import workers
+from kumquatridge.callpath import homes
+from kumquatridge.callpath import inbound
+from kumquatridge.callpath import intake as call_intake
+from kumquatridge.callpath import keyed
+from kumquatridge.callpath import outbound
+from kumquatridge.calls import call as calls
+from kumquatridge.calls import outcomes
+from kumquatridge.chain import ledger as chain_ledger
+from kumquatridge.chain import ratio as retry_ratio
+from kumquatridge.idempotency import handover
+from kumquatridge.idempotency import keys
+from kumquatridge.idempotency import memory as key_memory
+from kumquatridge.idempotency import roster as home_roster
+from kumquatridge.idempotency import settings as key_settings
+from kumquatridge.membership import member as members
+from kumquatridge.membership import table
+from kumquatridge.quarantine import register as crash_register
+from kumquatridge.routing import chooser as routing
+
+if TYPE_CHECKING:
+    from kumquatridge.bench import product
+
+CHOOSER_SEED_BITS = 64
+PEER_KEY = "bench"
+
+
+class ProductInstance:
+    """A worker's stand-in with the decisions of a real daemon beside it."""
+
+    def __init__(
+        self, fleet: "product.ProductFleet", place: placement.Place
+    ) -> None:
+        self.fleet = fleet
+        self.environment = fleet.environment
+        self.name = place.name
+        self.data_centre = place.data_centre
+        self.worker = workers.FakeWorker(
+            place,
+            self.environment.book,
+            self.environment.records,
+            self.environment.seed,
+        )
+        self.process = bench_process.FakeProcess(place.name)
+        self._place = place
+        self._incarnations = itertools.count(1)
+        self._assemble()
+
+    def _assemble(self) -> None:
+        """Puts a daemon together that remembers nothing."""
+        self.members = table.MemberTable(self._make_member())
+        recorder = run_recorder.RunRecorder(self.environment, self.name)
+        seed = random.Random(
+            f"{self.environment.seed}/{self.name}/chooser"
+        ).getrandbits(CHOOSER_SEED_BITS)
+        guard = admission_guard.AdmissionGuard(self._place.service.slots)
+        ledger = chain_ledger.Ledger()
+        self._intake = call_intake.Intake(
+            self.environment.policies, ledger, recorder
+        )
+        self.crashes = crash_register.CrashRegister(
+            crash_register.QuarantineSettings(),
+            self.name,
+            lambda: news.tell_later(self),
+        )
+        self._inbound = inbound.InboundPath(
+            self.members,
+            guard,
+            ledger,
+            fake_links.FakeWorkerLink(self),
+            recorder,
+            crashes=self.crashes,
+        )
+        self._outbound = outbound.OutboundPath(
+            self.members,
+            routing.InstanceChooser(self.members, seed),
+            self._inbound,
+            fake_links.FakePeerLink(self),
+            run_recorder.RunRecorder(self.environment, None),
+            ratio=retry_ratio.RetryRatio(retry_ratio.RatioSettings()),
+        )
+        self._keyed = self._make_keyed_path()
+
+    def _make_keyed_path(self) -> keyed.KeyedPath:
+        settings = key_settings.KeySettings()
+        own = self.members.own
+        self.roster = home_roster.HomeRoster(
+            settings, self.name, own.incarnation
+        )
+        home = keys.HomeId(self.name, str(own.incarnation))
+        memory = key_memory.KeyMemory(settings)
+        handed = handover.HandedKeys(settings)
+        self.homes = handover.HomeExchange(self.roster, memory, handed)
+        return keyed.KeyedPath(
+            self.members,
+            self._inbound,
+            self._outbound,
+            fake_links.FakePeerLink(self),
+            run_recorder.RunRecorder(self.environment, None),
+            home_finder=homes.Homes(
+                settings,
+                home,
+                keys.KeyIssuer(home, PEER_KEY),
+                self.roster,
+                self.members,
+                stalls=self.process,
+                handed=handed,
+            ),
+            memory=memory,
+        )
+
+    def _make_member(self) -> members.Member:
+        service = self._place.service
+        return members.Member(
+            instance=self.name,
+            incarnation=next(self._incarnations),
+            data_centre=self.data_centre,
+            call_address=self.name,
+            control_address=self.name,
+            announcement=members.Announcement(
+                service.name, self.name, service.slots, service.slots * 8
+            ),
+        )
+
+    async def send(self, job: jobs.Job) -> outcomes.Outcome:
+        """Serves a call of an outside caller."""
+        return await self._dispatch(job, None)
+
+    async def send_from_worker(
+        self, job: jobs.Job, token: str
+    ) -> outcomes.Outcome:
+        """Serves a call that the own worker makes."""
+        try:
+            outcome = await self.process.run(self._dispatch(job, token))
+        except bench_process.ProcessDownError:
+            outcome = outcomes.Failed("own daemon is down")
+        except bench_process.ProcessLostError:
+            outcome = outcomes.Unknown("own daemon was lost")
+        self.environment.records.note_outcome(job, outcome)
+        return outcome
+
+    async def _dispatch(
+        self, job: jobs.Job, token: str | None
+    ) -> outcomes.Outcome:
+        await self.process.wait_while_paused()
+        request = jobs.make_request(job, token)
+        with self._intake.open(request) as opened:
+            match opened:
+                case calls.Call():
+                    if token is None:
+                        self.environment.records.note_root(opened)
+                    async with self._keyed.dispatch(opened) as outcome:
+                        self._intake.settle(request, outcome)
+                        return outcome
+                case refusal:
+                    return outcomes.NotRun(refusal)
+
+    async def serve(self, call: calls.Call) -> outcomes.Outcome:
+        """Serves a call that another daemon sent."""
+        await self.process.wait_while_paused()
+        async with self._inbound.serve(call) as outcome:
+            return outcome
+
+    async def serve_home(self, call: calls.Call) -> outcomes.Outcome:
+        """Serves a call whose sender takes this daemon for its home."""
+        await self.process.wait_while_paused()
+        received = dataclasses.replace(call, received_ms=clock.get_now_ms())
+        async with self._keyed.serve(received) as outcome:
+            return outcome
+
+    async def restart_daemon(self) -> None:
+        """Replaces the daemon by one that remembers nothing."""
+        await self.close()
+        self._assemble()
+
+    async def close(self) -> None:
+        """Cuts off what the daemon still runs."""
+        await self._keyed.__aexit__(None, None, None)
+
+    def knows_all(self) -> bool:
+        """Tells whether this daemon has heard of its whole data centre."""
+        return sum(1 for _ in self.members) == sum(
+            one.data_centre == self.data_centre for one in self.fleet.instances
+        )
+
+    def refute(self) -> None:
+        """Raises the incarnation, so that others take it for alive again."""
+        self.members.set_own(self._make_member())
--- /dev/null
+++ b/kumquatridge/bench/spans.py
@@ -0,0 +1,20 @@
+"""Stretches of virtual time, in milliseconds since the start of a run."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Span:
+    """A stretch of virtual time."""
+
+    starts_ms: float
+    ends_ms: float
+
+    @property
+    def length_ms(self) -> float:
+        """How long the span is."""
+        return self.ends_ms - self.starts_ms
+
+    def contains(self, at_ms: float) -> bool:
+        """Tells whether a time lies in the span."""
+        return self.starts_ms <= at_ms < self.ends_ms
--- a/kumquatridge/bench/workers.py
+++ b/kumquatridge/bench/workers.py
@@ -7,11 +7,11 @@
 from typing import Any
 
 from kumquatridge import clock
+from kumquatridge.bench import deployments
 from kumquatridge.bench import jobs
 from kumquatridge.bench import placement
 from kumquatridge.bench import process
 from kumquatridge.bench import records as bench_records
-from kumquatridge.bench import scenario
 from kumquatridge.calls import outcomes
 
 POISON_RESTART_MS = 2000.0
@@ -88,7 +88,7 @@
                 return False
         return True
 
-    def _get_work_s(self, step: scenario.Step) -> float:
+    def _get_work_s(self, step: deployments.Step) -> float:
         spread = self._random.uniform(1 - SPREAD_RATIO, 1 + SPREAD_RATIO)
         work_ms = self.service.service_ms * step.work_ratio * spread
         return self._stretch_ms(work_ms) / 1000.0
--- a/tests/bench/test_measures.py
+++ b/tests/bench/test_measures.py
@@ -5,31 +5,37 @@
 
 import pytest
 
+from kumquatridge.bench import bounds
 from kumquatridge.bench import capacity
+from kumquatridge.bench import demands
+from kumquatridge.bench import deployments
 from kumquatridge.bench import jobs
 from kumquatridge.bench import measures
 from kumquatridge.bench import records as bench_records
 from kumquatridge.bench import scenario
+from kumquatridge.bench import spans
 from kumquatridge.calls import body as call_body
 from kumquatridge.calls import outcomes
 from kumquatridge.calls import refusals
 
-LEAF = scenario.Step("GET", "leaf", "/l", 1.0, (), is_parallel=False)
-ROOT = scenario.Step("POST", "root", "/r", 1.0, (LEAF, LEAF), is_parallel=False)
-CHAIN = scenario.Chain("c", ROOT)
-DEPLOYMENT = scenario.Deployment(
+LEAF = deployments.Step("GET", "leaf", "/l", 1.0, (), is_parallel=False)
+ROOT = deployments.Step(
+    "POST", "root", "/r", 1.0, (LEAF, LEAF), is_parallel=False
+)
+CHAIN = deployments.Chain("c", ROOT)
+DEPLOYMENT = deployments.Deployment(
     "d",
     ("here",),
     1.0,
     1.0,
     1.0,
     (
-        scenario.Service("root", 1, 10, 20.0),
-        scenario.Service("leaf", 2, 2, 40.0),
+        deployments.Service("root", 1, 10, 20.0),
+        deployments.Service("leaf", 2, 2, 40.0),
     ),
     (CHAIN,),
 )
-MIX = (scenario.Share("c", 1.0),)
+MIX = (demands.Share("c", 1.0),)
 
 
 @pytest.mark.parametrize(
@@ -51,11 +57,11 @@
 
 
 def measure(
-    bound: scenario.Bound, records: bench_records.Records
+    bound: bounds.Bound, records: bench_records.Records
 ) -> measures.Measured:
     """Measures one bound of a scenario of 20 s."""
     script = scenario.Scenario(
-        "s", "t", DEPLOYMENT, 20_000.0, (), scenario.Callers(), (), (bound,)
+        "s", "t", DEPLOYMENT, 20_000.0, (), demands.Callers(), (), (bound,)
     )
     return measures.RunMeasures(script, records).measure_all()[0]
 
@@ -83,44 +89,44 @@
     return records
 
 
-SPAN = scenario.Span(0.0, 20_000.0)
-QUIET = scenario.Span(0.0, 5000.0)
+SPAN = spans.Span(0.0, 20_000.0)
+QUIET = spans.Span(0.0, 5000.0)
 FIGURES = [
     pytest.param(
-        scenario.Goodput(SPAN, 0.9), make_records(50, 50), "1.0000", True
+        bounds.Goodput(SPAN, 0.9), make_records(50, 50), "1.0000", True
     ),
     pytest.param(
-        scenario.Goodput(SPAN, 0.9), make_records(25, 75), "0.5000", False
+        bounds.Goodput(SPAN, 0.9), make_records(25, 75), "0.5000", False
     ),
     pytest.param(
-        scenario.Goodput(SPAN, 0.9), make_records(20, 0), "1.0000", True
+        bounds.Goodput(SPAN, 0.9), make_records(20, 0), "1.0000", True
     ),
     pytest.param(
-        scenario.Success(("c",), SPAN, 0.9),
+        bounds.Success(("c",), SPAN, 0.9),
         make_records(3, 1),
         "0.7500",
         False,
     ),
     pytest.param(
-        scenario.TailLatency("c", scenario.Span(5000.0, 9000.0), QUIET, 1.3),
+        bounds.TailLatency("c", spans.Span(5000.0, 9000.0), QUIET, 1.3),
         make_records(50, 0, 5, 9),
         "9 times",
         False,
     ),
     pytest.param(
-        scenario.Recovery(("c",), 8000.0, QUIET, 3000.0),
+        bounds.Recovery(("c",), 8000.0, QUIET, 3000.0),
         make_records(50, 0, 5, 9),
         "0.25 s",
         True,
     ),
     pytest.param(
-        scenario.Recovery(("c",), 8000.0, QUIET, 3000.0),
+        bounds.Recovery(("c",), 8000.0, QUIET, 3000.0),
         make_records(50, 0, 5, 20),
         "inf s",
         False,
     ),
     pytest.param(
-        scenario.Standstill(SPAN, 1000.0),
+        bounds.Standstill(SPAN, 1000.0),
         make_records(1, 0),
         "1 s",
         True,
@@ -130,7 +136,7 @@
 
 @pytest.mark.parametrize(("bound", "records", "figure", "holds"), FIGURES)
 def test_figures(
-    bound: scenario.Bound,
+    bound: bounds.Bound,
     records: bench_records.Records,
     figure: str,
     holds: bool,
--- a/tests/bench/test_scenario_text.py
+++ b/tests/bench/test_scenario_text.py
@@ -4,10 +4,14 @@
 
 import pytest
 
+from kumquatridge.bench import bounds
+from kumquatridge.bench import demands
+from kumquatridge.bench import deployment_text
 from kumquatridge.bench import errors
 from kumquatridge.bench import library
 from kumquatridge.bench import scenario
 from kumquatridge.bench import scenario_text
+from kumquatridge.bench import spans
 
 HEAD = 'title "t"\ndeployment milchdienst\nduration 5 s\n'
 DEMAND = "demand from 0 s to 1 s 0.5 x lookup 1\n"
@@ -63,45 +67,43 @@
     assert bad.says in str(raised.value)
 
 
-RATES: dict[str, scenario.Rate] = {
-    "2 x": scenario.OfCapacity(2.0),
-    "90 per second": scenario.Absolute(90.0),
-    "0.5 x to 2 x within 4 s": scenario.Swing(0.5, 2.0, 4000.0),
+RATES: dict[str, demands.Rate] = {
+    "2 x": demands.OfCapacity(2.0),
+    "90 per second": demands.Absolute(90.0),
+    "0.5 x to 2 x within 4 s": demands.Swing(0.5, 2.0, 4000.0),
 }
 
 
 @pytest.mark.parametrize(("text", "rate"), RATES.items(), ids=RATES.keys())
-def test_rates(text: str, rate: scenario.Rate) -> None:
+def test_rates(text: str, rate: demands.Rate) -> None:
     script = decode(HEAD + f"demand from 0 s to 1 s {text} lookup 1")
     assert script.demands[0].rate == rate
 
 
-BOUNDS: dict[str, scenario.Bound] = {
-    "goodput from 1 s to 2 s >= 90 %": scenario.Goodput(
-        scenario.Span(1000.0, 2000.0), 0.9
+BOUNDS: dict[str, bounds.Bound] = {
+    "goodput from 1 s to 2 s >= 90 %": bounds.Goodput(
+        spans.Span(1000.0, 2000.0), 0.9
     ),
-    "success lookup stock from 1 s to 2 s >= 50 %": scenario.Success(
-        ("lookup", "stock"), scenario.Span(1000.0, 2000.0), 0.5
+    "success lookup stock from 1 s to 2 s >= 50 %": bounds.Success(
+        ("lookup", "stock"), spans.Span(1000.0, 2000.0), 0.5
     ),
     "p99 lookup from 1 s to 2 s <= 1.5 x from 0 s to 1 s": (
-        scenario.TailLatency(
+        bounds.TailLatency(
             "lookup",
-            scenario.Span(1000.0, 2000.0),
-            scenario.Span(0.0, 1000.0),
+            spans.Span(1000.0, 2000.0),
+            spans.Span(0.0, 1000.0),
             1.5,
         )
     ),
     "recovery lookup after 2 s against from 0 s to 1 s <= 3 s": (
-        scenario.Recovery(
-            ("lookup",), 2000.0, scenario.Span(0.0, 1000.0), 3000.0
-        )
+        bounds.Recovery(("lookup",), 2000.0, spans.Span(0.0, 1000.0), 3000.0)
     ),
-    "crashes ordering <= 3": scenario.Crashes("ordering", 3),
+    "crashes ordering <= 3": bounds.Crashes("ordering", 3),
 }
 
 
 @pytest.mark.parametrize(("text", "bound"), BOUNDS.items(), ids=BOUNDS.keys())
-def test_bounds(text: str, bound: scenario.Bound) -> None:
+def test_bounds(text: str, bound: bounds.Bound) -> None:
     assert decode(HEAD + DEMAND + f"bound {text}").bounds == (bound,)
 
 
@@ -127,6 +129,6 @@
 def test_sizes_of_the_deployments(
     name: str, workers: int, data_centres: int
 ) -> None:
-    deployment = scenario_text.read_deployment(library.EXAMPLES, name)
+    deployment = deployment_text.read_deployment(library.EXAMPLES, name)
     assert sum(one.workers for one in deployment.services) == workers
     assert len(deployment.data_centres) == data_centres
--- a/tests/bench/test_workers.py
+++ b/tests/bench/test_workers.py
@@ -6,19 +6,21 @@
 import pytest
 
 from kumquatridge import clock
+from kumquatridge.bench import deployments
 from kumquatridge.bench import jobs
 from kumquatridge.bench import placement
 from kumquatridge.bench import process as bench_process
 from kumquatridge.bench import records as bench_records
-from kumquatridge.bench import scenario
 from kumquatridge.bench import workers
 from kumquatridge.calls import outcomes
 
-SERVICE = scenario.Service("s", 1, 1, 100.0)
-STEP = scenario.Step("GET", "s", "/p", 1.0, (), is_parallel=False)
-CHAIN = scenario.Chain("c", STEP)
-POISON = scenario.Chain("p", STEP, is_poison=True)
-PARENT = scenario.Chain("d", dataclasses.replace(STEP, children=(STEP, STEP)))
+SERVICE = deployments.Service("s", 1, 1, 100.0)
+STEP = deployments.Step("GET", "s", "/p", 1.0, (), is_parallel=False)
+CHAIN = deployments.Chain("c", STEP)
+POISON = deployments.Chain("p", STEP, is_poison=True)
+PARENT = deployments.Chain(
+    "d", dataclasses.replace(STEP, children=(STEP, STEP))
+)
 SPREAD_RATIO = 1.0 + workers.SPREAD_RATIO
 
 
@@ -33,7 +35,7 @@
         self.children: list[jobs.Job] = []
         self.child_status = 200
 
-    async def run(self, chain: scenario.Chain) -> outcomes.Completed:
+    async def run(self, chain: deployments.Chain) -> outcomes.Completed:
         """Runs a request of a chain at the worker."""
         job = self.book.make_root(chain, 1, clock.get_now_ms())
         return await self.worker.process.run(
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from kumquatridge.bench import scenario_text
+from kumquatridge.bench import deployment_text
 from kumquatridge.encoding import settings_text
 
 EXAMPLES = pathlib.Path(__file__).parents[1] / "examples"
@@ -44,7 +44,7 @@
 def test_example(case: Case) -> None:
     folder = EXAMPLES / case.folder
     policies = settings_text.read_tree(folder / "tree.jsonc").compile()
-    deployment = scenario_text.read_deployment(EXAMPLES, case.folder)
+    deployment = deployment_text.read_deployment(EXAMPLES, case.folder)
     workers = {one.name: one.workers for one in deployment.services}
     assert workers == case.workers
     assert len(deployment.data_centres) == case.data_centres
