Let scenarios take the platform down, restart a data centre and bend reports

Cause: the language had no outage of the platform and no late or false reports of load, so two things that the promises are about could not be brought about. What an outage of the platform disturbs at the call path is first contact: daemons without seeds that nobody remembers ask the platform for the others. Changes of settings and running daemons are not disturbed.

Change: faults 'platform down', 'restart data_centre NAME', 'reports late by TIME' and 'reports false PERCENT'; the stand-ins follow them. Whether a daemon may found a roster follows the product's rule for daemons without seeds; before, the bench counted the daemons of the data centre, which the product can't.

A trace shows ordering-1 and ordering-4 each running the key once their tenure is longer than the key is old: both know nobody, and no seed is unknown, so both are established at once.

--- a/kumquatridge/bench/fake_links.py
+++ b/kumquatridge/bench/fake_links.py
@@ -127,7 +127,8 @@
         outcome = await target.process.run(serve(call))
         if not await carry(there, here, troubles.Half.ANSWERS):
             await _wait_for_ever()
-        return outcome
+        reports = self._source.environment.network.reports
+        return reports.pass_on(target.name, outcome)
 
 
 async def _wait_for_ever() -> None:
--- a/kumquatridge/bench/faults.py
+++ b/kumquatridge/bench/faults.py
@@ -52,7 +52,19 @@
             case troubles.PauseDaemon(service, number):
                 await self._pause(self._find(service, number), fault)
             case troubles.RestartDaemon(service, number):
-                await self._restart(self._find(service, number), fault)
+                await self._restart([self._find(service, number)], fault)
+            case troubles.RestartDataCentre(data_centre):
+                await self._restart(self._find_all(data_centre), fault)
+            case troubles.PlatformDown():
+                self._fleet.platform.lose()
+                await _wait(fault)
+                self._fleet.platform.mend()
+            case troubles.ReportsLate(late_ms):
+                self._fleet.network.reports.set_late(late_ms)
+                await _wait(fault)
+                self._fleet.network.reports.set_late(0.0)
+            case troubles.ReportsFalse(instances_ratio):
+                await self._lie(instances_ratio, fault)
             case troubles.Cut(data_centre):
                 await self._cut(data_centre, fault)
             case troubles.Lose(half, ratio):
@@ -66,6 +78,13 @@
             one for one in self._fleet.instances if one.worker.name == name
         )
 
+    def _find_all(self, data_centre: str) -> list[fleets.Instance]:
+        return [
+            one
+            for one in self._fleet.instances
+            if one.data_centre == data_centre
+        ]
+
     def _slow(
         self,
         among: list[fleets.Instance],
@@ -97,13 +116,24 @@
         owner.process.resume()
 
     async def _restart(
-        self, instance: fleets.Instance, fault: troubles.Fault
+        self, instances: list[fleets.Instance], fault: troubles.Fault
     ) -> None:
-        instance.process.lose()
-        await instance.restart_daemon()
+        for instance in instances:
+            instance.process.lose()
+            await instance.restart_daemon()
         await _wait(fault)
-        instance.process.start()
-        self._fleet.note_reachability()
+        async with asyncio.TaskGroup() as group:
+            for instance in instances:
+                instance.process.start()
+                group.create_task(self._fleet.find_others(instance))
+
+    async def _lie(self, instances_ratio: float, fault: troubles.Fault) -> None:
+        names = [one.worker.name for one in self._fleet.instances]
+        count = max(1, round(instances_ratio * len(names)))
+        liars = frozenset(self._random.sample(names, count))
+        self._fleet.network.reports.set_liars(liars)
+        await _wait(fault)
+        self._fleet.network.reports.set_liars(frozenset())
 
     async def _cut(self, data_centre: str, fault: troubles.Fault) -> None:
         self._fleet.network.cut(data_centre)
--- a/kumquatridge/bench/fleets.py
+++ b/kumquatridge/bench/fleets.py
@@ -5,6 +5,7 @@
 from typing import Protocol, Self
 
 from kumquatridge.bench import deployments
+from kumquatridge.bench import first_contact
 from kumquatridge.bench import jobs
 from kumquatridge.bench import network as bench_network
 from kumquatridge.bench import process
@@ -83,6 +84,15 @@
         """The instances, service by service."""
         ...
 
+    @property
+    def platform(self) -> first_contact.FakePlatform:
+        """The platform that the daemons know each other by."""
+        ...
+
+    async def find_others(self, instance: "Instance") -> None:
+        """Returns once a restarted instance knows its data centre."""
+        ...
+
     def note_reachability(self) -> None:
         """Lets the fleet's membership follow a cut or a lost process."""
         ...
--- a/kumquatridge/bench/naive.py
+++ b/kumquatridge/bench/naive.py
@@ -5,6 +5,7 @@
 import types
 from typing import Self
 
+from kumquatridge.bench import first_contact
 from kumquatridge.bench import fleets
 from kumquatridge.bench import jobs
 from kumquatridge.bench import placement
@@ -22,6 +23,7 @@
 
     def __init__(self, environment: fleets.Environment) -> None:
         self.network = environment.network
+        self.platform = first_contact.FakePlatform()
         self.policies = environment.policies
         self.random = random.Random(f"{environment.seed}/naive")
         self.instances = tuple(
@@ -56,6 +58,9 @@
     ) -> None:
         """Stops nothing."""
 
+    async def find_others(self, instance: fleets.Instance) -> None:
+        """Does nothing: a worker knows the others from the start."""
+
     def note_reachability(self) -> None:
         """Does nothing: the naive version keeps no membership."""
 
--- a/kumquatridge/bench/network.py
+++ b/kumquatridge/bench/network.py
@@ -4,6 +4,7 @@
 import random
 
 from kumquatridge.bench import deployments
+from kumquatridge.bench import fake_reports
 from kumquatridge.bench import troubles
 
 LOCAL_DELAY_MS = 0.2
@@ -17,6 +18,7 @@
         self._random = random.Random(f"{seed}/network")
         self._cut: set[str] = set()
         self._lost_ratio = dict.fromkeys(troubles.Half, 0.0)
+        self.reports = fake_reports.FakeReports()
 
     def cut(self, data_centre: str) -> None:
         """Cuts a data centre off from the others."""
--- a/kumquatridge/bench/news.py
+++ b/kumquatridge/bench/news.py
@@ -33,8 +33,10 @@
     """Exchanges a daemon's news with the others of its service."""
     peers = tuple(_iter_peers(instance))
     near = [one for one in peers if one.data_centre == instance.data_centre]
-    instance.roster.meet(peer.name for peer in near)
-    instance.roster.join(may_found=instance.knows_all())
+    instance.roster.meet(
+        peer.name for peer in near if instance.members.get(peer.name)
+    )
+    instance.roster.join(may_found=instance.knows_seeds())
     for peer in peers:
         if _can_talk(instance, peer):
             instance.crashes.merge(peer.crashes.export())
--- a/kumquatridge/bench/product.py
+++ b/kumquatridge/bench/product.py
@@ -6,6 +6,7 @@
 from typing import Self
 
 from kumquatridge import clock
+from kumquatridge.bench import first_contact
 from kumquatridge.bench import fleets
 from kumquatridge.bench import news
 from kumquatridge.bench import placement
@@ -20,6 +21,8 @@
     def __init__(self, environment: fleets.Environment) -> None:
         self.environment = environment
         self.network = environment.network
+        self.platform = first_contact.FakePlatform()
+        self.first_contact = first_contact.FirstContact(self.platform)
         self.instances = tuple(
             product_instance.ProductInstance(self, place)
             for place in placement.iter_places(environment.deployment)
@@ -50,6 +53,11 @@
         """Returns an instance by its name."""
         return self._by_name[name]
 
+    async def find_others(self, instance: fleets.Instance) -> None:
+        """Returns once a restarted daemon knows its data centre."""
+        await self.first_contact.find_others(self.find(instance.worker.name))
+        self.note_reachability()
+
     def note_reachability(self) -> None:
         """Lets each daemon know which others it can reach now.
 
@@ -68,8 +76,9 @@
             self.find(name).refute()
         self._unreachable = unreachable
         for observer in self.instances:
-            for seen in self.instances:
-                observer.members.learn(self._observe(observer, seen))
+            if not self.first_contact.is_alone(observer):
+                for seen in self.instances:
+                    observer.members.learn(self._observe(observer, seen))
         for observer in self.instances:
             self._summarise_others(observer)
 
@@ -101,6 +110,10 @@
         """Tells whether messages pass between two instances."""
         if not seen.process.is_up:
             return False
+        if observer is not seen and any(
+            self.first_contact.is_alone(one) for one in (observer, seen)
+        ):
+            return False
         return not self.network.is_cut(observer.data_centre, seen.data_centre)
 
     def _observe(
--- a/kumquatridge/bench/product_instance.py
+++ b/kumquatridge/bench/product_instance.py
@@ -38,6 +38,7 @@
 
 CHOOSER_SEED_BITS = 64
 PEER_KEY = "bench"
+SEEDS: frozenset[str] = frozenset()
 
 
 class ProductInstance:
@@ -186,17 +187,16 @@
     async def restart_daemon(self) -> None:
         """Replaces the daemon by one that remembers nothing."""
         await self.close()
+        self.fleet.first_contact.forget(self)
         self._assemble()
 
     async def close(self) -> None:
         """Cuts off what the daemon still runs."""
         await self._keyed.__aexit__(None, None, None)
 
-    def knows_all(self) -> bool:
-        """Tells whether this daemon has heard of its whole data centre."""
-        return sum(1 for _ in self.members) == sum(
-            one.data_centre == self.data_centre for one in self.fleet.instances
-        )
+    def knows_seeds(self) -> bool:
+        """Tells whether this daemon knows every seed of its settings."""
+        return {one.control_address for one in self.members} >= SEEDS
 
     def refute(self) -> None:
         """Raises the incarnation, so that others take it for alive again."""
--- a/kumquatridge/bench/scenario.py
+++ b/kumquatridge/bench/scenario.py
@@ -82,7 +82,9 @@
                 | troubles.PauseDaemon(name, number)
             ) if not 1 <= number <= workers[name]:
                 yield f"fault: {name} has {workers[name]} workers"
-            case troubles.Cut(name) if name not in centres:
+            case troubles.Cut(name) | troubles.RestartDataCentre(name) if (
+                name not in centres
+            ):
                 yield f"fault: no data centre {name!r}"
             case _:
                 pass
--- a/kumquatridge/bench/scenario_text.py
+++ b/kumquatridge/bench/scenario_text.py
@@ -63,6 +63,18 @@
     def restart_daemon(self, items: list[Any]) -> troubles.Trouble:
         return troubles.RestartDaemon(*items)
 
+    def restart_data_centre(self, items: list[Any]) -> troubles.Trouble:
+        return troubles.RestartDataCentre(*items)
+
+    def platform_down(self, _: list[Any]) -> troubles.Trouble:
+        return troubles.PlatformDown()
+
+    def reports_late(self, items: list[Any]) -> troubles.Trouble:
+        return troubles.ReportsLate(*items)
+
+    def reports_false(self, items: list[Any]) -> troubles.Trouble:
+        return troubles.ReportsFalse(*items)
+
     def pause_daemon(self, items: list[Any]) -> troubles.Trouble:
         return troubles.PauseDaemon(*items)
 
--- a/kumquatridge/bench/troubles.py
+++ b/kumquatridge/bench/troubles.py
@@ -56,6 +56,13 @@
     number: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RestartDataCentre:
+    """All daemons of a data centre restart, away for the fault's span."""
+
+    data_centre: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PauseDaemon:
     """A daemon stands still and goes on as if nothing had happened."""
@@ -79,15 +86,38 @@
     ratio: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlatformDown:
+    """The platform answers nobody."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportsLate:
+    """The reports of load on answers between daemons arrive later."""
+
+    late_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportsFalse:
+    """A part of the instances reports the opposite of its load."""
+
+    instances_ratio: float
+
+
 Trouble = (
     Slow
     | SlowMoments
     | Stall
     | CrashWorker
     | RestartDaemon
+    | RestartDataCentre
     | PauseDaemon
     | Cut
     | Lose
+    | PlatformDown
+    | ReportsLate
+    | ReportsFalse
 )
 
 
--- a/tests/bench/test_scenario_text.py
+++ b/tests/bench/test_scenario_text.py
@@ -12,6 +12,7 @@
 from kumquatridge.bench import scenario
 from kumquatridge.bench import scenario_text
 from kumquatridge.bench import spans
+from kumquatridge.bench import troubles
 
 HEAD = 'title "t"\ndeployment milchdienst\nduration 5 s\n'
 DEMAND = "demand from 0 s to 1 s 0.5 x lookup 1\n"
@@ -49,6 +50,10 @@
         HEAD + DEMAND + "fault from 0 s to 1 s cut berlin",
         "no data centre 'berlin'",
     ),
+    "unknown data centre to restart": BadText(
+        HEAD + DEMAND + "fault from 0 s to 1 s restart data_centre berlin",
+        "no data centre 'berlin'",
+    ),
     "worker that is not there": BadText(
         HEAD + DEMAND + "fault from 0 s to 1 s stall worker ordering 5",
         "ordering has 4 workers",
@@ -80,6 +85,25 @@
     assert script.demands[0].rate == rate
 
 
+TROUBLES: dict[str, troubles.Trouble] = {
+    "restart daemon ordering 2": troubles.RestartDaemon("ordering", 2),
+    "restart data_centre landshut": troubles.RestartDataCentre("landshut"),
+    "platform down": troubles.PlatformDown(),
+    "reports late by 5 s": troubles.ReportsLate(5000.0),
+    "reports false 33 %": troubles.ReportsFalse(0.33),
+    "lose 3 % of calls": troubles.Lose(troubles.Half.CALLS, 0.03),
+}
+
+
+@pytest.mark.parametrize(
+    ("text", "trouble"), TROUBLES.items(), ids=TROUBLES.keys()
+)
+def test_troubles(text: str, trouble: troubles.Trouble) -> None:
+    script = decode(HEAD + DEMAND + f"fault from 0 s to 1 s {text}")
+    span = spans.Span(0.0, 1000.0)
+    assert script.faults == (troubles.Fault(span, trouble),)
+
+
 BOUNDS: dict[str, bounds.Bound] = {
     "goodput from 1 s to 2 s >= 90 %": bounds.Goodput(
         spans.Span(1000.0, 2000.0), 0.9
