Split the key world by job and make the bare hops a family

Change: key_calls.py (settings, policy, calls, members), key_links.py (worker, naive path, peers), key_processes.py (one daemon process); key_world.py keeps the world. A bare hop is a front and a back, each a family of frozen data classes. Tests only follow the names.

--- a/kumquatridge/benchmarks/at_most_once.py
+++ b/kumquatridge/benchmarks/at_most_once.py
@@ -14,6 +14,7 @@
 import looptime
 
 from kumquatridge import clock
+from kumquatridge.benchmarks import key_calls
 from kumquatridge.benchmarks import key_world
 
 INSTANCES = 4
@@ -128,7 +129,7 @@
             return
         sent = self.world.random.choice(self.sent)
         age_ms = clock.get_now_ms() - sent.made_ms
-        max_age_ms = key_world.SETTINGS.bare_key_max_age_ms
+        max_age_ms = key_calls.SETTINGS.bare_key_max_age_ms
         if sent.is_issued or age_ms < max_age_ms:
             self._start(name, sent)
 
--- a/kumquatridge/benchmarks/bare_hops.py
+++ b/kumquatridge/benchmarks/bare_hops.py
@@ -6,8 +6,15 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable, MutableMapping
+from collections.abc import (
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Mapping,
+    MutableMapping,
+)
 import contextlib
+import dataclasses
 from typing import Any
 
 import aiohttp
@@ -27,14 +34,65 @@
 Send = Callable[[Scope], Awaitable[None]]
 Forward = Callable[[bytes], Awaitable[bytes]]
 
-KINDS = (
-    "aiohttp-aiohttp",
-    "asgi-aiohttp",
-    "asgi-watched-aiohttp",
-    "asgi-httpx",
-    "litestar-httpx",
-    "aiohttp-pynng-aiohttp",
-)
+PYNNG_CONTEXTS = 64
+PYNNG_PORT_OFFSET = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AiohttpFront:
+    """Requests come in by the low-level server of aiohttp."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AsgiFront:
+    """Requests come in by uvicorn; a watched one notices lost callers."""
+
+    is_watched: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LitestarFront:
+    """Requests come in by a litestar route on uvicorn."""
+
+
+Front = AiohttpFront | AsgiFront | LitestarFront
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AiohttpBack:
+    """Requests go to the worker by aiohttp."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HttpxBack:
+    """Requests go to the worker by httpx."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PynngBack:
+    """Requests go through a pair of pynng sockets, then by aiohttp."""
+
+
+Back = AiohttpBack | HttpxBack | PynngBack
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hop:
+    """A candidate: how requests come in and how they go on."""
+
+    front: Front
+    back: Back
+
+
+HOPS: Mapping[str, Hop] = {
+    "aiohttp-aiohttp": Hop(AiohttpFront(), AiohttpBack()),
+    "asgi-aiohttp": Hop(AsgiFront(), AiohttpBack()),
+    "asgi-watched-aiohttp": Hop(AsgiFront(is_watched=True), AiohttpBack()),
+    "asgi-httpx": Hop(AsgiFront(), HttpxBack()),
+    "litestar-httpx": Hop(LitestarFront(), HttpxBack()),
+    "aiohttp-pynng-aiohttp": Hop(AiohttpFront(), PynngBack()),
+}
+KINDS = tuple(HOPS)
 
 
 def forward_by_aiohttp(
@@ -161,43 +219,50 @@
     return litestar.Litestar([handle], openapi_config=None)
 
 
-async def run(kind: str, address: str, worker_address: str) -> None:
-    """Runs one kind of hop until the process is ended."""
-    async with contextlib.AsyncExitStack() as stack:
-        session = await stack.enter_async_context(client.make_session())
-        forward = forward_by_aiohttp(session, worker_address)
-        if kind.endswith("httpx"):
-            plain = await stack.enter_async_context(
-                httpx.AsyncClient(limits=httpx.Limits(max_connections=None))
-            )
-            forward = forward_by_httpx(plain, worker_address)
-        match kind:
-            case "aiohttp-aiohttp":
+async def run(hop: Hop, address: str, worker_address: str) -> None:
+    """Runs a hop until the process is ended."""
+    async with open_back(hop.back, address, worker_address) as forward:
+        match hop.front:
+            case AiohttpFront():
                 await run_aiohttp(address, forward)
-            case "asgi-aiohttp" | "asgi-httpx":
-                await run_asgi(address, make_asgi_app(forward, False))
-            case "asgi-watched-aiohttp":
-                await run_asgi(address, make_asgi_app(forward, True))
-            case "litestar-httpx":
+            case AsgiFront(is_watched):
+                await run_asgi(address, make_asgi_app(forward, is_watched))
+            case LitestarFront():
                 await run_asgi(address, make_litestar_app(forward))
-            case "aiohttp-pynng-aiohttp":
-                await _run_with_pynng(stack, address, forward)
-
-
-PYNNG_CONTEXTS = 64
 
 
-async def _run_with_pynng(
-    stack: contextlib.AsyncExitStack, address: str, forward: Forward
-) -> None:
+@contextlib.asynccontextmanager
+async def open_back(
+    back: Back, address: str, worker_address: str
+) -> AsyncIterator[Forward]:
+    """Yields a function that sends bodies to the worker."""
+    match back:
+        case AiohttpBack():
+            async with client.make_session() as session:
+                yield forward_by_aiohttp(session, worker_address)
+        case HttpxBack():
+            limits = httpx.Limits(max_connections=None)
+            async with httpx.AsyncClient(limits=limits) as plain:
+                yield forward_by_httpx(plain, worker_address)
+        case PynngBack():
+            async with client.make_session() as session:
+                beyond = forward_by_aiohttp(session, worker_address)
+                async with _open_pynng(address, beyond) as forward:
+                    yield forward
+
+
+@contextlib.asynccontextmanager
+async def _open_pynng(address: str, beyond: Forward) -> AsyncIterator[Forward]:
     host, port = address.rsplit(":", 1)
-    control = f"tcp://{host}:{int(port) + 1000}"
-    reply = stack.enter_context(pynng.Rep0(listen=control))
-    ask = stack.enter_context(pynng.Req0(dial=control))
-    async with asyncio.TaskGroup() as group:
-        for _ in range(PYNNG_CONTEXTS):
-            group.create_task(serve_pynng(reply, forward))
-        group.create_task(run_aiohttp(address, forward_by_pynng(ask)))
+    control = f"tcp://{host}:{int(port) + PYNNG_PORT_OFFSET}"
+    with (
+        pynng.Rep0(listen=control) as reply,
+        pynng.Req0(dial=control) as ask,
+    ):
+        async with asyncio.TaskGroup() as group:
+            for _ in range(PYNNG_CONTEXTS):
+                group.create_task(serve_pynng(reply, beyond))
+            yield forward_by_pynng(ask)
 
 
 @click.command()
@@ -206,7 +271,7 @@
 @click.argument("worker_address")
 def main(kind: str, address: str, worker_address: str) -> None:
     """Runs a hop of KIND at ADDRESS in front of WORKER_ADDRESS."""
-    uvloop.run(run(kind, address, worker_address))
+    uvloop.run(run(HOPS[kind], address, worker_address))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/kumquatridge/benchmarks/key_links.py
@@ -0,0 +1,119 @@
+"""What connects a process of the key world: its worker and its peers."""
+
+import asyncio
+from collections.abc import AsyncIterator, Set
+import contextlib
+import dataclasses
+from typing import TYPE_CHECKING
+
+from kumquatridge import clock
+from kumquatridge.calls import call as calls
+from kumquatridge.calls import outcomes
+from kumquatridge.calls import refusals
+from kumquatridge.membership import member as members
+
+if TYPE_CHECKING:
+    from kumquatridge.benchmarks import key_processes
+    from kumquatridge.benchmarks import key_world
+
+MAX_SERVICE_S = 0.2
+NAIVE_TRIES = 3
+
+
+class OwnWorker:
+    """The worker beside a process: runs, refuses, or loses the answer."""
+
+    def __init__(
+        self, world: "key_world.World", process: "key_processes.Process"
+    ) -> None:
+        self._world = world
+        self._process = process
+
+    @contextlib.asynccontextmanager
+    async def serve(self, call: calls.Call) -> AsyncIterator[outcomes.Outcome]:
+        """Runs a call; a pause may come between decision and run."""
+        world = self._world
+        await world.delay()
+        await self._process.running.wait()
+        if world.random.random() < world.refusal_ratio:
+            yield outcomes.NotRun(refusals.Overloaded(3, 1, 0))
+            return
+        world.record_run(call, self._process.instance)
+        await asyncio.sleep(world.random.random() * MAX_SERVICE_S)
+        await self._process.running.wait()
+        if world.loses():
+            yield outcomes.Unknown("lost", worker_lost=True)
+        else:
+            yield outcomes.Completed(200, (), world.make_answer(call))
+
+
+class NaivePath:
+    """Runs whatever it is sent and tries again when no answer came."""
+
+    def __init__(self, worker: OwnWorker) -> None:
+        self._worker = worker
+
+    @contextlib.asynccontextmanager
+    async def serve(self, call: calls.Call) -> AsyncIterator[outcomes.Outcome]:
+        """Runs a call, three times at most."""
+        for _ in range(NAIVE_TRIES):
+            async with self._worker.serve(call) as outcome:
+                match outcome:
+                    case outcomes.Completed():
+                        break
+                    case _:
+                        pass
+        yield outcome
+
+
+class Others:
+    """Finds no other instance."""
+
+    @contextlib.asynccontextmanager
+    async def dispatch(
+        self, call: calls.Call, excluded: Set[str] = frozenset()
+    ) -> AsyncIterator[outcomes.Outcome]:
+        """Refuses the call."""
+        yield outcomes.NotRun(refusals.NoInstance(call.service, 0))
+
+
+class PeerFake:
+    """The link from one process to the others."""
+
+    def __init__(
+        self, world: "key_world.World", process: "key_processes.Process"
+    ) -> None:
+        self._world = world
+        self._process = process
+
+    def send(
+        self, call: calls.Call, member: members.Member
+    ) -> contextlib.AbstractAsyncContextManager[outcomes.Outcome]:
+        """Sends as to a home."""
+        return self.send_home(call, member)
+
+    @contextlib.asynccontextmanager
+    async def send_home(
+        self, call: calls.Call, member: members.Member
+    ) -> AsyncIterator[outcomes.Outcome]:
+        """Sends a call to the process that is at the address now."""
+        world = self._world
+        sent_ms = clock.get_now_ms()
+        call = dataclasses.replace(
+            call,
+            key_age_ms=(call.key_age_ms or 0) + int(sent_ms - call.received_ms),
+        )
+        await world.delay()
+        target = world.processes.get(member.instance)
+        if target is None:
+            yield outcomes.NotRun(refusals.Unreachable(member.instance))
+            return
+        if world.is_cut(self._process, target) or world.loses():
+            yield outcomes.Unknown("request lost")
+            return
+        outcome = await world.enter(target, target.path.serve, call)
+        await world.delay()
+        if world.is_cut(self._process, target) or world.loses():
+            yield outcomes.Unknown("answer lost")
+        else:
+            yield outcome
--- a/kumquatridge/benchmarks/key_world.py
+++ b/kumquatridge/benchmarks/key_world.py
@@ -6,57 +6,21 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Iterator, Set
-import contextlib
 import dataclasses
 import random
 
 from kumquatridge import clock
-from kumquatridge.callpath import homes
+from kumquatridge.benchmarks import key_calls
+from kumquatridge.benchmarks import key_processes
 from kumquatridge.callpath import keyed
 from kumquatridge.calls import body as call_body
 from kumquatridge.calls import call as calls
-from kumquatridge.calls import importance
 from kumquatridge.calls import outcomes
 from kumquatridge.calls import refusals
-from kumquatridge.chain import context
-from kumquatridge.idempotency import handover
-from kumquatridge.idempotency import keys
-from kumquatridge.idempotency import memory as key_memory
-from kumquatridge.idempotency import roster as home_roster
-from kumquatridge.idempotency import settings as key_settings
-from kumquatridge.idempotency import stalls
-from kumquatridge.membership import member as members
-from kumquatridge.membership import table
-from kumquatridge.settings import policy as settings_policy
-
-SERVICE = "ordering"
-SECRET = "secret"
-SETTINGS = key_settings.KeySettings(
-    bare_key_max_age_ms=2_000,
-    transit_ms=200,
-    retention_ms=20_000,
-    max_keys=10_000,
-)
-DEADLINE_MS = 500.0
-CONTACT = "x-contact"
+
 MAX_DELAY_S = 0.05
-MAX_SERVICE_S = 0.2
 LOSS_RATIO = 0.1
 REFUSAL_RATIO = 0.1
-NAIVE_TRIES = 3
-
-POLICY = settings_policy.RoutePolicy(
-    service=SERVICE,
-    route="booking",
-    importance=importance.Importance.CRITICAL,
-    idempotent=False,
-    deadline_ms=int(DEADLINE_MS),
-    retry_allowance=2,
-    long_running=False,
-    max_body_bytes=1_000_000,
-    queue_wait_ms=100,
-)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,169 +51,6 @@
         """Counts nothing."""
 
 
-class Process:
-    """One daemon process with its worker; a restart makes another."""
-
-    def __init__(self, world: "World", instance: str, number: int) -> None:
-        self.instance = instance
-        self.running = asyncio.Event()
-        self.running.set()
-        self._paused_ms = 0.0
-        self._resumed_ms = float("-inf")
-        self._lost_ms = 0.0
-        self.visits: set[asyncio.Task[object]] = set()
-        own = keys.HomeId(instance, f"boot-{number}")
-        self.issuer = keys.KeyIssuer(own, SECRET)
-        self.roster = home_roster.HomeRoster(SETTINGS, instance, number)
-        self.members = table.MemberTable(make_member(instance))
-        memory = key_memory.KeyMemory(SETTINGS)
-        handed = handover.HandedKeys(SETTINGS)
-        self.exchange = handover.HomeExchange(self.roster, memory, handed)
-        worker = OwnWorker(world, self)
-        self.naive = NaivePath(worker)
-        self.path = keyed.KeyedPath(
-            self.members,
-            worker,
-            Others(),
-            PeerFake(world, self),
-            world.recorder,
-            home_finder=homes.Homes(
-                SETTINGS,
-                own,
-                self.issuer,
-                self.roster,
-                self.members,
-                stalls=self,
-                handed=handed,
-            ),
-            memory=memory,
-        )
-
-    def pause(self) -> None:
-        """Stops the process until it is resumed."""
-        if self.running.is_set():
-            self.running.clear()
-            self._paused_ms = clock.get_now_ms()
-
-    def resume(self) -> None:
-        """Lets a paused process go on."""
-        if not self.running.is_set():
-            self._resumed_ms = clock.get_now_ms()
-            self._lost_ms = self._resumed_ms - self._paused_ms
-            self.running.set()
-
-    def get_lost_ms(self) -> float:
-        """Returns the length of a pause that ended just now, or 0."""
-        is_recent = clock.get_now_ms() - self._resumed_ms < stalls.RECENT_MS
-        return self._lost_ms if is_recent else 0.0
-
-    @contextlib.contextmanager
-    def visit(self) -> Iterator[None]:
-        """Has the running task cancelled when the process is killed."""
-        task = asyncio.current_task()
-        assert task is not None
-        self.visits.add(task)
-        try:
-            yield
-        finally:
-            self.visits.discard(task)
-
-
-class OwnWorker:
-    """The worker beside a process: runs, refuses, or loses the answer."""
-
-    def __init__(self, world: "World", process: Process) -> None:
-        self._world = world
-        self._process = process
-
-    @contextlib.asynccontextmanager
-    async def serve(self, call: calls.Call) -> AsyncIterator[outcomes.Outcome]:
-        """Runs a call; a pause may come between decision and run."""
-        world = self._world
-        await world.delay()
-        await self._process.running.wait()
-        if world.random.random() < world.refusal_ratio:
-            yield outcomes.NotRun(refusals.Overloaded(3, 1, 0))
-            return
-        world.record_run(call, self._process.instance)
-        await asyncio.sleep(world.random.random() * MAX_SERVICE_S)
-        await self._process.running.wait()
-        if world.loses():
-            yield outcomes.Unknown("lost", worker_lost=True)
-        else:
-            yield outcomes.Completed(200, (), world.make_answer(call))
-
-
-class NaivePath:
-    """Runs whatever it is sent and tries again when no answer came."""
-
-    def __init__(self, worker: OwnWorker) -> None:
-        self._worker = worker
-
-    @contextlib.asynccontextmanager
-    async def serve(self, call: calls.Call) -> AsyncIterator[outcomes.Outcome]:
-        """Runs a call, three times at most."""
-        for _ in range(NAIVE_TRIES):
-            async with self._worker.serve(call) as outcome:
-                match outcome:
-                    case outcomes.Completed():
-                        break
-                    case _:
-                        pass
-        yield outcome
-
-
-class Others:
-    """Finds no other instance."""
-
-    @contextlib.asynccontextmanager
-    async def dispatch(
-        self, call: calls.Call, excluded: Set[str] = frozenset()
-    ) -> AsyncIterator[outcomes.Outcome]:
-        """Refuses the call."""
-        yield outcomes.NotRun(refusals.NoInstance(call.service, 0))
-
-
-class PeerFake:
-    """The link from one process to the others."""
-
-    def __init__(self, world: "World", process: Process) -> None:
-        self._world = world
-        self._process = process
-
-    def send(
-        self, call: calls.Call, member: members.Member
-    ) -> contextlib.AbstractAsyncContextManager[outcomes.Outcome]:
-        """Sends as to a home."""
-        return self.send_home(call, member)
-
-    @contextlib.asynccontextmanager
-    async def send_home(
-        self, call: calls.Call, member: members.Member
-    ) -> AsyncIterator[outcomes.Outcome]:
-        """Sends a call to the process that is at the address now."""
-        world = self._world
-        sent_ms = clock.get_now_ms()
-        call = dataclasses.replace(
-            call,
-            key_age_ms=(call.key_age_ms or 0) + int(sent_ms - call.received_ms),
-        )
-        await world.delay()
-        target = world.processes.get(member.instance)
-        if target is None:
-            yield outcomes.NotRun(refusals.Unreachable(member.instance))
-            return
-        if world.is_cut(self._process, target) or world.loses():
-            yield outcomes.Unknown("request lost")
-            return
-        outcome = await world.enter(target, target.path.serve, call)
-        await world.delay()
-        if world.is_cut(self._process, target) or world.loses():
-            yield outcomes.Unknown("answer lost")
-        else:
-            yield outcome
-
-
 class World:
     """All processes, keys and faults; checks every promise as it goes."""
 
@@ -259,7 +60,7 @@
         self._is_naive = is_naive
         self.random = random.Random(seed)
         self.names = tuple(f"ordering-{n}" for n in range(1, instances + 1))
-        self.processes: dict[str, Process] = {}
+        self.processes: dict[str, key_processes.Process] = {}
         self.recorder = CountingRecorder()
         self.runs: dict[str, list[Run]] = {}
         self.outcomes: dict[str, int] = {}
@@ -270,7 +71,9 @@
         self._number = 0
         self._contact = 0
 
-    def is_cut(self, one: Process, other: Process) -> bool:
+    def is_cut(
+        self, one: key_processes.Process, other: key_processes.Process
+    ) -> bool:
         """Tells whether two processes can't reach each other."""
         return frozenset((one.instance, other.instance)) in self._cut
 
@@ -283,7 +86,10 @@
         await asyncio.sleep(self.random.random() * MAX_DELAY_S)
 
     async def enter(
-        self, process: Process, path: keyed.Opener, call: calls.Call
+        self,
+        process: key_processes.Process,
+        path: keyed.Opener,
+        call: calls.Call,
     ) -> outcomes.Outcome:
         """Carries a call through a process that may be paused or killed."""
         task = asyncio.create_task(self._enter(process, path, call))
@@ -293,7 +99,10 @@
         return task.result()
 
     async def _enter(
-        self, process: Process, path: keyed.Opener, call: calls.Call
+        self,
+        process: key_processes.Process,
+        path: keyed.Opener,
+        call: calls.Call,
     ) -> outcomes.Outcome:
         with process.visit():
             await process.running.wait()
@@ -308,9 +117,9 @@
             return
         is_first = not self.processes
         self._number += 1
-        process = Process(self, name, self._number)
+        process = key_processes.Process(self, name, self._number)
         self.processes[name] = process
-        process.members.set_own(make_member(name))
+        process.members.set_own(key_calls.make_member(name))
         process.roster.join(may_found=is_first)
 
     async def stop(self, name: str, *, says_so: bool) -> None:
@@ -359,7 +168,7 @@
         """Lets membership tell one process of another."""
         process = self.processes.get(one)
         if process is not None and other in self.processes and one != other:
-            process.members.learn(make_member(other))
+            process.members.learn(key_calls.make_member(other))
             process.roster.meet((other,))
 
     async def gather(self) -> None:
@@ -390,7 +199,7 @@
         """Takes down a run and checks that it is the first."""
         assert call.request_key is not None
         runs = self.runs.setdefault(call.request_key, [])
-        contact = dict(call.headers)[CONTACT]
+        contact = dict(call.headers)[key_calls.CONTACT]
         runs.append(Run(instance, contact, clock.get_now_ms()))
         if len(runs) > 1:
             self.violations.append(f"{call.request_key} ran twice: {runs}")
@@ -403,7 +212,7 @@
         self._contact += 1
         contact = f"contact-{self._contact}"
         started_ms = clock.get_now_ms()
-        call = make_call(key, contact, age_ms)
+        call = key_calls.make_call(key, contact, age_ms)
         path = process.naive.serve if self._is_naive else process.path.dispatch
         outcome = await self.enter(process, path, call)
         self._check(key, contact, started_ms, outcome)
@@ -439,40 +248,5 @@
             await self.stop(name, says_so=False)
 
 
-def _is_awake(*processes: Process) -> bool:
+def _is_awake(*processes: key_processes.Process) -> bool:
     return all(process.running.is_set() for process in processes)
-
-
-def make_member(instance: str) -> members.Member:
-    """Returns the member of an instance with its announced worker."""
-    return members.Member(
-        instance=instance,
-        incarnation=1,
-        data_centre="landshut",
-        call_address=f"{instance}:1",
-        control_address=f"{instance}:2",
-        announcement=members.Announcement(SERVICE, f"{instance}:3", 10, 40),
-    )
-
-
-def make_call(key: str, contact: str, age_ms: int | None) -> calls.Call:
-    """Returns one sending of a key."""
-    return calls.Call(
-        service=SERVICE,
-        method="POST",
-        path="/bookings",
-        headers=((CONTACT, contact),),
-        body=call_body.BufferedBody(key.encode()),
-        caller="handset",
-        request_key=key,
-        policy=POLICY,
-        chain=context.ChainContext(
-            root_id=contact,
-            importance=POLICY.importance,
-            expires_at_ms=clock.get_now_ms() + DEADLINE_MS,
-            retries=POLICY.retry_allowance,
-            depth=0,
-        ),
-        key_age_ms=age_ms,
-        received_ms=clock.get_now_ms(),
-    )
--- a/tests/idempotency/test_at_most_once.py
+++ b/tests/idempotency/test_at_most_once.py
@@ -10,6 +10,7 @@
 import pytest
 
 from kumquatridge.benchmarks import at_most_once
+from kumquatridge.benchmarks import key_calls
 from kumquatridge.benchmarks import key_world
 
 STEPS = 3000
@@ -134,9 +135,9 @@
     for name in world.names:
         world.start(name)
     await world.gather()
-    wait_ms = key_world.SETTINGS.transit_ms + key_world.MAX_DELAY_S * 1000
+    wait_ms = key_calls.SETTINGS.transit_ms + key_world.MAX_DELAY_S * 1000
     if not says_age:
-        wait_ms += key_world.SETTINGS.bare_key_max_age_ms
+        wait_ms += key_calls.SETTINGS.bare_key_max_age_ms
     await asyncio.sleep(wait_ms / 1000)
     for number in range(50):
         name = world.names[number % INSTANCES]
@@ -160,7 +161,7 @@
     for name in world.names:
         world.start(name)
     await world.gather()
-    await asyncio.sleep(2 * key_world.SETTINGS.bare_key_max_age_ms / 1000)
+    await asyncio.sleep(2 * key_calls.SETTINGS.bare_key_max_age_ms / 1000)
     await world.stop(world.names[0], says_so=says_so)
     world.start(world.names[0])
     await world.gather()
--- a/tests/idempotency/test_keys.py
+++ b/tests/idempotency/test_keys.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from kumquatridge.benchmarks import key_world
+from kumquatridge.benchmarks import key_calls
 from kumquatridge.calls import body as call_body
 from kumquatridge.calls import outcomes
 from kumquatridge.calls import refusals
@@ -54,7 +54,7 @@
     ids=str,
 )
 async def test_scopes_differ(change: dict[str, object]) -> None:
-    call = key_world.make_call("key", "contact", None)
+    call = key_calls.make_call("key", "contact", None)
     other = dataclasses.replace(call, **change)  # type: ignore[arg-type]
     assert keys.make_scope(call) != keys.make_scope(other)
 
