--- a/kumquatridge/bench/library.py
+++ b/kumquatridge/bench/library.py
@@ -14,11 +14,17 @@
 def find_scenarios() -> dict[str, pathlib.Path]:
     """Returns the files of the shipped scenarios by name."""
     return {
-        file.relative_to(SCENARIOS).with_suffix("").as_posix(): file
-        for file in sorted(SCENARIOS.rglob(f"*{SUFFIX}"))
+        get_name(file): file for file in sorted(SCENARIOS.rglob(f"*{SUFFIX}"))
     }
 
 
+def get_name(file: pathlib.Path) -> str:
+    """Returns a scenario's name: with its folder if it is a shipped one."""
+    if not file.is_relative_to(SCENARIOS):
+        return file.stem
+    return file.relative_to(SCENARIOS).with_suffix("").as_posix()
+
+
 def find_file(name: str) -> pathlib.Path:
     """Returns the file of a shipped scenario, or the file of that path.
 
--- a/kumquatridge/bench/scenario_text.py
+++ b/kumquatridge/bench/scenario_text.py
@@ -9,6 +9,7 @@
 from kumquatridge.bench import deployments
 from kumquatridge.bench import errors
 from kumquatridge.bench import grammar
+from kumquatridge.bench import library
 from kumquatridge.bench import scenario
 from kumquatridge.bench import troubles
 
@@ -177,4 +178,5 @@
     file: pathlib.Path, examples: pathlib.Path
 ) -> scenario.Scenario:
     """Reads a scenario from a file."""
-    return decode_scenario(str(file), file.stem, grammar.read(file), examples)
+    name = library.get_name(file)
+    return decode_scenario(str(file), name, grammar.read(file), examples)
--- a/kumquatridge/ui/bench.py
+++ b/kumquatridge/ui/bench.py
@@ -124,7 +124,7 @@
     table = report.write_markdown(results)
     (folder / "bench.md").write_text(table, encoding="utf-8")
     for script, group in _group_by_script(results):
-        plots.draw(group, folder / f"{script.name}.png")
+        plots.draw(group, folder / f"{script.name.replace('/', '-')}.png")
 
 
 def _group_by_script(
--- a/tests/bench/test_scenario_text.py
+++ b/tests/bench/test_scenario_text.py
@@ -143,7 +143,9 @@
 @pytest.mark.parametrize("name", library.find_scenarios())
 def test_shipped_scenarios_are_valid(name: str) -> None:
     file = library.find_file(name)
-    assert scenario_text.read_scenario(file, library.EXAMPLES).demands
+    script = scenario_text.read_scenario(file, library.EXAMPLES)
+    assert script.demands
+    assert script.name == name
 
 
 @pytest.mark.parametrize(
