--- a/kumquatridge/bench/faults.py
+++ b/kumquatridge/bench/faults.py
@@ -6,6 +6,8 @@
 from kumquatridge import clock
 from kumquatridge.bench import fleets
 from kumquatridge.bench import scenario
+from kumquatridge.bench import spans
+from kumquatridge.bench import troubles
 from kumquatridge.bench import virtual_time
 
 MEMBERSHIP_DELAY_S = 2.0
@@ -27,10 +29,10 @@
             for fault in self._script.faults:
                 group.create_task(self._run_fault(fault))
 
-    async def _run_fault(self, fault: scenario.Fault) -> None:
+    async def _run_fault(self, fault: troubles.Fault) -> None:
         await virtual_time.sleep_until(fault.span.starts_ms)
         match fault.trouble:
-            case scenario.Slow(service, workers_ratio, slowdown_ratio):
+            case troubles.Slow(service, workers_ratio, slowdown_ratio):
                 self._slow(
                     [
                         one
@@ -41,19 +43,31 @@
                     slowdown_ratio,
                     fault.span.ends_ms,
                 )
-            case scenario.SlowMoments():
+            case troubles.SlowMoments():
                 await self._slow_moments(fault.trouble, fault.span)
-            case scenario.CrashWorker(service, number):
+            case troubles.CrashWorker(service, number):
                 self._find(service, number).worker.crash(fault.span.length_ms)
-            case scenario.Stall(service, number):
+            case troubles.Stall(service, number):
                 await self._pause(self._find(service, number).worker, fault)
-            case scenario.PauseDaemon(service, number):
+            case troubles.PauseDaemon(service, number):
                 await self._pause(self._find(service, number), fault)
-            case scenario.RestartDaemon(service, number):
-                await self._restart(self._find(service, number), fault)
-            case scenario.Cut(data_centre):
+            case troubles.RestartDaemon(service, number):
+                await self._restart([self._find(service, number)], fault)
+            case troubles.RestartDataCentre(data_centre):
+                await self._restart(self._find_all(data_centre), fault)
+            case troubles.PlatformDown():
+                self._fleet.platform.lose()
+                await _wait(fault)
+                self._fleet.platform.mend()
+            case troubles.ReportsLate(late_ms):
+                self._fleet.network.reports.set_late(late_ms)
+                await _wait(fault)
+                self._fleet.network.reports.set_late(0.0)
+            case troubles.ReportsFalse(instances_ratio):
+                await self._lie(instances_ratio, fault)
+            case troubles.Cut(data_centre):
                 await self._cut(data_centre, fault)
-            case scenario.Lose(half, ratio):
+            case troubles.Lose(half, ratio):
                 self._fleet.network.set_lost(half, ratio)
                 await _wait(fault)
                 self._fleet.network.set_lost(half, 0.0)
@@ -64,6 +78,13 @@
             one for one in self._fleet.instances if one.worker.name == name
         )
 
+    def _find_all(self, data_centre: str) -> list[fleets.Instance]:
+        return [
+            one
+            for one in self._fleet.instances
+            if one.data_centre == data_centre
+        ]
+
     def _slow(
         self,
         among: list[fleets.Instance],
@@ -76,7 +97,7 @@
             instance.worker.slow_down(slowdown_ratio, ends_ms)
 
     async def _slow_moments(
-        self, trouble: scenario.SlowMoments, span: scenario.Span
+        self, trouble: troubles.SlowMoments, span: spans.Span
     ) -> None:
         while (now_ms := clock.get_now_ms()) < span.ends_ms:
             self._slow(
@@ -88,22 +109,33 @@
             await asyncio.sleep(trouble.period_ms / 1000.0)
 
     async def _pause(
-        self, owner: fleets.HasProcess, fault: scenario.Fault
+        self, owner: fleets.HasProcess, fault: troubles.Fault
     ) -> None:
         owner.process.pause()
         await _wait(fault)
         owner.process.resume()
 
     async def _restart(
-        self, instance: fleets.Instance, fault: scenario.Fault
+        self, instances: list[fleets.Instance], fault: troubles.Fault
     ) -> None:
-        instance.process.lose()
-        await instance.restart_daemon()
+        for instance in instances:
+            instance.process.lose()
+            await instance.restart_daemon()
         await _wait(fault)
-        instance.process.start()
-        self._fleet.note_reachability()
+        async with asyncio.TaskGroup() as group:
+            for instance in instances:
+                instance.process.start()
+                group.create_task(self._fleet.find_others(instance))
+
+    async def _lie(self, instances_ratio: float, fault: troubles.Fault) -> None:
+        names = [one.worker.name for one in self._fleet.instances]
+        count = max(1, round(instances_ratio * len(names)))
+        liars = frozenset(self._random.sample(names, count))
+        self._fleet.network.reports.set_liars(liars)
+        await _wait(fault)
+        self._fleet.network.reports.set_liars(frozenset())
 
-    async def _cut(self, data_centre: str, fault: scenario.Fault) -> None:
+    async def _cut(self, data_centre: str, fault: troubles.Fault) -> None:
         self._fleet.network.cut(data_centre)
         async with asyncio.TaskGroup() as group:
             group.create_task(self._follow())
@@ -116,5 +148,5 @@
         self._fleet.note_reachability()
 
 
-async def _wait(fault: scenario.Fault) -> None:
+async def _wait(fault: troubles.Fault) -> None:
     await asyncio.sleep(fault.span.length_ms / 1000.0)
--- a/kumquatridge/bench/naive.py
+++ b/kumquatridge/bench/naive.py
@@ -5,11 +5,12 @@
 import types
 from typing import Self
 
+from kumquatridge.bench import first_contact
 from kumquatridge.bench import fleets
 from kumquatridge.bench import jobs
 from kumquatridge.bench import placement
 from kumquatridge.bench import process as bench_process
-from kumquatridge.bench import scenario
+from kumquatridge.bench import troubles
 from kumquatridge.bench import workers
 from kumquatridge.calls import outcomes
 
@@ -22,6 +23,7 @@
 
     def __init__(self, environment: fleets.Environment) -> None:
         self.network = environment.network
+        self.platform = first_contact.FakePlatform()
         self.policies = environment.policies
         self.random = random.Random(f"{environment.seed}/naive")
         self.instances = tuple(
@@ -56,6 +58,9 @@
     ) -> None:
         """Stops nothing."""
 
+    async def find_others(self, instance: fleets.Instance) -> None:
+        """Does nothing: a worker knows the others from the start."""
+
     def note_reachability(self) -> None:
         """Does nothing: the naive version keeps no membership."""
 
@@ -114,12 +119,12 @@
     ) -> outcomes.Outcome:
         carry = self._fleet.network.carry
         here, there = self.data_centre, target.data_centre
-        if not await carry(here, there, scenario.Half.CALLS):
+        if not await carry(here, there, troubles.Half.CALLS):
             await asyncio.sleep(LOST_S)
         outcome = await target.worker.process.run(
             target.worker.handle(job, target.send)
         )
-        if not await carry(there, here, scenario.Half.ANSWERS):
+        if not await carry(there, here, troubles.Half.ANSWERS):
             await asyncio.sleep(LOST_S)
         return outcome
 
