Turn the loop of the state machines once, and add a long run

Cause: looptime turns an idle loop 42 times before each step of time; a profile of 4 runs of 30 steps counted 1.37 million turns for 14,600 rounds of gossip. Ruled out: the store (0.2 s of 30 s), the fleet's own tasks (0.7 s). The run of 60 x 30 was slow, not stuck. Change: the machines' loops turn once; sizes come from one place, and the profile "long" is chosen by pytest's own option. Only the check for slow generation is left out; the settings machine left out all before. Before: 4 x 30 steps of the settings machine 29.6 s under the profiler.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,9 +7,13 @@
 
 import pytest
 
+from tests import machines
+
 KNOWN_RED_FILE = pathlib.Path(__file__).parents[1] / "KNOWN-RED.txt"
 ENTRY_START = "test: "
 
+machines.register_profiles()
+
 
 def read_known_red() -> frozenset[str]:
     """Returns the node ids of the listed tests."""
--- a/tests/membership/test_machine.py
+++ b/tests/membership/test_machine.py
@@ -2,20 +2,16 @@
 
 import asyncio
 from collections.abc import Coroutine
-import os
 
-import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
-import looptime
 
 from kumquatridge.membership import member as members
+from tests import machines
 from tests.membership import fleet
 
 NODES = 5
 HEAL_BOUND_S = 120.0
-EXAMPLES = int(os.environ.get("KUMQUATRIDGE_MEMBERSHIP_EXAMPLES", "10"))
-STEPS = 12
 
 indexes = strategies.integers(0, NODES - 1)
 
@@ -25,7 +21,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.loop = looptime.new_event_loop()
+        self.loop = machines.make_loop()
         self.network = fleet.Network(1)
         self.seen: dict[tuple[str, str], int] = {}
         self.nodes: dict[str, fleet.Node] = {}
@@ -131,10 +127,4 @@
 
 
 TestMembership = MembershipMachine.TestCase
-TestMembership.settings = hypothesis.settings(
-    max_examples=EXAMPLES,
-    stateful_step_count=STEPS,
-    deadline=None,
-    derandomize=True,
-    database=None,
-)
+TestMembership.settings = machines.choose_settings()
--- a/tests/settings/test_fleet_machine.py
+++ b/tests/settings/test_fleet_machine.py
@@ -3,14 +3,10 @@
 import asyncio
 import collections
 from collections.abc import Coroutine, Iterable
-import os
 from typing import Any
 
-from hypothesis import HealthCheck
-from hypothesis import settings as hypothesis_settings
 from hypothesis import stateful
 from hypothesis import strategies as st
-import looptime
 
 from kumquatridge.encoding import settings_text
 from kumquatridge.platform import repository as platform_repository
@@ -21,6 +17,7 @@
 from kumquatridge.settings import record as settings_record
 from kumquatridge.settings import writer
 from kumquatridge.standins import platform_store
+from tests import machines
 from tests.settings import fixtures
 from tests.settings import fleet as fleets
 
@@ -28,8 +25,6 @@
 PATHS = ("/", "/team", "/team/s", "/team/s/r", "/other", "/other/s")
 GOSSIP_INTERVAL_S = 1.0
 HEAL_S = 120.0
-STEPS = int(os.environ.get("KUMQUATRIDGE_MACHINE_STEPS", "15"))
-EXAMPLES = int(os.environ.get("KUMQUATRIDGE_MACHINE_EXAMPLES", "10"))
 
 _DAEMON = st.sampled_from([f"planning-{number}" for number in range(DAEMONS)])
 _PATH = st.sampled_from(PATHS)
@@ -51,7 +46,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.loop = looptime.new_event_loop()
+        self.loop = machines.make_loop()
         self.platform = platform_store.PlatformStore()
         self.fleet = fleets.Fleet(self.platform, DAEMONS, 1, GOSSIP_INTERVAL_S)
         self.outcomes: dict[str, writer.WriteOutcome] = {}
@@ -250,10 +245,4 @@
 
 
 TestFleetMachine = FleetMachine.TestCase
-TestFleetMachine.settings = hypothesis_settings(
-    max_examples=EXAMPLES,
-    stateful_step_count=STEPS,
-    deadline=None,
-    derandomize=True,
-    suppress_health_check=list(HealthCheck),
-)
+TestFleetMachine.settings = machines.choose_settings()
