--- a/kumquatridge/operators/fleet_status.py
+++ b/kumquatridge/operators/fleet_status.py
@@ -12,6 +12,7 @@
 
 REACHABLE = "reachable"
 CUT_OFF = "cut off"
+NEVER_ANSWERED = "never answered"
 NOT_ASKED = "not asked"
 
 
@@ -54,8 +55,9 @@
 class PlatformStatus:
     """The platform as the relays of the own data centre see it.
 
-    It is cut off when it answers none of them, since it answered the last.
-    `since_s` is None when no live member calls it.
+    It is cut off when it answers none of them, since it answered the last;
+    if it never did, since the first call. `since_s` is None when no live
+    member calls it.
     """
 
     reach: str
@@ -103,9 +105,12 @@
     answered = [one.since_s for one in found if one.reach == REACHABLE]
     if answered:
         return PlatformStatus(REACHABLE, max(answered), found)
-    silent = [one.since_s for one in found]
+    silent = [one.since_s for one in found if one.reach == CUT_OFF]
     if silent:
         return PlatformStatus(CUT_OFF, min(silent), found)
+    never = [one.since_s for one in found]
+    if never:
+        return PlatformStatus(CUT_OFF, max(never), found)
     return PlatformStatus(NOT_ASKED, None, ())
 
 
@@ -137,6 +142,8 @@
             reach = REACHABLE
         case platform_reach.Silent(since_ms):
             reach = CUT_OFF
+        case platform_reach.NeverAnswered(since_ms):
+            reach = NEVER_ANSWERED
     return PlatformRelayStatus(one.instance, reach, _get_age_s(since_ms))
 
 
--- a/kumquatridge/settings/instances.py
+++ b/kumquatridge/settings/instances.py
@@ -20,9 +20,11 @@
     """Whether the platform answers a relay, and for how long it is so.
 
     A time span, as the clocks of two daemons have nothing in common.
+    `answered` says whether any answer ever came.
     """
 
     answers: bool
+    answered: bool
     for_ms: float
 
 
@@ -169,9 +171,11 @@
         case platform_reach.NotAsked():
             return None
         case platform_reach.Answering(since_ms):
-            return RelayView(True, clock.get_now_ms() - since_ms)
+            return RelayView(True, True, clock.get_now_ms() - since_ms)
         case platform_reach.Silent(since_ms):
-            return RelayView(False, clock.get_now_ms() - since_ms)
+            return RelayView(False, True, clock.get_now_ms() - since_ms)
+        case platform_reach.NeverAnswered(since_ms):
+            return RelayView(False, False, clock.get_now_ms() - since_ms)
 
 
 def _read_view(view: RelayView | None) -> platform_reach.PlatformReach:
@@ -180,4 +184,6 @@
     since_ms = clock.get_now_ms() - view.for_ms
     if view.answers:
         return platform_reach.Answering(since_ms)
-    return platform_reach.Silent(since_ms)
+    if view.answered:
+        return platform_reach.Silent(since_ms)
+    return platform_reach.NeverAnswered(since_ms)
--- a/kumquatridge/settings/platform_reach.py
+++ b/kumquatridge/settings/platform_reach.py
@@ -24,12 +24,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Silent:
-    """The last answer came at `since_ms`, or the first call went out then."""
+    """The last answer came at `since_ms`."""
 
     since_ms: float
 
 
-PlatformReach = NotAsked | Answering | Silent
+@dataclasses.dataclass(frozen=True, slots=True)
+class NeverAnswered:
+    """No answer came since this relay first called, at `since_ms`.
+
+    So it is for a relay that starts while the platform is cut off.
+    """
+
+    since_ms: float
+
+
+PlatformReach = NotAsked | Answering | Silent | NeverAnswered
 
 
 class ReachObserver:
@@ -52,7 +62,7 @@
         match self._reach:
             case Answering():
                 pass
-            case NotAsked() | Silent():
+            case NotAsked() | Silent() | NeverAnswered():
                 self._change(Answering(now_ms))
 
     def note_silence(self) -> None:
@@ -61,8 +71,8 @@
             case Answering():
                 self._change(Silent(self._answered_at_ms))
             case NotAsked():
-                self._change(Silent(clock.get_now_ms()))
-            case Silent():
+                self._change(NeverAnswered(clock.get_now_ms()))
+            case Silent() | NeverAnswered():
                 pass
 
     def note_stopped(self) -> None:
--- /dev/null
+++ b/tests/membership/data_centres.py
@@ -0,0 +1,283 @@
+"""Data centres with a platform, over a link in memory and virtual time.
+
+Members, summaries, settings, first contact and the choice of workers are the
+product's; platform, link and workers are in memory.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+import itertools
+import random
+
+from kumquatridge.admission import guard as admission_guard
+from kumquatridge.callpath import inbound
+from kumquatridge.callpath import links
+from kumquatridge.callpath import outbound
+from kumquatridge.calls import body as call_body
+from kumquatridge.calls import call as calls
+from kumquatridge.calls import outcomes
+from kumquatridge.calls import refusals
+from kumquatridge.chain import ledger as chain_ledger
+from kumquatridge.chain import ratio as retry_ratio
+from kumquatridge.daemon import settings_plane
+from kumquatridge.membership import bootstrap
+from kumquatridge.membership import member as members
+from kumquatridge.membership import recorder
+from kumquatridge.membership import settings as gossip_settings
+from kumquatridge.membership import topics
+from kumquatridge.peers import topic_codec
+from kumquatridge.platform import contact_repository
+from kumquatridge.platform import repository as platform_repository
+from kumquatridge.quarantine import register as crash_register
+from kumquatridge.routing import chooser as routing
+from kumquatridge.settings import instances
+from kumquatridge.settings import platform_reach
+from kumquatridge.settings import record as settings_record
+from kumquatridge.settings import relay
+from kumquatridge.settings import reporter
+from kumquatridge.standins import platform_store
+from kumquatridge.telemetry import settings_counts
+from tests import calls_factory
+from tests.callpath import graph
+from tests.membership import fleet
+from tests.settings import fixtures
+
+RATES = gossip_settings.GossipSettings(heartbeat_ms=4000)
+SEEDS_PER_DATA_CENTRE = 2
+SERVICE_S = 0.02
+SLOTS = 10
+POLICY = dataclasses.replace(calls_factory.POLICY, service=fleet.SERVICE)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Site:
+    """A data centre, its daemons, and those that start later."""
+
+    name: str
+    daemons: tuple[str, ...]
+    late: tuple[str, ...] = ()
+
+
+class Worker(links.WorkerLink):
+    """Answers every call after a while."""
+
+    @contextlib.asynccontextmanager
+    async def send(
+        self, call: calls.Call, address: str, token: str
+    ) -> AsyncIterator[outcomes.Outcome]:
+        """Runs a call."""
+        await asyncio.sleep(SERVICE_S)
+        yield outcomes.Completed(200, (), call_body.EMPTY)
+
+
+class CallLink(links.PeerLink):
+    """Carries calls of one daemon to daemons that run and are not cut off."""
+
+    def __init__(self, world: "World", own: str) -> None:
+        self._world = world
+        self._own = own
+
+    @contextlib.asynccontextmanager
+    async def send(
+        self, call: calls.Call, member: members.Member
+    ) -> AsyncIterator[outcomes.Outcome]:
+        """Carries a call."""
+        world = self._world
+        name = member.instance
+        is_cut = frozenset((self._own, name)) in world.network.cut
+        if is_cut or name not in world.network.handlers:
+            unreachable = refusals.Unreachable(name)
+            yield outcomes.NotRun(unreachable, call.chain.retries)
+            return
+        async with world.daemons[name].inbound.serve(call) as outcome:
+            yield outcome
+
+    def send_home(
+        self, call: calls.Call, member: members.Member
+    ) -> contextlib.AbstractAsyncContextManager[outcomes.Outcome]:
+        """Carries a call."""
+        return self.send(call, member)
+
+
+class Daemon:
+    """One life of a daemon."""
+
+    def __init__(self, world: "World", site: Site, name: str) -> None:
+        self.name = name
+        self.data_centre = site.name
+        self._world = world
+        self.node = fleet.Node(
+            world.network, name, next(world.lives), site.name, RATES
+        )
+        self.store = fixtures.make_store()
+        self.versions = instances.InstanceTable(name, self.store)
+        self.connection = world.platform.connect()
+        self._random = random.Random(f"{world.seed} {name}")
+        self._stack = contextlib.AsyncExitStack()
+        self._spread()
+        self.inbound = self._make_inbound()
+        self._outbound = self._make_outbound()
+
+    async def start(self, site: Site) -> None:
+        """Opens everything."""
+        await self.node.start(
+            site.daemons[:SEEDS_PER_DATA_CENTRE],
+            self._world.list_remote_seeds(site),
+        )
+        for owner in self._make_owners():
+            await self._stack.enter_async_context(owner)
+
+    async def crash(self) -> None:
+        """Ends without a word."""
+        await self._stack.aclose()
+        await self.node.crash()
+
+    async def call(self) -> outcomes.Outcome:
+        """Sends a call to some instance of the service."""
+        call = calls_factory.make_call(policy=POLICY)
+        async with self._outbound.dispatch(call) as outcome:
+            return outcome
+
+    def _spread(self) -> None:
+        records = topic_codec.make_topic(
+            topics.SETTINGS, self.store, settings_record.NodeRecord
+        )
+        versions = topic_codec.make_topic(
+            topics.IN_FORCE, self.versions, instances.InstanceVersions
+        )
+        self.node.gossip.add_topic(records)
+        self.node.gossip.add_topic(versions)
+        self.node.remote.add_topic(records)
+        self.store.on_applied(self.node.gossip.announce_now)
+
+    def _make_inbound(self) -> inbound.InboundPath:
+        return inbound.InboundPath(
+            self.node.table,
+            admission_guard.AdmissionGuard(SLOTS),
+            chain_ledger.Ledger(),
+            Worker(),
+            graph.CountingRecorder(),
+            crashes=crash_register.CrashRegister(
+                crash_register.QuarantineSettings(), self.name, lambda: None
+            ),
+        )
+
+    def _make_outbound(self) -> outbound.OutboundPath:
+        chooser = routing.InstanceChooser(
+            self.node.table, self._random.getrandbits(32)
+        )
+        return outbound.OutboundPath(
+            self.node.table,
+            chooser,
+            self.inbound,
+            CallLink(self._world, self.name),
+            graph.CountingRecorder(),
+            ratio=retry_ratio.RetryRatio(retry_ratio.RatioSettings()),
+        )
+
+    def _make_owners(
+        self,
+    ) -> tuple[
+        relay.SettingsRelay, reporter.InForceReporter, bootstrap.Bootstrap
+    ]:
+        nodes = platform_repository.PlatformRepository(self.connection)
+        duty = settings_plane.MemberDuty(self.node.table)
+        counts = settings_counts.SettingsCounts()
+        return (
+            relay.SettingsRelay(
+                relay.RelaySettings(self.name, self.data_centre),
+                nodes=nodes,
+                store=self.store,
+                duty=duty,
+                recorder=counts,
+                rng=self._random,
+                reach=platform_reach.ReachObserver(
+                    self.versions.set_platform_reach
+                ),
+            ),
+            reporter.InForceReporter(
+                reporter.ReporterSettings(self.name, self.data_centre),
+                reports=nodes,
+                store=self.store,
+                table=self.versions,
+                duty=duty,
+                recorder=counts,
+                rng=self._random,
+            ),
+            bootstrap.Bootstrap(
+                bootstrap.BootstrapSettings(),
+                self.node.table,
+                contact_repository.PlatformContacts(self.connection),
+                recorder.NoRecorder(),
+                self._random.getrandbits(32),
+                meet=self.node.gossip.meet,
+                join_remote=self.node.remote.join,
+            ),
+        )
+
+
+class World:
+    """All daemons; the first data centre may be cut off."""
+
+    def __init__(self, sites: tuple[Site, ...], seed: int) -> None:
+        self.seed = seed
+        self.sites = sites
+        self.network = fleet.Network(seed)
+        self.platform = platform_store.PlatformStore()
+        self.platform.set_faults(platform_store.PlatformFaults(delay_ms=5))
+        self.lives = itertools.count(1)
+        self.daemons: dict[str, Daemon] = {}
+        self._platform_cut = False
+
+    async def start(self) -> None:
+        """Starts all daemons."""
+        for site in self.sites:
+            for name in site.daemons:
+                await self.start_daemon(site, name)
+
+    async def stop(self) -> None:
+        """Ends all daemons."""
+        for daemon in self.daemons.values():
+            await daemon.crash()
+
+    async def start_daemon(self, site: Site, name: str) -> None:
+        """Starts a daemon in a new life."""
+        daemon = Daemon(self, site, name)
+        daemon.connection.cut = self._platform_cut and site == self.sites[0]
+        self.daemons[name] = daemon
+        await daemon.start(site)
+
+    async def restart(self, site: Site, name: str) -> None:
+        """Replaces a daemon by one that knows only its settings file."""
+        await self.daemons[name].crash()
+        await self.start_daemon(site, name)
+
+    def list_daemons(self, site: Site) -> list[Daemon]:
+        """Returns the daemons of a data centre."""
+        return [
+            one for one in self.daemons.values() if one.data_centre == site.name
+        ]
+
+    def list_remote_seeds(self, site: Site) -> tuple[str, ...]:
+        """Returns seeds in the other data centres."""
+        return tuple(
+            one.daemons[0] for one in self.sites if one.name != site.name
+        )
+
+    def cut_platform(self, cut: bool) -> None:
+        """Cuts the first data centre off from the platform, or mends that."""
+        self._platform_cut = cut
+        for daemon in self.list_daemons(self.sites[0]):
+            daemon.connection.cut = cut
+
+    def cut_others(self, cut: bool) -> None:
+        """Cuts the first data centre off from the others, or mends that."""
+        self.network.cut.clear()
+        if cut:
+            first, *others = self.sites
+            self.network.cut_between(
+                first.daemons + first.late,
+                [name for one in others for name in one.daemons + one.late],
+            )
--- a/tests/operators/test_fleet_status.py
+++ b/tests/operators/test_fleet_status.py
@@ -52,6 +52,7 @@
 ANSWERING = platform_reach.Answering(40_000.0)
 SILENT = platform_reach.Silent(10_000.0)
 LATER_SILENT = platform_reach.Silent(70_000.0)
+NEVER_ANSWERED = platform_reach.NeverAnswered(80_000.0)
 NOT_ASKED = platform_reach.NotAsked()
 
 
@@ -71,6 +72,14 @@
             PlatformCase(SILENT, LATER_SILENT, "cut off", 30.0, 30.0),
             id="cut off since the last answer to any",
         ),
+        pytest.param(
+            PlatformCase(SILENT, NEVER_ANSWERED, "cut off", 90.0, 90.0),
+            id="a relay that started later knows no better",
+        ),
+        pytest.param(
+            PlatformCase(NOT_ASKED, NEVER_ANSWERED, "cut off", 20.0, 20.0),
+            id="no relay was ever answered",
+        ),
         pytest.param(
             PlatformCase(
                 SILENT, ANSWERING, "cut off", 90.0, 90.0, members.Dead(0.0)
--- a/tests/settings/test_platform_reach.py
+++ b/tests/settings/test_platform_reach.py
@@ -32,7 +32,10 @@
         ),
         pytest.param(
             [SILENCE, SILENCE, ANSWER],
-            [platform_reach.Silent(1000.0), platform_reach.Answering(3000.0)],
+            [
+                platform_reach.NeverAnswered(1000.0),
+                platform_reach.Answering(3000.0),
+            ],
             id="silent from the first call on",
         ),
         pytest.param(
@@ -40,7 +43,7 @@
             [
                 platform_reach.Answering(1000.0),
                 platform_reach.NotAsked(),
-                platform_reach.Silent(3000.0),
+                platform_reach.NeverAnswered(3000.0),
             ],
             id="an answer to an earlier turn as a relay doesn't count",
         ),
@@ -67,6 +70,7 @@
     "reach",
     [
         pytest.param(platform_reach.Silent(0.0), id="silent"),
+        pytest.param(platform_reach.NeverAnswered(0.0), id="never answered"),
         pytest.param(platform_reach.Answering(0.0), id="answering"),
         pytest.param(platform_reach.NotAsked(), id="no relay"),
     ],
