Give the members of the state machine the platform for first contact

Change: first contact through the platform runs in the machine, with a rule that takes the platform down.

--- a/tests/membership/test_machine.py
+++ b/tests/membership/test_machine.py
@@ -1,4 +1,7 @@
-"""Any order of faults; afterwards all members agree on who lives."""
+"""Any order of faults; afterwards all members agree on who lives.
+
+Members whose seeds are all dead have only the platform to find each other.
+"""
 
 import asyncio
 from collections.abc import Coroutine
@@ -6,7 +9,11 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
+from kumquatridge.membership import bootstrap
 from kumquatridge.membership import member as members
+from kumquatridge.membership import recorder
+from kumquatridge.platform import contact_repository
+from kumquatridge.standins import platform_store
 from tests import machines
 from tests.membership import fleet
 
@@ -23,6 +30,8 @@
         super().__init__()
         self.loop = machines.make_loop()
         self.network = fleet.Network(1)
+        self.platform = platform_store.PlatformStore()
+        self.bootstraps: dict[str, bootstrap.Bootstrap] = {}
         self.seen: dict[tuple[str, str], int] = {}
         self.nodes: dict[str, fleet.Node] = {}
         self.lives = 0
@@ -42,14 +51,34 @@
             del self.seen[key]
         node = fleet.Node(self.network, name, incarnation=self.lives)
         self.nodes[name] = node
-        self.run(node.start(seeds=("n0", "n1")))
+        self.run(self.open(node))
+
+    async def open(self, node: fleet.Node) -> None:
+        """Starts a node and its calls to the platform."""
+        await node.start(seeds=("n0", "n1"))
+        self.bootstraps[node.name] = bootstrap.Bootstrap(
+            bootstrap.BootstrapSettings(),
+            node.table,
+            contact_repository.PlatformContacts(self.platform.connect()),
+            recorder.NoRecorder(),
+            self.lives,
+            meet=node.gossip.meet,
+            join_remote=node.remote.join,
+        )
+        await self.bootstraps[node.name].__aenter__()
+
+    async def close(self, node: fleet.Node) -> None:
+        """Ends a node without a word."""
+        started = self.bootstraps.pop(node.name)
+        await started.__aexit__(None, None, None)
+        await node.crash()
 
     @stateful.rule(index=indexes)
     def crash(self, index: int) -> None:
         """Ends a node without a word."""
         node = self.nodes.pop(f"n{index}", None)
         if node is not None:
-            self.run(node.crash())
+            self.run(self.close(node))
 
     @stateful.rule(index=indexes)
     def restart(self, index: int) -> None:
@@ -83,6 +112,11 @@
         """Sets how many messages are lost; some come twice."""
         self.network.faults = fleet.Faults(drop_ratio=ratio, repeat_ratio=0.1)
 
+    @stateful.rule(down=strategies.booleans())
+    def break_platform(self, down: bool) -> None:
+        """Takes the platform down, or brings it back."""
+        self.platform.set_faults(platform_store.PlatformFaults(down=down))
+
     @stateful.rule(wait_s=strategies.floats(0.1, 30.0))
     def wait(self, wait_s: float) -> None:
         """Lets time pass."""
@@ -101,12 +135,13 @@
         """Ends all faults, then expects agreement."""
         self.network.cut.clear()
         self.network.faults = fleet.Faults()
+        self.platform.set_faults(platform_store.NO_FAULTS)
         expected = set(self.nodes)
         try:
             self.run(self.check_agreement(expected))
         finally:
             for node in self.nodes.values():
-                self.run(node.crash())
+                self.run(self.close(node))
             self.loop.close()
 
     async def check_agreement(self, expected: set[str]) -> None:
