--- a/kumquatridge/peers/summary_codec.py
+++ b/kumquatridge/peers/summary_codec.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from kumquatridge import clock
 from kumquatridge.membership import messages
 from kumquatridge.membership import remote
 from kumquatridge.peers import errors
@@ -25,7 +26,7 @@
     name: str
     version: int
     digest: int
-    reachable: bool
+    silent_ms: float | None
     services: tuple[ServiceStruct, ...]
     contacts: tuple[str, ...]
 
@@ -41,7 +42,7 @@
             known.name,
             known.version,
             known.digest,
-            known.reach == remote.Reachable(),
+            _get_silence_ms(known.reach),
             tuple(write_service(one) for one in known.services),
             known.contacts,
         )
@@ -62,7 +63,7 @@
         wire.name,
         wire.version,
         wire.digest,
-        remote.Reachable() if wire.reachable else remote.CutOff(),
+        _read_reach(wire.silent_ms),
         tuple(read_service(one) for one in wire.services),
         wire.contacts,
     )
@@ -91,3 +92,18 @@
             for one in wire.gateways
         ),
     )
+
+
+def _get_silence_ms(reach: remote.Reach) -> float | None:
+    match reach:
+        case remote.Reachable():
+            return None
+        case remote.CutOff(since_ms):
+            return clock.get_now_ms() - since_ms
+
+
+def _read_reach(silent_ms: float | None) -> remote.Reach:
+    """Returns a reach; times are those of the local clock."""
+    if silent_ms is None:
+        return remote.Reachable()
+    return remote.CutOff(clock.get_now_ms() - silent_ms)
--- a/tests/peers/test_summary_codec.py
+++ b/tests/peers/test_summary_codec.py
@@ -12,8 +12,11 @@
 )
 
 
-@pytest.mark.parametrize("reach", [remote.Reachable(), remote.CutOff()])
-def test_remote_data_centres(reach: remote.Reach) -> None:
+@pytest.mark.looptime
+@pytest.mark.parametrize(
+    "reach", [remote.Reachable(), remote.CutOff(-60_000.0)]
+)
+async def test_remote_data_centres(reach: remote.Reach) -> None:
     known = remote.RemoteDataCentre("passau", 1, 2, reach, (SERVICE,), ("a",))
     data = summary_codec.encode_remote(known)
     assert summary_codec.decode_remote(data) == known
