Let only those who know the platform's contacts become first homes

Cause: a daemon without seeds took itself for a first home at once, since no seed was unknown to it. When all daemons of a data centre restarted while the platform was down, or at a first start while they were cut off from each other, each ran bare keys.

Change: without seeds, a first home needs to know all contacts that the platform first gave it. An empty list is begun by the platform's conditional write, which one daemon wins. A contact that nobody here knows stays on the list. Weighed: a roster in the platform, which would also cover a cut-off daemon that is in no list; more writes and a larger change.

--- a/kumquatridge/bench/first_contact.py
+++ b/kumquatridge/bench/first_contact.py
@@ -1,13 +1,15 @@
 """How a daemon that starts finds the others of its data centre.
 
 The daemons have no seeds in their settings. One that starts is found by
-those that still remember it; where nobody does, it asks the platform.
+those that still remember it; where nobody does, it asks the platform. It asks
+in either case, because only then does it know whom it has to know.
 """
 
 import asyncio
 from typing import TYPE_CHECKING
 
 from kumquatridge.membership import bootstrap
+from kumquatridge.membership import first_contact as contacts
 
 if TYPE_CHECKING:
     from kumquatridge.bench import product_instance
@@ -19,15 +21,25 @@
     """Keeps the addresses of the fleet's daemons while it is up."""
 
     def __init__(self) -> None:
-        self.is_up = True
+        self._up = asyncio.Event()
+        self._up.set()
+
+    @property
+    def is_up(self) -> bool:
+        """Whether the platform answers."""
+        return self._up.is_set()
+
+    async def wait_until_up(self) -> None:
+        """Waits until the platform answers."""
+        await self._up.wait()
 
     def lose(self) -> None:
         """Makes the platform silent."""
-        self.is_up = False
+        self._up.clear()
 
     def mend(self) -> None:
         """Lets the platform answer again."""
-        self.is_up = True
+        self._up.set()
 
 
 class FirstContact:
@@ -36,10 +48,12 @@
     def __init__(self, platform: FakePlatform) -> None:
         self._platform = platform
         self._alone: set[str] = set()
+        self._unanswered: set[str] = set()
 
     def forget(self, instance: "product_instance.ProductInstance") -> None:
         """Takes note of a daemon that has lost its memory."""
         self._alone.add(instance.name)
+        self._unanswered.add(instance.name)
 
     def is_alone(self, instance: "product_instance.ProductInstance") -> bool:
         """Tells whether a daemon has met no other."""
@@ -49,22 +63,51 @@
         self, instance: "product_instance.ProductInstance"
     ) -> None:
         """Returns once a daemon and its data centre know each other."""
-        near = [
-            one
-            for one in instance.fleet.instances
-            if one.data_centre == instance.data_centre
-        ]
-        while self.is_alone(instance):
-            if self._platform.is_up or any(
-                self._remembers(one, instance) for one in near
-            ):
-                self._alone.difference_update(one.name for one in near)
+        while True:
+            if self._find_some(instance):
                 return
             await asyncio.sleep(ASK_S)
 
+    async def ask_platform(
+        self, instance: "product_instance.ProductInstance"
+    ) -> None:
+        """Returns once the platform has answered a daemon."""
+        await self._platform.wait_until_up()
+        self._unanswered.discard(instance.name)
+
+    def _find_some(self, instance: "product_instance.ProductInstance") -> bool:
+        near = _find_near(instance)
+        if self._platform.is_up or any(
+            self._remembers(one, instance) for one in near
+        ):
+            self._alone.difference_update(one.name for one in near)
+        return not self.is_alone(instance)
+
+    def get_contacts(
+        self, instance: "product_instance.ProductInstance"
+    ) -> contacts.PlatformContacts:
+        """Returns what the platform has answered a daemon."""
+        if instance.name in self._unanswered:
+            return contacts.PlatformContacts(None)
+        return contacts.PlatformContacts(
+            frozenset(
+                one.members.own.control_address for one in _find_near(instance)
+            )
+        )
+
     def _remembers(
         self,
         other: "product_instance.ProductInstance",
         instance: "product_instance.ProductInstance",
     ) -> bool:
         return other.process.is_up and not self.is_alone(other)
+
+
+def _find_near(
+    instance: "product_instance.ProductInstance",
+) -> list["product_instance.ProductInstance"]:
+    return [
+        one
+        for one in instance.fleet.instances
+        if one.data_centre == instance.data_centre
+    ]
--- a/kumquatridge/bench/news.py
+++ b/kumquatridge/bench/news.py
@@ -36,7 +36,7 @@
     instance.roster.meet(
         peer.name for peer in near if instance.members.get(peer.name)
     )
-    instance.roster.join(may_found=instance.knows_seeds())
+    instance.roster.join(may_found=instance.may_found())
     for peer in peers:
         if _can_talk(instance, peer):
             instance.crashes.merge(peer.crashes.export())
--- a/kumquatridge/bench/product.py
+++ b/kumquatridge/bench/product.py
@@ -54,9 +54,11 @@
         return self._by_name[name]
 
     async def find_others(self, instance: fleets.Instance) -> None:
-        """Returns once a restarted daemon knows its data centre."""
-        await self.first_contact.find_others(self.find(instance.worker.name))
+        """Returns once a restarted daemon has all first contacts."""
+        found = self.find(instance.worker.name)
+        await self.first_contact.find_others(found)
         self.note_reachability()
+        await self.first_contact.ask_platform(found)
 
     def note_reachability(self) -> None:
         """Lets each daemon know which others it can reach now.
--- a/kumquatridge/bench/product_instance.py
+++ b/kumquatridge/bench/product_instance.py
@@ -28,6 +28,7 @@
 from kumquatridge.idempotency import memory as key_memory
 from kumquatridge.idempotency import roster as home_roster
 from kumquatridge.idempotency import settings as key_settings
+from kumquatridge.membership import first_contact
 from kumquatridge.membership import member as members
 from kumquatridge.membership import table
 from kumquatridge.quarantine import register as crash_register
@@ -38,7 +39,6 @@
 
 CHOOSER_SEED_BITS = 64
 PEER_KEY = "bench"
-SEEDS: frozenset[str] = frozenset()
 
 
 class ProductInstance:
@@ -194,9 +194,11 @@
         """Cuts off what the daemon still runs."""
         await self._keyed.__aexit__(None, None, None)
 
-    def knows_seeds(self) -> bool:
-        """Tells whether this daemon knows every seed of its settings."""
-        return {one.control_address for one in self.members} >= SEEDS
+    def may_found(self) -> bool:
+        """Tells whether this daemon may be the first home of its service."""
+        return first_contact.are_known(
+            self.fleet.first_contact.get_contacts(self), self.members
+        )
 
     def refute(self) -> None:
         """Raises the incarnation, so that others take it for alive again."""
--- a/kumquatridge/daemon/runtime.py
+++ b/kumquatridge/daemon/runtime.py
@@ -31,6 +31,8 @@
 from kumquatridge.http import server
 from kumquatridge.http import service_news
 from kumquatridge.http import worker_client
+from kumquatridge.membership import bootstrap
+from kumquatridge.membership import first_contact
 from kumquatridge.membership import member as members
 from kumquatridge.membership import table
 from kumquatridge.operators import app as operators_app
@@ -73,6 +75,7 @@
         self._homes = home_parts.HomeParts(settings, self._members)
         self._news: service_news.ServiceNewsExchange | None = None
         self._peers: control.ControlPlane | None = None
+        self._bootstrap: bootstrap.Bootstrap | None = None
         self._control_counts = peer_metrics.ControlCounts()
         self._credential = call_credential.CallCredential(
             settings.peer_key, settings.previous_peer_keys
@@ -155,10 +158,18 @@
                 crashes,
                 session,
                 credential=self._credential,
-                seeds=self._settings.seeds,
+                get_first_contacts=self._get_first_contacts,
             )
         )
 
+    def _get_first_contacts(self) -> first_contact.FirstContacts:
+        seeds = self._settings.seeds
+        if seeds or self._plane.client is None:
+            return first_contact.Seeds(frozenset(seeds))
+        if self._bootstrap is None:
+            return first_contact.PlatformContacts(None)
+        return first_contact.PlatformContacts(self._bootstrap.contacts)
+
     async def _open_keyed(
         self, session: aiohttp.ClientSession, own: inbound.InboundPath
     ) -> keyed.KeyedPath:
@@ -194,7 +205,7 @@
         await self._enter(self._plane)
         if self._plane.client is not None:
             contacts = contact_repository.PlatformContacts(self._plane.client)
-            await self._enter(peers.make_bootstrap(contacts))
+            self._bootstrap = await self._enter(peers.make_bootstrap(contacts))
         self._peers = peers
 
     async def _open_call_listeners(self, paths: _CallPaths) -> None:
--- a/kumquatridge/http/service_news.py
+++ b/kumquatridge/http/service_news.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import itertools
 import types
 from typing import Self
@@ -17,6 +18,7 @@
 from kumquatridge.http import headers
 from kumquatridge.idempotency import handover
 from kumquatridge.idempotency import roster as home_roster
+from kumquatridge.membership import first_contact
 from kumquatridge.membership import member as members
 from kumquatridge.membership import table
 from kumquatridge.quarantine import register as crash_register
@@ -58,7 +60,7 @@
         session: aiohttp.ClientSession,
         *,
         credential: call_credential.CallCredential,
-        seeds: tuple[str, ...],
+        get_first_contacts: Callable[[], first_contact.FirstContacts],
     ) -> None:
         self._members = members_table
         self._roster = roster
@@ -66,7 +68,7 @@
         self._crashes = crashes
         self._session = session
         self._credential = credential
-        self._seeds = frozenset(seeds)
+        self._get_first_contacts = get_first_contacts
         self._changed = asyncio.Event()
         self._peers: dict[str, asyncio.Task[None]] = {}
         self._following: asyncio.Task[None] | None = None
@@ -141,7 +143,7 @@
             case members.Leaving():
                 pass
             case _:
-                self._roster.join(may_found=self._knows_seeds())
+                self._roster.join(may_found=self._may_found())
         for member in (*peers, *self._members.get_remote(service)):
             task = self._peers.get(member.instance)
             if task is None or task.done():
@@ -149,9 +151,10 @@
                     self._tell(member.instance)
                 )
 
-    def _knows_seeds(self) -> bool:
-        known = {member.control_address for member in self._members}
-        return self._seeds <= known
+    def _may_found(self) -> bool:
+        return first_contact.are_known(
+            self._get_first_contacts(), self._members
+        )
 
     def _find_peers(self, service: str) -> tuple[members.Member, ...]:
         own = self._members.own
--- a/kumquatridge/membership/bootstrap.py
+++ b/kumquatridge/membership/bootstrap.py
@@ -1,8 +1,8 @@
 """First contact through the platform, for daemons that no seed answers.
 
 The platform keeps one object for each data centre with the control addresses
-of a few members. One member writes it, and only when those addresses change;
-only a daemon that knows nobody reads it again and again.
+of a few members. One member writes it, and only when those addresses change.
+Each daemon reads it once, and again only while it knows nobody.
 """
 
 import asyncio
@@ -96,6 +96,15 @@
         self._join_remote = join_remote
         self._published: tuple[str, ...] = ()
         self._read_others_at_ms = float("-inf")
+        self._contacts: frozenset[str] | None = None
+
+    @property
+    def contacts(self) -> frozenset[str] | None:
+        """The first contacts of the own data centre, read or written.
+
+        None until there are any.
+        """
+        return self._contacts
 
     async def _run(self) -> None:
         settings = self._settings
@@ -113,8 +122,9 @@
 
     async def _call_if_due(self) -> None:
         own = self._members.own
-        if not self._members.get_live():
+        if self._contacts is None or not self._members.get_live():
             contacts = await self._repository.read(own.data_centre)
+            self._note_contacts(contacts.addresses)
             await self._meet(contacts.addresses)
         if not relays.is_relay(own, self._members, 1, PURPOSE):
             return
@@ -130,11 +140,26 @@
             return
         data_centre = self._members.own.data_centre
         known = await self._repository.read(data_centre)
-        if set(known.addresses) - set(addresses):
-            await self._meet(set(known.addresses) - set(addresses))
-        contacts = Contacts(addresses, known.version)
+        self._note_contacts(known.addresses)
+        await self._meet(self._find_strangers(known))
+        kept = {*addresses, *self._find_strangers(known)}
+        contacts = Contacts(tuple(sorted(kept)), known.version)
         if await self._repository.write(data_centre, contacts):
             self._published = addresses
+            self._note_contacts(addresses)
+
+    def _find_strangers(self, contacts: Contacts) -> frozenset[str]:
+        """Returns the contacts that no member here is known by.
+
+        They stay in the platform: a member that nobody can reach now may
+        live, and whoever starts anew has to know of it.
+        """
+        known = self._members.get_addresses()
+        return frozenset(contacts.addresses) - known
+
+    def _note_contacts(self, addresses: tuple[str, ...]) -> None:
+        if self._contacts is None and addresses:
+            self._contacts = frozenset(addresses)
 
     async def _read_others(self) -> None:
         now_ms = clock.get_now_ms()
--- a/kumquatridge/membership/table.py
+++ b/kumquatridge/membership/table.py
@@ -38,6 +38,10 @@
         """Returns a member by its name."""
         return self._members.get(instance)
 
+    def get_addresses(self) -> frozenset[str]:
+        """Returns the control addresses of all members that are known."""
+        return frozenset(one.control_address for one in self)
+
     def get_live(self) -> tuple[members.Member, ...]:
         """Returns the other members that are alive or only suspected."""
         return tuple(
--- /dev/null
+++ b/tests/membership/test_first_contact.py
@@ -0,0 +1,115 @@
+"""Two daemons that can't know of each other aren't both the first."""
+
+import asyncio
+import contextlib
+import dataclasses
+
+import pytest
+
+from kumquatridge.membership import bootstrap
+from kumquatridge.membership import first_contact
+from kumquatridge.membership import recorder
+from kumquatridge.platform import contact_repository
+from kumquatridge.standins import platform_store
+from tests.membership import fleet
+
+NODES = ("n0", "n1")
+GONE = "n9"
+SETTLED_S = 60.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Case:
+    """What two daemons meet at their start, and how many may be first."""
+
+    expected: int
+    stored: tuple[str, ...] = ()
+    is_cut: bool = False
+    is_down: bool = False
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(
+    "case",
+    [
+        pytest.param(Case(2), id="first start"),
+        pytest.param(Case(1, is_cut=True), id="first start, cut"),
+        pytest.param(Case(2, NODES), id="restart of both"),
+        pytest.param(Case(0, NODES, is_cut=True), id="restart of both, cut"),
+        pytest.param(Case(0, is_down=True), id="platform down"),
+        pytest.param(Case(0, (GONE,)), id="somebody else may live"),
+    ],
+)
+async def test_first_daemons(case: Case) -> None:
+    network = fleet.Network(1)
+    if case.is_cut:
+        network.cut_between(NODES[:1], NODES[1:])
+    store = platform_store.PlatformStore()
+    contacts = contact_repository.PlatformContacts(store.connect())
+    if case.stored:
+        await contacts.write(
+            "landshut", bootstrap.Contacts(case.stored, bootstrap.NOT_STORED)
+        )
+    store.set_faults(platform_store.PlatformFaults(down=case.is_down))
+    async with contextlib.AsyncExitStack() as stack:
+        nodes = [fleet.Node(network, name) for name in NODES]
+        asked = []
+        for seed, node in enumerate(nodes):
+            await node.start()
+            stack.push_async_callback(node.crash)
+            asked.append(
+                await stack.enter_async_context(
+                    make_bootstrap(node, contacts, seed)
+                )
+            )
+        await asyncio.sleep(SETTLED_S)
+        first = [
+            first_contact.are_known(
+                first_contact.PlatformContacts(one.contacts), node.table
+            )
+            for one, node in zip(asked, nodes, strict=True)
+        ]
+        store.set_faults(platform_store.NO_FAULTS)
+        kept = await contacts.read("landshut")
+    assert sum(first) == case.expected
+    assert set(case.stored) <= set(kept.addresses)
+
+
+def make_bootstrap(
+    node: fleet.Node,
+    contacts: contact_repository.PlatformContacts,
+    seed: int,
+) -> bootstrap.Bootstrap:
+    return bootstrap.Bootstrap(
+        bootstrap.BootstrapSettings(),
+        node.table,
+        contacts,
+        recorder.NoRecorder(),
+        seed,
+        meet=node.gossip.meet,
+        join_remote=node.remote.join,
+    )
+
+
+@pytest.mark.parametrize(
+    ("contacts", "known"),
+    [
+        pytest.param(first_contact.Seeds(frozenset()), True, id="alone"),
+        pytest.param(
+            first_contact.Seeds(frozenset(("n0",))), True, id="the only seed"
+        ),
+        pytest.param(
+            first_contact.Seeds(frozenset(("n0", "n1"))),
+            False,
+            id="an unknown seed",
+        ),
+        pytest.param(
+            first_contact.PlatformContacts(None), False, id="not yet asked"
+        ),
+    ],
+)
+async def test_are_known(
+    contacts: first_contact.FirstContacts, known: bool
+) -> None:
+    node = fleet.Node(fleet.Network(1), "n0")
+    assert first_contact.are_known(contacts, node.table) == known
