--- a/kumquatridge/ui/main.py
+++ b/kumquatridge/ui/main.py
@@ -7,6 +7,7 @@
 from kumquatridge.ui import check
 from kumquatridge.ui import demo
 from kumquatridge.ui import explain
+from kumquatridge.ui import retire
 from kumquatridge.ui import settings
 from kumquatridge.ui import status
 
@@ -22,4 +23,5 @@
 main.add_command(settings.settings)
 main.add_command(demo.demo)
 main.add_command(explain.explain)
+main.add_command(retire.retire)
 main.add_command(status.status)
--- /dev/null
+++ b/kumquatridge/ui/retire.py
@@ -0,0 +1,33 @@
+"""`kumquatridge retire`: gives up an instance that is destroyed."""
+
+import json
+from urllib import parse
+
+import click
+
+from kumquatridge.ui import failures
+from kumquatridge.ui import operator_client
+
+
+@click.command()
+@click.option(
+    "--operator",
+    required=True,
+    metavar="ADDRESS",
+    help="The operators' address of any daemon of the same service.",
+)
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+@click.argument("instance")
+def retire(operator: str, as_json: bool, instance: str) -> None:
+    """Gives the request keys of a destroyed INSTANCE to the others.
+
+    Only for an instance that can't run anything any more: its keys may run
+    elsewhere from then on.
+    """
+    with failures.report_errors():
+        name = parse.quote(instance, safe="")
+        operator_client.remove(operator, f"/v1/homes/{name}")
+    if as_json:
+        click.echo(json.dumps({"retired": instance, "operator": operator}))
+        return
+    click.echo(f"{instance} is retired; the others learn it from {operator}")
--- a/tests/ui/test_commands.py
+++ b/tests/ui/test_commands.py
@@ -26,6 +26,21 @@
         ),
         pytest.param(["check"], 2, "Missing argument", id="no argument"),
         pytest.param(["frob"], 2, "No such command", id="no such command"),
+        pytest.param(
+            ["retire", "n1"], 2, "--operator", id="retire, no address"
+        ),
+        pytest.param(
+            ["retire", "--operator", "127.0.0.1:1"],
+            2,
+            "Missing argument",
+            id="retire, no instance",
+        ),
+        pytest.param(
+            ["retire", "--operator", "127.0.0.1:1", "n1"],
+            1,
+            "no answer",
+            id="retire, nobody listens",
+        ),
         pytest.param(["explain"], 2, "--operator", id="no address"),
         pytest.param(
             ["explain", "--operator", "127.0.0.1:1"],
