Make the measurement of settings a command of its own

Cause: docs named python -m tests.settings.measure, which runs test code. Change: python -m kumquatridge.benchmarks.settings runs the settings planes and control planes of daemons over loopback against the platform's stand-in over HTTP, where the former ran over a link in memory; it prints the same figures: longest time to in force, calls at rest, cost of one change. The bounds in virtual time stay in tests/settings/test_relay.py.

--- /dev/null
+++ b/kumquatridge/benchmarks/settings.py
@@ -0,0 +1,229 @@
+"""Measures how soon a change of settings is in force, and what it costs.
+
+Runs the settings and control planes of a data centre's daemons as tasks of
+one process over loopback, with the platform's stand-in over HTTP. Prints one
+line for each size, and one for the processor time of a change in a tree of
+the target size.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+import json
+import pathlib
+import time
+
+import click
+
+from kumquatridge.daemon import settings as daemon_settings
+from kumquatridge.daemon import settings_plane
+from kumquatridge.encoding import settings_text
+from kumquatridge.membership import member as members
+from kumquatridge.membership import recorder
+from kumquatridge.membership import table
+from kumquatridge.peers import control
+from kumquatridge.platform import repository as platform_repository
+from kumquatridge.settings import credentials
+from kumquatridge.settings import node as settings_node
+from kumquatridge.settings import record as settings_record
+from kumquatridge.settings import store as settings_store
+from kumquatridge.settings import writer
+from kumquatridge.standins import loopback
+from kumquatridge.standins import platform
+from kumquatridge.standins import platform_store
+from kumquatridge.telemetry import settings_counts
+
+TREE_FILE = pathlib.Path(__file__).parents[1] / "demo/tree.jsonc"
+OPERATORS = credentials.Credential("/", "benchmark")
+PATH = "/benchmark"
+DRAIN_MS = 100
+JOIN_TIMEOUT_S = 120.0
+JOIN_POLL_S = 0.5
+IN_FORCE_TIMEOUT_S = 30.0
+TEAMS = 22
+SERVICES = 210
+ROUTES = 1_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetReport:
+    """What changes and rest came to at one size."""
+
+    daemons: int
+    in_force_max_s: float
+    rest_s: float
+    reads: int
+    writes: int
+    watches: int
+    most_waiting_watches: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Node:
+    """The planes of one daemon."""
+
+    control: control.ControlPlane
+    settings: settings_plane.SettingsPlane
+    members: table.MemberTable
+
+
+def make_node(settings: daemon_settings.DaemonSettings) -> Node:
+    """Returns the planes of a daemon without a worker."""
+    own = members.Member(
+        settings.instance,
+        1,
+        settings.data_centre,
+        settings.call_address,
+        settings.control_address,
+        None,
+    )
+    known = table.MemberTable(own)
+    peers = control.ControlPlane(settings, known, recorder.NoRecorder())
+    plane = settings_plane.SettingsPlane(settings, known)
+    plane.spread(peers.gossip, peers.remote)
+    return Node(peers, plane, known)
+
+
+def make_all_settings(
+    count: int, platform_address: str
+) -> list[daemon_settings.DaemonSettings]:
+    """Returns settings of daemons of which the first is everyone's seed."""
+    made: list[daemon_settings.DaemonSettings] = []
+    for index in range(count):
+        seeds = (made[0].control_address,) if made else ()
+        settings = loopback.make_daemon_settings(
+            f"instance-{index:04}", TREE_FILE, *seeds, drain_ms=DRAIN_MS
+        )
+        made.append(
+            dataclasses.replace(
+                settings,
+                platform_address=platform_address,
+                settings_key=OPERATORS.key,
+            )
+        )
+    return made
+
+
+@contextlib.asynccontextmanager
+async def run_nodes(
+    count: int, platform_address: str
+) -> AsyncIterator[list[Node]]:
+    """Runs daemons' planes until all know each other."""
+    nodes = [
+        make_node(one) for one in make_all_settings(count, platform_address)
+    ]
+    async with contextlib.AsyncExitStack() as stack:
+        for node in nodes:
+            await stack.enter_async_context(node.control)
+            await stack.enter_async_context(node.settings)
+        async with asyncio.timeout(JOIN_TIMEOUT_S):
+            for node in nodes:
+                await _wait_for_others(node, count - 1)
+        yield nodes
+
+
+async def _wait_for_others(node: Node, others: int) -> None:
+    while True:
+        if len(node.members.get_live()) >= others:
+            return
+        await asyncio.sleep(JOIN_POLL_S)
+
+
+async def measure_fleet(count: int, changes: int, rest_s: float) -> FleetReport:
+    """Measures one size."""
+    store = platform_store.PlatformStore()
+    address = loopback.get_free_address()
+    async with (
+        platform.PlatformServer(address, store),
+        run_nodes(count, address) as nodes,
+    ):
+        times_s = [
+            await _measure_change(store, nodes, number)
+            for number in range(1, changes + 1)
+        ]
+        await asyncio.sleep(rest_s)
+        before = store.meter
+        await asyncio.sleep(rest_s)
+        after = store.meter
+    return FleetReport(
+        count,
+        round(max(times_s), 2),
+        rest_s,
+        after.reads - before.reads,
+        after.writes - before.writes,
+        after.watches - before.watches,
+        after.most_waiting_watches,
+    )
+
+
+async def _measure_change(
+    store: platform_store.PlatformStore, nodes: list[Node], number: int
+) -> float:
+    """Writes the node and returns the seconds until all have it."""
+    repository = platform_repository.PlatformRepository(store.connect())
+    settings = settings_node.NodeSettings(deadline_ms=number)
+    change = writer.Change(PATH, settings, await repository.read(PATH))
+    operator = writer.WriterSettings("benchmark", OPERATORS)
+    await writer.NodeWriter(operator, repository).write(change)
+    started_s = time.monotonic()
+    async with asyncio.timeout(IN_FORCE_TIMEOUT_S):
+        for node in nodes:
+            while node.settings.store.get_versions().get(PATH, 0) < number:
+                await node.settings.store.changes.wait()
+    return time.monotonic() - started_s
+
+
+def make_records(version: int) -> list[settings_record.NodeRecord]:
+    """Returns as many nodes as the target size has."""
+    services = [f"/team-{one % TEAMS}/s{one}" for one in range(SERVICES)]
+    paths = [
+        "/",
+        *(f"/team-{one}" for one in range(TEAMS)),
+        *services,
+        *(f"{services[one % SERVICES]}/r{one}" for one in range(ROUTES)),
+    ]
+    return [_make_record(path, version) for path in paths]
+
+
+def _make_record(path: str, version: int) -> settings_record.NodeRecord:
+    record = settings_record.NodeRecord(
+        path, version, settings_node.NodeSettings(), "/", "benchmark", "", 0
+    )
+    return OPERATORS.sign(record)
+
+
+def measure_change_ms(changes: int) -> float:
+    """Returns the processor time that a store spends on one change."""
+    store = settings_store.NodeStore(
+        settings_store.StoreSettings(
+            (),
+            settings_text.read_defaults(),
+            credentials.RecordRule(OPERATORS.key),
+        ),
+        settings_counts.SettingsCounts(),
+    )
+    store.merge(make_records(version=1))
+    records = [_make_record("/team-1", 2 + one) for one in range(changes)]
+    started_s = time.process_time()
+    for record in records:
+        store.merge([record])
+    return (time.process_time() - started_s) * 1000.0 / changes
+
+
+@click.command()
+@click.argument("sizes", nargs=-1, type=int, metavar="DAEMONS...")
+@click.option("--changes", default=10, help="Changes at each size.")
+@click.option("--rest", "rest_s", default=60.0, help="Seconds at rest.")
+def main(sizes: tuple[int, ...], changes: int, rest_s: float) -> None:
+    """Measures time to in force, calls at rest and the cost of a change."""
+    for count in sizes:
+        report = asyncio.run(measure_fleet(count, changes, rest_s))
+        click.echo(json.dumps(dataclasses.asdict(report)))
+    nodes = 1 + TEAMS + SERVICES + ROUTES
+    spent_ms = measure_change_ms(changes)
+    click.echo(f"one change of {nodes} nodes: {spent_ms:.1f} ms")
+
+
+if __name__ == "__main__":
+    main()
