Move the exchange between daemons of a service out of the front end

Cause: http/service_news.py decided when a daemon joins, leaves and may be a first home, and whom to send what, beside its bytes and requests. Front ends are to translate and decide nothing; the import rule could not see it, and no test reached it without two processes.

Change: callpath/service_exchange.py decides over a link that it knows as a protocol, http/service_link.py carries and encodes. An update that can't be read is refused as an invalid request and counted; before it was a bare 409.

After: tests/callpath/test_service_exchange.py over a link in memory: what is learned from the same service, another service, another data centre, a daemon without a worker and one that is cut off, and how little is sent at rest.

--- a/kumquatridge/http/service_news.py
+++ b/kumquatridge/callpath/service_exchange.py
@@ -1,21 +1,15 @@
-"""News between the daemons of one service: homes of keys, and crashes.
+"""Updates between the daemons of one service: homes of keys, and crashes.
 
-Sent over HTTP to the address for calls, because whoever can't be reached
-there can't be asked for a key either. Nothing is sent while nothing changes
-but for a rare repetition.
+Nothing is sent while nothing changes but for a rare repetition.
 """
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 import itertools
 import types
-from typing import Self
+from typing import Protocol, Self
 
-import aiohttp
-import msgspec
-
-from kumquatridge.http import call_credential
-from kumquatridge.http import headers
 from kumquatridge.idempotency import handover
 from kumquatridge.idempotency import roster as home_roster
 from kumquatridge.membership import first_contact
@@ -23,15 +17,14 @@
 from kumquatridge.membership import table
 from kumquatridge.quarantine import register as crash_register
 
-NEWS_PATH = "/-/news"
 CHECK_S = 1.0
 REPEAT_S = 30.0
 RETRY_S = 0.5
-TIMEOUT_S = 2.0
 
 
-class ServiceNews(msgspec.Struct, frozen=True, array_like=True):
-    """What a daemon tells the others of its service."""
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceUpdate:
+    """What a daemon sends the others of its service."""
 
     service: str
     data_centre: str
@@ -39,16 +32,25 @@
     crashes: tuple[crash_register.CrashEntry, ...]
 
 
-_encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(ServiceNews)
+class ServiceLink(Protocol):
+    """Carries updates to the address for calls of another daemon.
+
+    Whoever can't be reached there can't be asked for a key either.
+    """
+
+    async def exchange(
+        self, address: str, update: ServiceUpdate
+    ) -> ServiceUpdate | None:
+        """Sends an update; returns the answer, or None without one."""
+        ...
 
 
-class ServiceNewsExchange:
-    """Tells the daemons of the own service while its context is open.
+class ServiceExchange:
+    """Updates the daemons of the own service while its context is open.
 
     One task follows the members, and one for each peer sends what changed
-    until the peer has answered. Daemons of other data centres are told of
-    crashes only; the homes of keys are each data centre's own.
+    until the peer has answered. Of what comes from other data centres only
+    the crashes count; the homes of keys are each data centre's own.
     """
 
     def __init__(
@@ -57,17 +59,15 @@
         roster: home_roster.HomeRoster,
         homes: handover.HomeExchange,
         crashes: crash_register.CrashRegister,
-        session: aiohttp.ClientSession,
+        link: ServiceLink,
         *,
-        credential: call_credential.CallCredential,
         get_first_contacts: Callable[[], first_contact.FirstContacts],
     ) -> None:
         self._members = members_table
         self._roster = roster
         self._homes = homes
         self._crashes = crashes
-        self._session = session
-        self._credential = credential
+        self._link = link
         self._get_first_contacts = get_first_contacts
         self._changed = asyncio.Event()
         self._peers: dict[str, asyncio.Task[None]] = {}
@@ -104,24 +104,20 @@
         self.announce()
         return True
 
-    def take(self, data: bytes) -> bytes | None:
-        """Takes a peer's news; returns the own, or None for other bytes."""
-        try:
-            news = _decoder.decode(data)
-        except msgspec.DecodeError:
-            return None
+    def take(self, update: ServiceUpdate) -> ServiceUpdate | None:
+        """Takes a peer's update; returns the own, None without a worker."""
         service = self._get_service()
         if service is None:
             return None
-        if news.service != service:
-            return self._encode(service, self._homes.ask())
-        if news.data_centre != self._members.own.data_centre:
-            self._take_remote(news)
-            return self._encode(service, self._homes.ask())
+        if update.service != service:
+            return self._make_update(service, self._homes.ask())
+        if update.data_centre != self._members.own.data_centre:
+            self._take_remote(update)
+            return self._make_update(service, self._homes.ask())
         registrations = self._roster.registrations
-        answer = self._homes.answer(news.homes)
-        self._take_crashes(news, registrations)
-        return self._encode(service, answer)
+        answer = self._homes.answer(update.homes)
+        self._take_crashes(update, registrations)
+        return self._make_update(service, answer)
 
     async def _follow(self) -> None:
         while True:
@@ -148,7 +144,7 @@
             task = self._peers.get(member.instance)
             if task is None or task.done():
                 self._peers[member.instance] = asyncio.create_task(
-                    self._tell(member.instance)
+                    self._keep_updated(member.instance)
                 )
 
     def _may_found(self) -> bool:
@@ -168,14 +164,14 @@
             and member.state != members.Leaving()
         )
 
-    async def _tell(self, instance: str) -> None:
+    async def _keep_updated(self, instance: str) -> None:
         while True:
             changed = self._changed
             address = self._find_address(instance)
             if address is None:
                 return
-            told = await self._exchange(address)
-            is_done = told and instance not in self._roster.pending
+            answered = await self._exchange(address)
+            is_done = answered and instance not in self._roster.pending
             await _wait(changed, REPEAT_S if is_done else RETRY_S)
 
     def _find_address(self, instance: str) -> str | None:
@@ -189,50 +185,41 @@
         service = self._get_service()
         if service is None:
             return False
-        proof = self._credential.make_mark("POST", NEWS_PATH, {})
-        try:
-            async with self._session.post(
-                f"http://{address}{NEWS_PATH}",
-                data=self._encode(service, self._homes.ask()),
-                headers={headers.PEER_PROOF: proof},
-                timeout=aiohttp.ClientTimeout(total=TIMEOUT_S),
-            ) as response:
-                news = _decoder.decode(await response.read())
-        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError):
-            return False
-        if news.service != self._get_service():
+        own = self._make_update(service, self._homes.ask())
+        update = await self._link.exchange(address, own)
+        if update is None or update.service != self._get_service():
             return False
-        if news.data_centre != self._members.own.data_centre:
-            self._take_remote(news)
+        if update.data_centre != self._members.own.data_centre:
+            self._take_remote(update)
             return True
         registrations = self._roster.registrations
-        self._homes.conclude(news.homes)
-        self._take_crashes(news, registrations)
+        self._homes.conclude(update.homes)
+        self._take_crashes(update, registrations)
         return True
 
-    def _take_remote(self, news: ServiceNews) -> None:
+    def _take_remote(self, update: ServiceUpdate) -> None:
         """Takes the crashes of another data centre and passes them on."""
-        if self._crashes.merge(news.crashes):
+        if self._crashes.merge(update.crashes):
             self.announce()
 
     def _take_crashes(
         self,
-        news: ServiceNews,
+        update: ServiceUpdate,
         registrations: tuple[home_roster.Registration, ...],
     ) -> None:
-        """Takes the crashes, and tells of registrations that were news."""
-        self._crashes.merge(news.crashes)
+        """Takes the crashes, and passes on registrations that were new."""
+        self._crashes.merge(update.crashes)
         if self._roster.registrations != registrations:
             self.announce()
 
-    def _encode(self, service: str, homes: handover.HomeNews) -> bytes:
-        return _encoder.encode(
-            ServiceNews(
-                service,
-                self._members.own.data_centre,
-                homes,
-                self._crashes.export(),
-            )
+    def _make_update(
+        self, service: str, homes: handover.HomeNews
+    ) -> ServiceUpdate:
+        return ServiceUpdate(
+            service,
+            self._members.own.data_centre,
+            homes,
+            self._crashes.export(),
         )
 
     def _get_service(self) -> str | None:
--- a/kumquatridge/daemon/runtime.py
+++ b/kumquatridge/daemon/runtime.py
@@ -16,6 +16,7 @@
 from kumquatridge.callpath import intake as call_intake
 from kumquatridge.callpath import keyed
 from kumquatridge.callpath import outbound
+from kumquatridge.callpath import service_exchange
 from kumquatridge.chain import ledger as chain_ledger
 from kumquatridge.chain import ratio as retry_ratio
 from kumquatridge.daemon import daemon_gauges
@@ -29,7 +30,7 @@
 from kumquatridge.http import peer_client
 from kumquatridge.http import peer_server
 from kumquatridge.http import server
-from kumquatridge.http import service_news
+from kumquatridge.http import service_link
 from kumquatridge.http import worker_client
 from kumquatridge.membership import bootstrap
 from kumquatridge.membership import first_contact
@@ -50,11 +51,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _CallPaths:
-    """What serves calls: at the own worker, by request key, and their news."""
+    """What serves calls and keeps the daemons of the service up to date."""
 
     own: inbound.InboundPath
     keyed: keyed.KeyedPath
-    news: service_news.ServiceNewsExchange
+    exchange: service_exchange.ServiceExchange
 
 
 class Daemon:
@@ -73,7 +74,7 @@
         )
         self._plane.attach(self._intake)
         self._homes = home_parts.HomeParts(settings, self._members)
-        self._news: service_news.ServiceNewsExchange | None = None
+        self._exchange: service_exchange.ServiceExchange | None = None
         self._peers: control.ControlPlane | None = None
         self._bootstrap: bootstrap.Bootstrap | None = None
         self._control_counts = peer_metrics.ControlCounts()
@@ -107,7 +108,7 @@
             )
         )
         await self._open_call_listeners(paths)
-        await self._open_operators(self._registry, paths.news, exporter)
+        await self._open_operators(self._registry, paths.exchange, exporter)
         events.log(
             events.DaemonStarted(
                 self._settings.instance,
@@ -132,7 +133,7 @@
         crashes = crash_register.CrashRegister(
             crash_register.QuarantineSettings(),
             self._settings.instance,
-            self._announce_news,
+            self._announce_update,
         )
         own = inbound.InboundPath(
             self._members,
@@ -142,22 +143,23 @@
             self._recorder,
             crashes=crashes,
         )
-        self._news = await self._open_news(session, crashes)
-        return _CallPaths(own, await self._open_keyed(session, own), self._news)
+        exchange = await self._open_exchange(session, crashes)
+        self._exchange = exchange
+        path = await self._open_keyed(session, own)
+        return _CallPaths(own, path, exchange)
 
-    async def _open_news(
+    async def _open_exchange(
         self,
         session: aiohttp.ClientSession,
         crashes: crash_register.CrashRegister,
-    ) -> service_news.ServiceNewsExchange:
+    ) -> service_exchange.ServiceExchange:
         return await self._enter(
-            service_news.ServiceNewsExchange(
+            service_exchange.ServiceExchange(
                 self._members,
                 self._homes.roster,
                 self._homes.exchange,
                 crashes,
-                session,
-                credential=self._credential,
+                service_link.HttpServiceLink(session, self._credential),
                 get_first_contacts=self._get_first_contacts,
             )
         )
@@ -215,7 +217,7 @@
             self._credential,
             self._recorder,
             home=paths.keyed,
-            news=paths.news,
+            exchange=paths.exchange,
         )
         caller_handler = caller_server.CallerHandler(
             self._intake, paths.keyed, self._recorder, self._homes.issuer
@@ -231,7 +233,7 @@
     async def _open_operators(
         self,
         registry: worker_registry.WorkerRegistry,
-        news: service_news.ServiceNewsExchange,
+        exchange: service_exchange.ServiceExchange,
         exporter: metrics.MetricExporter,
     ) -> None:
         state = operators_app.OperatorState(
@@ -241,7 +243,7 @@
             self._decisions,
             exporter,
             self._plane.store,
-            news,
+            exchange,
             self._plane.table,
         )
         await self._enter(
@@ -268,12 +270,12 @@
         """Tells what changed about the own member."""
         if self._peers is not None:
             self._peers.gossip.announce_now()
-        self._announce_news()
+        self._announce_update()
 
-    def _announce_news(self) -> None:
+    def _announce_update(self) -> None:
         """Tells the service's daemons what changed about homes or crashes."""
-        if self._news is not None:
-            self._news.announce()
+        if self._exchange is not None:
+            self._exchange.announce()
 
     async def drain(self) -> None:
         """Says that the instance leaves and waits for calls in progress."""
--- a/kumquatridge/http/peer_server.py
+++ b/kumquatridge/http/peer_server.py
@@ -6,6 +6,7 @@
 from kumquatridge.callpath import inbound
 from kumquatridge.callpath import intake as call_intake
 from kumquatridge.callpath import keyed
+from kumquatridge.callpath import service_exchange
 from kumquatridge.calls import call as calls
 from kumquatridge.calls import refusals
 from kumquatridge.encoding import chain_codec
@@ -14,7 +15,7 @@
 from kumquatridge.http import errors
 from kumquatridge.http import headers
 from kumquatridge.http import requests
-from kumquatridge.http import service_news
+from kumquatridge.http import service_link
 from kumquatridge.http import targets
 from kumquatridge.telemetry import recorder as telemetry
 
@@ -32,10 +33,10 @@
         recorder: telemetry.FrontEndRecorder,
         *,
         home: keyed.KeyedPath,
-        news: service_news.ServiceNewsExchange,
+        exchange: service_exchange.ServiceExchange,
     ) -> None:
         self._home = home
-        self._news = news
+        self._exchange = exchange
         self._intake = intake
         self._path = path
         self._recorder = recorder
@@ -48,9 +49,9 @@
         )
         if fault is not None:
             return self._reject(refusals.WrongCredential(fault))
-        if request.path == service_news.NEWS_PATH:
-            return await self._take_news(request)
         try:
+            if request.path == service_link.UPDATES_PATH:
+                return await self._take_update(request)
             call = await self._read_call(request)
         except errors.MalformedRequestError as error:
             return self._reject(refusals.InvalidRequest(str(error)))
@@ -65,11 +66,12 @@
             case refusal:
                 return self._reject(refusal)
 
-    async def _take_news(self, request: web.BaseRequest) -> web.Response:
-        answer = self._news.take(await request.read())
+    async def _take_update(self, request: web.BaseRequest) -> web.Response:
+        update = service_link.decode(await request.read())
+        answer = self._exchange.take(update)
         if answer is None:
             return web.Response(status=STATUS_CONFLICT)
-        return web.Response(body=answer)
+        return web.Response(body=service_link.encode(answer))
 
     def _reject(self, refusal: refusals.Refusal) -> web.StreamResponse:
         self._recorder.record_rejection(refusal)
--- /dev/null
+++ b/kumquatridge/http/service_link.py
@@ -0,0 +1,64 @@
+"""Carries updates between the daemons of one service over HTTP."""
+
+import aiohttp
+import msgspec
+
+from kumquatridge.callpath import service_exchange
+from kumquatridge.http import call_credential
+from kumquatridge.http import errors
+from kumquatridge.http import headers
+
+UPDATES_PATH = "/-/updates"
+TIMEOUT_S = 2.0
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(service_exchange.ServiceUpdate)
+
+
+class HttpServiceLink:
+    """Sends updates; see `callpath.service_exchange.ServiceLink`."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        credential: call_credential.CallCredential,
+    ) -> None:
+        self._session = session
+        self._credential = credential
+
+    async def exchange(
+        self, address: str, update: service_exchange.ServiceUpdate
+    ) -> service_exchange.ServiceUpdate | None:
+        """Sends an update and returns the answer, or None."""
+        proof = self._credential.make_mark("POST", UPDATES_PATH, {})
+        try:
+            async with self._session.post(
+                f"http://{address}{UPDATES_PATH}",
+                data=encode(update),
+                headers={headers.PEER_PROOF: proof},
+                timeout=aiohttp.ClientTimeout(total=TIMEOUT_S),
+            ) as response:
+                return decode(await response.read())
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            errors.MalformedRequestError,
+        ):
+            return None
+
+
+def encode(update: service_exchange.ServiceUpdate) -> bytes:
+    """Returns the bytes of an update."""
+    return _encoder.encode(update)
+
+
+def decode(data: bytes) -> service_exchange.ServiceUpdate:
+    """Returns the update of some bytes.
+
+    Raises:
+      MalformedRequestError: the bytes are something else.
+    """
+    try:
+        return _decoder.decode(data)
+    except msgspec.DecodeError as error:
+        raise errors.MalformedRequestError(str(error)) from error
--- a/kumquatridge/operators/app.py
+++ b/kumquatridge/operators/app.py
@@ -7,7 +7,7 @@
 from litestar import exceptions
 
 from kumquatridge.admission import guard as admission_guard
-from kumquatridge.http import service_news
+from kumquatridge.callpath import service_exchange
 from kumquatridge.membership import member as members
 from kumquatridge.membership import table
 from kumquatridge.operators import explanations
@@ -46,7 +46,7 @@
     decisions: decisions.DecisionLog
     exporter: metrics.MetricExporter
     settings: settings_store.NodeStore
-    news: service_news.ServiceNewsExchange
+    exchange: service_exchange.ServiceExchange
     versions: instances.InstanceTable
 
 
--- a/kumquatridge/operators/homes.py
+++ b/kumquatridge/operators/homes.py
@@ -4,7 +4,7 @@
 from litestar import datastructures
 from litestar import exceptions
 
-from kumquatridge.http import service_news
+from kumquatridge.callpath import service_exchange
 
 
 @litestar.delete("/v1/homes/{instance:str}")
@@ -14,8 +14,8 @@
     Only for an instance that can't run anything any more: its keys may run
     elsewhere from then on.
     """
-    news: service_news.ServiceNewsExchange = state.daemon.news
-    if not news.retire(instance):
+    exchange: service_exchange.ServiceExchange = state.daemon.exchange
+    if not exchange.retire(instance):
         raise exceptions.NotFoundException(
             f"{instance} is no home of this daemon's service, or left already"
         )
--- /dev/null
+++ b/tests/callpath/test_service_exchange.py
@@ -0,0 +1,162 @@
+"""What the daemons of a service learn from each other, and what not."""
+
+import asyncio
+import contextlib
+import dataclasses
+
+import pytest
+
+from kumquatridge.callpath import service_exchange
+from kumquatridge.idempotency import handover
+from kumquatridge.idempotency import memory
+from kumquatridge.idempotency import roster as home_roster
+from kumquatridge.idempotency import settings as key_settings
+from kumquatridge.membership import first_contact
+from kumquatridge.membership import member as members
+from kumquatridge.membership import table
+from kumquatridge.quarantine import register
+
+SETTLED_S = 5.0
+CRASH = register.CrashEntry("poison", ("crash-1",), (), 0.0)
+
+
+class MemoryLink:
+    """Carries updates between the daemons of a test."""
+
+    def __init__(self) -> None:
+        self.daemons: dict[str, service_exchange.ServiceExchange] = {}
+        self.is_cut = False
+        self.sent = 0
+
+    async def exchange(
+        self, address: str, update: service_exchange.ServiceUpdate
+    ) -> service_exchange.ServiceUpdate | None:
+        """Hands an update over at once."""
+        self.sent += 1
+        if self.is_cut:
+            return None
+        return self.daemons[address].take(update)
+
+
+class Daemon:
+    """What one daemon knows of its service."""
+
+    def __init__(self, member: members.Member, link: MemoryLink) -> None:
+        kept = key_settings.KeySettings()
+        self.members = table.MemberTable(member)
+        self.roster = home_roster.HomeRoster(kept, member.instance, 1)
+        self.crashes = register.CrashRegister(
+            register.QuarantineSettings(), member.instance, lambda: None
+        )
+        self.exchange = service_exchange.ServiceExchange(
+            self.members,
+            self.roster,
+            handover.HomeExchange(
+                self.roster,
+                memory.KeyMemory(kept),
+                handover.HandedKeys(kept),
+            ),
+            self.crashes,
+            link,
+            get_first_contacts=lambda: first_contact.Seeds(frozenset()),
+        )
+        link.daemons[member.call_address] = self.exchange
+
+
+def make_member(
+    instance: str, service: str | None, data_centre: str = "landshut"
+) -> members.Member:
+    """Returns a member whose addresses are its name."""
+    announcement = None
+    if service is not None:
+        announcement = members.Announcement(service, instance, 10, 40)
+    return members.Member(
+        instance, 1, data_centre, instance, instance, announcement
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Case:
+    """The member beside an ordering daemon, and what it learns from that."""
+
+    other: members.Member
+    learns_home: bool
+    learns_crash: bool
+    is_cut: bool = False
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(
+    "case",
+    [
+        pytest.param(
+            Case(make_member("b", "ordering"), True, True), id="same service"
+        ),
+        pytest.param(
+            Case(make_member("b", "stock"), False, False), id="other service"
+        ),
+        pytest.param(
+            Case(make_member("b", None), False, False), id="no worker"
+        ),
+        pytest.param(
+            Case(make_member("b", "ordering"), False, False, is_cut=True),
+            id="cut off",
+        ),
+    ],
+)
+async def test_what_is_learned(case: Case) -> None:
+    link = MemoryLink()
+    link.is_cut = case.is_cut
+    own = make_member("a", "ordering")
+    first, second = Daemon(own, link), Daemon(case.other, link)
+    first.members.learn(case.other)
+    second.members.learn(own)
+    first.crashes.merge((CRASH,))
+    async with contextlib.AsyncExitStack() as stack:
+        for one in (first, second):
+            await stack.enter_async_context(one.exchange)
+        await asyncio.sleep(SETTLED_S)
+        known = {one.instance for one in second.roster.registrations}
+    assert ("a" in known) == case.learns_home
+    assert bool(second.crashes.export()) == case.learns_crash
+
+
+@pytest.mark.looptime
+async def test_another_data_centre_learns_crashes_only() -> None:
+    link = MemoryLink()
+    near = Daemon(make_member("a", "ordering"), link)
+    far = Daemon(make_member("b", "ordering", "passau"), link)
+    near.crashes.merge((CRASH,))
+    async with near.exchange, far.exchange:
+        await asyncio.sleep(SETTLED_S)
+        update = await link.exchange("a", link_update(far))
+    assert update is not None
+    far.exchange.take(update)
+    assert [one.fingerprint for one in far.crashes.export()] == ["poison"]
+    for daemon, other in ((near, "b"), (far, "a")):
+        known = {one.instance for one in daemon.roster.registrations}
+        assert other not in known
+
+
+def link_update(daemon: Daemon) -> service_exchange.ServiceUpdate:
+    """Returns what a daemon sends of its own accord."""
+    own = home_roster.Registration(daemon.members.own.instance, 1)
+    return service_exchange.ServiceUpdate(
+        "ordering",
+        daemon.members.own.data_centre,
+        handover.HomeNews(own, False, (own,), None),
+        (),
+    )
+
+
+@pytest.mark.looptime
+async def test_little_is_sent_at_rest() -> None:
+    link = MemoryLink()
+    daemons = [Daemon(make_member(name, "ordering"), link) for name in "ab"]
+    daemons[0].members.learn(daemons[1].members.own)
+    daemons[1].members.learn(daemons[0].members.own)
+    async with daemons[0].exchange, daemons[1].exchange:
+        await asyncio.sleep(SETTLED_S)
+        before = link.sent
+        await asyncio.sleep(10 * service_exchange.REPEAT_S)
+    assert link.sent - before <= 2 * 10
--- /dev/null
+++ b/tests/http/test_service_link.py
@@ -0,0 +1,49 @@
+"""Updates between the daemons of a service survive their encoding."""
+
+import pytest
+
+from kumquatridge.callpath import service_exchange
+from kumquatridge.http import errors
+from kumquatridge.http import service_link
+from kumquatridge.idempotency import handover
+from kumquatridge.idempotency import roster
+from kumquatridge.quarantine import register
+
+OWN = roster.Registration("ordering-1", 7)
+LEFT = roster.Registration("ordering-2", 3, left=True)
+CRASH = register.CrashEntry("f", ("c1", "c2"), ("c1",), 12.5)
+
+
+@pytest.mark.parametrize(
+    "update",
+    [
+        pytest.param(
+            service_exchange.ServiceUpdate(
+                "ordering",
+                "landshut",
+                handover.HomeNews(
+                    OWN, True, (OWN, LEFT), handover.Handover(("k",), 2.5)
+                ),
+                (CRASH,),
+            ),
+            id="with keys and crashes",
+        ),
+        pytest.param(
+            service_exchange.ServiceUpdate(
+                "ordering",
+                "landshut",
+                handover.HomeNews(OWN, False, (OWN,), None),
+                (),
+            ),
+            id="without",
+        ),
+    ],
+)
+def test_update(update: service_exchange.ServiceUpdate) -> None:
+    assert service_link.decode(service_link.encode(update)) == update
+
+
+@pytest.mark.parametrize("data", [b"", b"\xff\xff", b"\x91\x63", b"\x80"])
+def test_noise_is_refused(data: bytes) -> None:
+    with pytest.raises(errors.MalformedRequestError):
+        service_link.decode(data)
