--- a/kumquatridge/bench/fake_reports.py
+++ b/kumquatridge/bench/fake_reports.py
@@ -38,15 +38,13 @@
         self, instance: str, outcome: outcomes.Outcome
     ) -> outcomes.Outcome:
         """Returns an instance's answer with the report that rides on it."""
-        report = outcome.report
-        if report is None:
+        report: reports.InstanceReport | None = outcome.report
+        if report is None or not (self._liars or self._late_ms):
             return outcome
         if instance in self._liars:
             report = falsify(report)
         if self._late_ms:
-            return dataclasses.replace(
-                outcome, report=self._hold_back(instance, report)
-            )
+            report = self._hold_back(instance, report)
         return dataclasses.replace(outcome, report=report)
 
     def _hold_back(
--- a/kumquatridge/bench/first_contact.py
+++ b/kumquatridge/bench/first_contact.py
@@ -55,16 +55,11 @@
             if one.data_centre == instance.data_centre
         ]
         while self.is_alone(instance):
-            if self._platform.is_up or any(
-                self._remembers(one, instance) for one in near
-            ):
+            if self._platform.is_up or any(map(self._remembers, near)):
                 self._alone.difference_update(one.name for one in near)
                 return
             await asyncio.sleep(ASK_S)
 
-    def _remembers(
-        self,
-        other: "product_instance.ProductInstance",
-        instance: "product_instance.ProductInstance",
-    ) -> bool:
+    def _remembers(self, other: "product_instance.ProductInstance") -> bool:
+        """Tells whether a daemon is up that knows its data centre."""
         return other.process.is_up and not self.is_alone(other)
