--- a/kumquatridge/bench/first_contact.py
+++ b/kumquatridge/bench/first_contact.py
@@ -77,9 +77,7 @@
 
     def _find_some(self, instance: "product_instance.ProductInstance") -> bool:
         near = _find_near(instance)
-        if self._platform.is_up or any(
-            self._remembers(one, instance) for one in near
-        ):
+        if self._platform.is_up or any(map(self._remembers, near)):
             self._alone.difference_update(one.name for one in near)
         return not self.is_alone(instance)
 
@@ -95,11 +93,8 @@
             )
         )
 
-    def _remembers(
-        self,
-        other: "product_instance.ProductInstance",
-        instance: "product_instance.ProductInstance",
-    ) -> bool:
+    def _remembers(self, other: "product_instance.ProductInstance") -> bool:
+        """Tells whether a daemon is up that knows its data centre."""
         return other.process.is_up and not self.is_alone(other)
 
 
