Run the real exchange between daemons of a service in the bench

Cause: bench/news.py stood in for the messages and repeated what decides when a daemon joins, leaves and may be a first home; a fault there, such as the one in first contact, could hide.

Change: each stand-in daemon has the product's ServiceExchange over a link that delays, loses and cuts updates like calls. Updates are lost now as calls are, where they were always complete.

--- a/kumquatridge/bench/fake_links.py
+++ b/kumquatridge/bench/fake_links.py
@@ -4,13 +4,16 @@
 from collections.abc import AsyncIterator, Callable, Coroutine
 import contextlib
 import dataclasses
+import functools
 import math
-from typing import Any, TYPE_CHECKING
+from typing import Any, TYPE_CHECKING, TypeVar
 
 from kumquatridge import clock
+from kumquatridge.bench import errors
 from kumquatridge.bench import jobs
 from kumquatridge.bench import process as bench_process
 from kumquatridge.bench import troubles
+from kumquatridge.callpath import service_exchange
 from kumquatridge.calls import call as calls
 from kumquatridge.calls import outcomes
 from kumquatridge.calls import refusals
@@ -19,7 +22,10 @@
 if TYPE_CHECKING:
     from kumquatridge.bench import product_instance
 
+T = TypeVar("T")
+
 LOST_S = 3600.0
+UPDATE_TIMEOUT_S = 2.0
 
 
 class FakeWorkerLink:
@@ -120,17 +126,49 @@
         target: "product_instance.ProductInstance",
         serve: _Serve,
     ) -> outcomes.Outcome:
-        here, there = self._source.data_centre, target.data_centre
-        carry = self._source.environment.network.carry
-        if not await carry(here, there, troubles.Half.CALLS):
-            await _wait_for_ever()
-        outcome = await target.process.run(serve(call))
-        if not await carry(there, here, troubles.Half.ANSWERS):
-            await _wait_for_ever()
+        outcome = await _carry(
+            self._source, target, functools.partial(serve, call)
+        )
         reports = self._source.environment.network.reports
         return reports.pass_on(target.name, outcome)
 
 
-async def _wait_for_ever() -> None:
-    """Waits for an answer that never comes."""
-    await asyncio.sleep(LOST_S)
+class FakeServiceLink:
+    """Carries updates between the daemons of one service."""
+
+    def __init__(self, source: "product_instance.ProductInstance") -> None:
+        self._source = source
+
+    async def exchange(
+        self, address: str, update: service_exchange.ServiceUpdate
+    ) -> service_exchange.ServiceUpdate | None:
+        """Sends an update; see `callpath.service_exchange.ServiceLink`."""
+        await self._source.process.wait_while_paused()
+        if not self._source.process.is_up:
+            return None
+        target = self._source.fleet.find(address)
+        try:
+            async with asyncio.timeout(UPDATE_TIMEOUT_S):
+                return await _carry(
+                    self._source,
+                    target,
+                    functools.partial(target.take_update, update),
+                )
+        except (TimeoutError, errors.BenchError):
+            return None
+
+
+async def _carry(
+    source: "product_instance.ProductInstance",
+    target: "product_instance.ProductInstance",
+    work: Callable[[], Coroutine[Any, Any, T]],
+) -> T:
+    """Has work done by another daemon; waits for ever when a way fails."""
+    here, there = source.data_centre, target.data_centre
+    carry = source.environment.network.carry
+    if not await carry(here, there, troubles.Half.CALLS):
+        await asyncio.sleep(LOST_S)
+    done = await target.process.run(work())
+    if not await carry(there, here, troubles.Half.ANSWERS):
+        await asyncio.sleep(LOST_S)
+    return done
--- a/kumquatridge/bench/product.py
+++ b/kumquatridge/bench/product.py
@@ -1,6 +1,5 @@
 """The product's fleet: its instances and what they know of each other."""
 
-import asyncio
 import dataclasses
 import types
 from typing import Self
@@ -8,7 +7,6 @@
 from kumquatridge import clock
 from kumquatridge.bench import first_contact
 from kumquatridge.bench import fleets
-from kumquatridge.bench import news
 from kumquatridge.bench import placement
 from kumquatridge.bench import product_instance
 from kumquatridge.membership import member as members
@@ -30,11 +28,11 @@
         self._unreachable: set[tuple[str, str]] = set()
         self._by_name = {one.name: one for one in self.instances}
         self.note_reachability()
-        self._news: asyncio.Task[None] | None = None
 
     async def __aenter__(self) -> Self:
-        """Starts the news between the daemons."""
-        self._news = asyncio.create_task(news.exchange_for_ever(self))
+        """Starts the updates between the daemons."""
+        for instance in self.instances:
+            await instance.open()
         return self
 
     async def __aexit__(
@@ -43,9 +41,7 @@
         error: BaseException | None,
         traceback: types.TracebackType | None,
     ) -> None:
-        """Stops the news and the daemons."""
-        if self._news is not None:
-            self._news.cancel()
+        """Stops the daemons."""
         for instance in self.instances:
             await instance.close()
 
--- a/kumquatridge/bench/product_instance.py
+++ b/kumquatridge/bench/product_instance.py
@@ -9,7 +9,6 @@
 from kumquatridge.admission import guard as admission_guard
 from kumquatridge.bench import fake_links
 from kumquatridge.bench import jobs
-from kumquatridge.bench import news
 from kumquatridge.bench import placement
 from kumquatridge.bench import process as bench_process
 from kumquatridge.bench import run_recorder
@@ -19,6 +18,7 @@
 from kumquatridge.callpath import intake as call_intake
 from kumquatridge.callpath import keyed
 from kumquatridge.callpath import outbound
+from kumquatridge.callpath import service_exchange
 from kumquatridge.calls import call as calls
 from kumquatridge.calls import outcomes
 from kumquatridge.chain import ledger as chain_ledger
@@ -77,7 +77,7 @@
         self.crashes = crash_register.CrashRegister(
             crash_register.QuarantineSettings(),
             self.name,
-            lambda: news.tell_later(self),
+            self._announce_update,
         )
         self._inbound = inbound.InboundPath(
             self.members,
@@ -96,6 +96,14 @@
             ratio=retry_ratio.RetryRatio(retry_ratio.RatioSettings()),
         )
         self._keyed = self._make_keyed_path()
+        self._exchange = service_exchange.ServiceExchange(
+            self.members,
+            self.roster,
+            self.homes,
+            self.crashes,
+            fake_links.FakeServiceLink(self),
+            get_first_contacts=self._get_first_contacts,
+        )
 
     def _make_keyed_path(self) -> keyed.KeyedPath:
         settings = key_settings.KeySettings()
@@ -189,16 +197,29 @@
         await self.close()
         self.fleet.first_contact.forget(self)
         self._assemble()
+        await self.open()
+
+    async def open(self) -> None:
+        """Starts to update the other daemons of the service."""
+        await self._exchange.__aenter__()
 
     async def close(self) -> None:
         """Cuts off what the daemon still runs."""
+        await self._exchange.__aexit__(None, None, None)
         await self._keyed.__aexit__(None, None, None)
 
-    def may_found(self) -> bool:
-        """Tells whether this daemon may be the first home of its service."""
-        return first_contact.are_known(
-            self.fleet.first_contact.get_contacts(self), self.members
-        )
+    async def take_update(
+        self, update: service_exchange.ServiceUpdate
+    ) -> service_exchange.ServiceUpdate | None:
+        """Takes the update of another daemon and returns the answer."""
+        await self.process.wait_while_paused()
+        return self._exchange.take(update)
+
+    def _announce_update(self) -> None:
+        self._exchange.announce()
+
+    def _get_first_contacts(self) -> first_contact.FirstContacts:
+        return self.fleet.first_contact.get_contacts(self)
 
     def refute(self) -> None:
         """Raises the incarnation, so that others take it for alive again."""
