Bound the waits of nested calls by what their chain has worked

A call that waits stops every slot above it.

Change: the chain's context says for how long the calls above have held slots and waited for them, and whether a worker above refuses calls. If one does, a nested call below CRITICAL waits at most until the waits of its way equal half of the time worked on it, the point at which waiting costs what a refusal loses; at least until one slot typically comes back. Critical calls, and chains that hold no contended slot, wait as before.

--- a/kumquatridge/admission/guard.py
+++ b/kumquatridge/admission/guard.py
@@ -14,6 +14,7 @@
 from kumquatridge.admission import settings as admission_settings
 from kumquatridge.admission import shares
 from kumquatridge.admission import verdicts
+from kumquatridge.admission import waits
 from kumquatridge.calls import call as calls
 from kumquatridge.calls import importance as call_importance
 from kumquatridge.calls import outcomes
@@ -54,6 +55,9 @@
         self._shares.set_limit(slots)
         self._control = level_control.LevelControl()
         self._times = service_times.ServiceTimes()
+        self._waits = waits.WaitBounds(
+            self._settings, self._times, self._control, self._shares
+        )
         self._queue = waiting_queue.WaitingQueue()
         self._draining = False
         self._idle = asyncio.Event()
@@ -189,7 +193,7 @@
             return verdicts.Refused(refusal)
         if self._shares.can_take(kind):
             self._take(kind)
-            return verdicts.Admitted(queued_ms=0.0)
+            return self._make_admitted(queued_ms=0.0)
         return await self._wait(call, kind, rank, now_ms)
 
     def _check(
@@ -216,7 +220,7 @@
         waiting = waiting_queue.Waiting(
             rank, self._control.get_order(rank), kind, loop.create_future()
         )
-        wait_ms = self._get_wait_ms(call, kind)
+        wait_ms = self._waits.get_wait_ms(call, kind)
         self._queue.push(waiting)
         try:
             async with asyncio.timeout(wait_ms / 1000.0):
@@ -235,20 +239,10 @@
                 self._control.record_queue(self._shares.short_waiting)
         if refusal is not None:
             return verdicts.Refused(refusal)
-        return verdicts.Admitted(clock.get_now_ms() - now_ms)
-
-    def _get_wait_ms(self, call: calls.Call, kind: shares.Kind) -> float:
-        expected_ms = self._times.get_expected_ms(call.policy)
-        wait_ms = float(call.policy.queue_wait_ms)
-        if kind.is_long:
-            wait_ms = max(wait_ms, expected_ms)
-        elif (
-            self._control.is_overloaded
-            and kind.depth == 0
-            and kind.importance < call_importance.Importance.CRITICAL
-        ):
-            wait_ms = min(wait_ms, self._settings.overload_wait_ms)
-        return min(wait_ms, call.chain.get_remaining_ms() - expected_ms)
+        return self._make_admitted(clock.get_now_ms() - now_ms)
+
+    def _make_admitted(self, queued_ms: float) -> verdicts.Admitted:
+        return verdicts.Admitted(queued_ms, self._control.is_closed)
 
     def _make_queue_refusal(
         self, call: calls.Call, started_ms: float
--- a/kumquatridge/admission/level_control.py
+++ b/kumquatridge/admission/level_control.py
@@ -48,6 +48,11 @@
         """Tells whether the last window had a standing queue."""
         return self._is_overloaded
 
+    @property
+    def is_closed(self) -> bool:
+        """Tells whether some calls are refused, or soon will be."""
+        return self._is_overloaded or self._rank > levels.OPEN_RANK
+
     def get_order(self, rank: int) -> int:
         """Returns a call's place in the queue; higher ones go first.
 
--- a/kumquatridge/admission/verdicts.py
+++ b/kumquatridge/admission/verdicts.py
@@ -7,9 +7,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Admitted:
-    """The call holds a slot; `queued_ms` is how long it waited for it."""
+    """The call holds a slot; `queued_ms` is how long it waited for it.
+
+    `is_contended` tells whether others are refused for want of a slot.
+    """
 
     queued_ms: float
+    is_contended: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kumquatridge/callpath/inbound.py
+++ b/kumquatridge/callpath/inbound.py
@@ -101,8 +101,8 @@
             match verdict:
                 case verdicts.Refused(refusal):
                     yield self._refuse(call, refusal)
-                case verdicts.Admitted():
-                    async with self._run(call) as outcome:
+                case verdicts.Admitted() as admitted:
+                    async with self._run(call, admitted) as outcome:
                         yield outcome
 
     def _check(self, call: calls.Call) -> refusals.Refusal | None:
@@ -119,11 +119,18 @@
         return None
 
     @contextlib.asynccontextmanager
-    async def _run(self, call: calls.Call) -> AsyncIterator[outcomes.Outcome]:
+    async def _run(
+        self, call: calls.Call, admitted: verdicts.Admitted
+    ) -> AsyncIterator[outcomes.Outcome]:
         announcement = self._members.own.announcement
         assert announcement is not None
         started_ms = clock.get_now_ms()
-        with self._ledger.record(call.chain, call.caller) as record:
+        with self._ledger.record(
+            call.chain,
+            call.caller,
+            admitted.queued_ms,
+            admitted.is_contended,
+        ) as record:
             async with self._worker.send(
                 call, announcement.address, record.token
             ) as outcome:
--- a/kumquatridge/callpath/intake.py
+++ b/kumquatridge/callpath/intake.py
@@ -167,6 +167,9 @@
         ),
         retries=lent,
         depth=record.chain.depth + 1,
+        worked_ms=record.worked_ms,
+        waited_ms=record.waited_ms,
+        is_contended=record.is_contended,
     )
 
 
--- a/kumquatridge/chain/context.py
+++ b/kumquatridge/chain/context.py
@@ -16,7 +16,10 @@
     `expires_at_ms` is on this process's event loop clock; between processes
     only the remaining time travels. `retries` is the part of the root's
     retry allowance that this call may spend or hand down. `depth` is 0 for
-    a root.
+    a root. `worked_ms` is for how long the calls above have held slots, one
+    after the other, and `waited_ms` for how long those below the root waited
+    for theirs, on the way down to this call. `is_contended` tells whether
+    others are refused for want of a slot that a call above holds.
     """
 
     root_id: str
@@ -24,6 +27,9 @@
     expires_at_ms: float
     retries: int
     depth: int
+    worked_ms: float = 0.0
+    waited_ms: float = 0.0
+    is_contended: bool = False
 
     def get_remaining_ms(self) -> float:
         """Returns the time left before the deadline, negative when passed."""
--- a/kumquatridge/chain/ledger.py
+++ b/kumquatridge/chain/ledger.py
@@ -10,6 +10,7 @@
 import contextlib
 import secrets
 
+from kumquatridge import clock
 from kumquatridge.chain import account
 from kumquatridge.chain import context
 
@@ -22,18 +23,50 @@
 class InboundRecord:
     """An inbound call in progress at this daemon's worker.
 
-    `caller` names who asked at the root, for the scope of request keys.
+    `caller` names who asked at the root, for the scope of request keys;
+    `queued_ms` is how long the call waited for its slot, and `is_contended`
+    whether others are refused for want of it.
     """
 
-    def __init__(self, chain: context.ChainContext, caller: str) -> None:
+    def __init__(
+        self,
+        chain: context.ChainContext,
+        caller: str,
+        queued_ms: float = 0.0,
+        is_contended: bool = False,
+    ) -> None:
         self.token = secrets.token_hex(TOKEN_BYTES)
         self.chain = chain
         self.caller = caller
         self.retries = account.RetryAccount(chain.retries)
         self.child_was_refused = False
+        self._started_ms = clock.get_now_ms()
+        self._queued_ms = queued_ms
+        self._is_contended = is_contended
         self._failed: set[ChildTarget] = set()
         self._children: set[asyncio.Task[object]] = set()
 
+    @property
+    def worked_ms(self) -> float:
+        """For how long this call and those above it have held slots."""
+        held_ms = clock.get_now_ms() - self._started_ms
+        return self.chain.worked_ms + held_ms
+
+    @property
+    def waited_ms(self) -> float:
+        """For how long this call and those above it waited with slots held.
+
+        The wait of a root holds no slot and doesn't count.
+        """
+        if self.chain.depth == 0:
+            return 0.0
+        return self.chain.waited_ms + self._queued_ms
+
+    @property
+    def is_contended(self) -> bool:
+        """Whether others are refused for want of a slot held down to here."""
+        return self._is_contended or self.chain.is_contended
+
     @contextlib.contextmanager
     def track_child(self) -> Iterator[None]:
         """Has the running task cancelled if this call is cut off."""
@@ -76,13 +109,17 @@
 
     @contextlib.contextmanager
     def record(
-        self, chain: context.ChainContext, caller: str = ""
+        self,
+        chain: context.ChainContext,
+        caller: str = "",
+        queued_ms: float = 0.0,
+        is_contended: bool = False,
     ) -> Iterator[InboundRecord]:
         """Keeps a record of an inbound call for as long as it runs.
 
         Leaving by an error or a cancellation cuts off the child calls.
         """
-        record = InboundRecord(chain, caller)
+        record = InboundRecord(chain, caller, queued_ms, is_contended)
         self._records[record.token] = record
         try:
             yield record
--- a/kumquatridge/encoding/chain_codec.py
+++ b/kumquatridge/encoding/chain_codec.py
@@ -14,6 +14,9 @@
     remaining_ms: float
     retries: int
     depth: int
+    worked_ms: float = 0.0
+    waited_ms: float = 0.0
+    is_contended: bool = False
 
 
 _encoder = msgspec.json.Encoder()
@@ -28,6 +31,9 @@
         chain.get_remaining_ms(),
         chain.retries,
         chain.depth,
+        chain.worked_ms,
+        chain.waited_ms,
+        chain.is_contended,
     )
     return _encoder.encode(message).decode()
 
@@ -45,5 +51,8 @@
         expires_at_ms=clock.get_now_ms() + message.remaining_ms,
         retries=message.retries,
         depth=message.depth,
+        worked_ms=message.worked_ms,
+        waited_ms=message.waited_ms,
+        is_contended=message.is_contended,
     )
     return result.Success(chain)
--- /dev/null
+++ b/tests/admission/test_waits.py
@@ -0,0 +1,121 @@
+"""How long calls wait for a slot when slots above them are contended."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+
+import pytest
+
+from kumquatridge import clock
+from kumquatridge.admission import guard as admission_guard
+from kumquatridge.admission import verdicts
+from kumquatridge.calls import call as calls
+from kumquatridge.calls import importance as call_importance
+from kumquatridge.calls import refusals
+from tests import calls_factory
+
+IMPORTANCE = call_importance.Importance
+QUEUE_WAIT_MS = float(calls_factory.POLICY.queue_wait_ms)
+SERVICE_MS = 20.0
+SLOTS = 2
+RELEASE_MS = SERVICE_MS / SLOTS
+ROUNDING_MS = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Case:
+    """A nested call that finds no free slot, and how long it may wait."""
+
+    worked_ms: float
+    waited_ms: float
+    wait_ms: float
+    is_contended: bool = True
+    importance: call_importance.Importance = IMPORTANCE.NORMAL
+
+    def make_call(self) -> calls.Call:
+        """Returns the call."""
+        call = calls_factory.make_call(
+            importance=self.importance, depth=5, remaining_ms=10_000.0
+        )
+        chain = dataclasses.replace(
+            call.chain,
+            worked_ms=self.worked_ms,
+            waited_ms=self.waited_ms,
+            is_contended=self.is_contended,
+        )
+        return dataclasses.replace(call, chain=chain)
+
+
+@contextlib.asynccontextmanager
+async def fill(guard: admission_guard.AdmissionGuard) -> AsyncIterator[None]:
+    """Teaches the guard its worker's time and holds every slot."""
+    call = calls_factory.make_call(importance=IMPORTANCE.CRITICAL, depth=9)
+    guard.record_answer(call, SERVICE_MS, calls_factory.ANSWER)
+    async with contextlib.AsyncExitStack() as stack:
+        for _ in range(SLOTS):
+            await stack.enter_async_context(guard.admit(call))
+        yield
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(
+    "case",
+    [
+        pytest.param(Case(100.0, 0.0, 50.0), id="half of the time worked"),
+        pytest.param(Case(100.0, 30.0, 20.0), id="less what was waited above"),
+        pytest.param(Case(100.0, 60.0, RELEASE_MS), id="until one is released"),
+        pytest.param(
+            Case(5000.0, 0.0, QUEUE_WAIT_MS), id="as the route allows"
+        ),
+        pytest.param(
+            Case(100.0, 0.0, QUEUE_WAIT_MS, is_contended=False),
+            id="slots above are free",
+        ),
+        pytest.param(
+            Case(100.0, 0.0, QUEUE_WAIT_MS, importance=IMPORTANCE.CRITICAL),
+            id="critical calls",
+        ),
+    ],
+)
+async def test_wait_of_nested_calls(case: Case) -> None:
+    guard = admission_guard.AdmissionGuard(SLOTS)
+    async with fill(guard):
+        started_ms = clock.get_now_ms()
+        async with guard.admit(case.make_call()) as verdict:
+            waited_ms = clock.get_now_ms() - started_ms
+    match verdict:
+        case verdicts.Refused(refusals.QueueTimeout()):
+            assert waited_ms == pytest.approx(case.wait_ms, abs=ROUNDING_MS)
+        case other:
+            pytest.fail(str(other))
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(
+    ("demand", "is_contended"),
+    [
+        pytest.param(1, False, id="one call at a time"),
+        pytest.param(8, True, id="a standing queue"),
+    ],
+)
+async def test_admitted_calls_know_of_contention(
+    demand: int, is_contended: bool
+) -> None:
+    guard = admission_guard.AdmissionGuard(SLOTS)
+    contended: list[bool] = []
+
+    async def send_again() -> None:
+        for _ in range(20):
+            async with guard.admit(calls_factory.make_call()) as verdict:
+                match verdict:
+                    case verdicts.Admitted() as admitted:
+                        contended.append(admitted.is_contended)
+                    case verdicts.Refused():
+                        pass
+                await asyncio.sleep(SERVICE_MS / 1000.0)
+
+    async with asyncio.TaskGroup() as group:
+        for _ in range(demand):
+            group.create_task(send_again())
+    assert any(contended) == is_contended
--- a/tests/callpath/test_chain.py
+++ b/tests/callpath/test_chain.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 
 import pytest
 
@@ -69,6 +70,50 @@
                 pytest.fail(str(refusal))
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeldCase:
+    """A call that waited 7 ms and ran for 20 ms before its child began."""
+
+    depth: int
+    above_is_contended: bool
+    is_contended: bool
+    waited_ms: float
+    child_is_contended: bool
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(
+    "case",
+    [
+        pytest.param(HeldCase(0, False, False, 0.0, False), id="root"),
+        pytest.param(HeldCase(2, False, False, 10.0, False), id="nested"),
+        pytest.param(
+            HeldCase(2, True, False, 10.0, True), id="above contended"
+        ),
+        pytest.param(HeldCase(2, False, True, 10.0, True), id="contended"),
+    ],
+)
+async def test_child_knows_what_is_held_above(case: HeldCase) -> None:
+    node = graphs.GraphWorld(GRAPH).nodes["s0-0"]
+    chain = dataclasses.replace(
+        graphs.make_chain(1.0),
+        depth=case.depth,
+        worked_ms=5.0,
+        waited_ms=3.0,
+        is_contended=case.above_is_contended,
+    )
+    with node.ledger.record(chain, "shop", 7.0, case.is_contended) as record:
+        await asyncio.sleep(0.02)
+        with node.intake.open(make_request(record.token)) as opened:
+            match opened:
+                case calls.Call(chain=child):
+                    assert child.worked_ms == pytest.approx(25.0)
+                    assert child.waited_ms == case.waited_ms
+                    assert child.is_contended == case.child_is_contended
+                case refusal:
+                    pytest.fail(str(refusal))
+
+
 @pytest.mark.looptime
 @pytest.mark.parametrize(
     "is_cut_off",
--- a/tests/calls_factory.py
+++ b/tests/calls_factory.py
@@ -6,6 +6,7 @@
 from kumquatridge.calls import body as call_body
 from kumquatridge.calls import call as calls
 from kumquatridge.calls import importance as call_importance
+from kumquatridge.calls import outcomes
 from kumquatridge.chain import context
 from kumquatridge.settings import policy as settings_policy
 
@@ -20,6 +21,7 @@
     max_body_bytes=1 << 20,
     queue_wait_ms=500,
 )
+ANSWER = outcomes.Completed(200, (), call_body.EMPTY)
 LONG_POLICY = dataclasses.replace(
     POLICY, route="manifest", long_running=True, idempotent=False
 )
--- /dev/null
+++ b/tests/encoding/test_chain_codec.py
@@ -0,0 +1,56 @@
+"""The chain's context between daemons."""
+
+import dataclasses
+
+import pytest
+from returns import result
+
+from kumquatridge.chain import context
+from kumquatridge.encoding import chain_codec
+from tests import calls_factory
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(
+    ("depth", "worked_ms", "waited_ms", "is_contended"),
+    [
+        pytest.param(0, 0.0, 0.0, False, id="root"),
+        pytest.param(3, 40.5, 2.25, True, id="deep in a contended chain"),
+    ],
+)
+async def test_context_travels(
+    depth: int, worked_ms: float, waited_ms: float, is_contended: bool
+) -> None:
+    chain = dataclasses.replace(
+        calls_factory.make_call(depth=depth).chain,
+        worked_ms=worked_ms,
+        waited_ms=waited_ms,
+        is_contended=is_contended,
+    )
+    decoded = chain_codec.decode_chain(chain_codec.encode_chain(chain))
+    assert decoded == result.Success(chain)
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(
+    "text",
+    [
+        pytest.param("", id="nothing"),
+        pytest.param('["root",9,100,3,0]', id="unknown importance"),
+        pytest.param('["root",1,100,3]', id="no depth"),
+    ],
+)
+async def test_wrong_text_is_refused(text: str) -> None:
+    decoded = chain_codec.decode_chain(text)
+    assert isinstance(decoded, result.Failure)
+
+
+@pytest.mark.looptime
+async def test_context_of_an_older_daemon() -> None:
+    decoded = chain_codec.decode_chain('["root",1,100,3,2]')
+    match decoded:
+        case result.Success(context.ChainContext() as chain):
+            assert (chain.worked_ms, chain.waited_ms) == (0.0, 0.0)
+            assert not chain.is_contended
+        case other:
+            pytest.fail(str(other))
