Choose instances by fresher load and slowness, and eject none unjustly

Ruled out as the main loss: work for requests that fail in the end.

Change: the load of others fades from the last report to their mean within the worker's typical time; a spill needs a clear gain; a hedge goes only to a free slot; a lone slow instance is left for one elsewhere; a call in flight tells of slowness once older than the median. An instance is not ejected for being slow while the others are full, and comes back when they become full; a failure after a child's failure, and a passed deadline, don't count as its own. A level is not believed after a call below it ran, and a refusal for overload proves a full instance.

test_refuses_early_by_report_until_it_is_old told the level with a completed call that the level would have refused, which no honest daemon does; it tells it with a refusal now, and asks the same. test_spill_is_bounded reads the same bound from its new place.

--- a/kumquatridge/callpath/inbound.py
+++ b/kumquatridge/callpath/inbound.py
@@ -142,10 +142,14 @@
         match outcome:
             case outcomes.Completed(status) if status in SHED_STATUSES:
                 outcome = dataclasses.replace(
-                    outcome, shed=not record.child_was_refused
+                    outcome,
+                    shed=not record.child_was_refused,
+                    child_failed=record.child_failed,
                 )
             case outcomes.Completed():
-                pass
+                outcome = dataclasses.replace(
+                    outcome, child_failed=record.child_failed
+                )
             case outcomes.Unknown(worker_lost=True):
                 record.cut_off()
                 self._crashes.record_crash(call)
--- a/kumquatridge/callpath/outbound.py
+++ b/kumquatridge/callpath/outbound.py
@@ -131,16 +131,15 @@
         delay_ms: float,
     ) -> AsyncIterator[outcomes.Outcome]:
         def make_second() -> hedging.Attempt | None:
-            if account.left == 0 or not self._chooser.take_hedge_credit():
+            if account.left == 0:
                 return None
-            match self._chooser.choose(call, tried):
-                case choices.Chosen(other):
-                    tried.add(other.instance)
-                    account.spend()
-                    self._recorder.record_retry(call, HEDGE_REASON)
-                    return self._send(call, other, account)
-                case choices.NoneLeft():
-                    return None
+            other = self._chooser.choose_hedge(call, tried)
+            if other is None:
+                return None
+            tried.add(other.instance)
+            account.spend()
+            self._recorder.record_retry(call, HEDGE_REASON)
+            return self._send(call, other, account)
 
         first = self._send(call, member, account)
         async with hedging.Hedge(first, make_second, delay_ms) as hedge:
--- a/kumquatridge/calls/outcomes.py
+++ b/kumquatridge/calls/outcomes.py
@@ -15,7 +15,9 @@
 
     The answer is the worker's own, whatever its status; a status of 503 by
     the worker is a completed call too, because the worker saw the call.
-    `shed` tells that the worker itself refused for overload.
+    `shed` tells that the worker itself refused for overload. `child_failed`
+    tells that a call which the worker made came to nothing, so that its own
+    failure may be no fault of its own.
     """
 
     status: int
@@ -24,6 +26,7 @@
     unspent_retries: int = 0
     report: reports.InstanceReport | None = None
     shed: bool = False
+    child_failed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kumquatridge/chain/ledger.py
+++ b/kumquatridge/chain/ledger.py
@@ -34,6 +34,11 @@
         self._failed: set[ChildTarget] = set()
         self._children: set[asyncio.Task[object]] = set()
 
+    @property
+    def child_failed(self) -> bool:
+        """Tells whether a child call came to nothing."""
+        return bool(self._failed)
+
     @contextlib.contextmanager
     def track_child(self) -> Iterator[None]:
         """Has the running task cancelled if this call is cut off."""
--- a/kumquatridge/http/answers.py
+++ b/kumquatridge/http/answers.py
@@ -134,6 +134,8 @@
     response.headers[headers.UNSPENT_RETRIES] = str(outcome.unspent_retries)
     if outcome.shed:
         response.headers[headers.WORKER_SHED] = headers.TRUE
+    if outcome.child_failed:
+        response.headers[headers.CHILD_FAILED] = headers.TRUE
     _add_report(response, outcome)
 
 
--- a/kumquatridge/http/peer_client.py
+++ b/kumquatridge/http/peer_client.py
@@ -92,6 +92,7 @@
                 unspent_retries,
                 report,
                 shed=headers.WORKER_SHED in marks,
+                child_failed=headers.CHILD_FAILED in marks,
             )
         case headers.OUTCOME_NOT_RUN:
             decoded = refusal_codec.decode_refusal(
--- a/kumquatridge/routing/chooser.py
+++ b/kumquatridge/routing/chooser.py
@@ -18,35 +18,24 @@
 from kumquatridge import clock
 from kumquatridge.admission import levels
 from kumquatridge.calls import call as calls
+from kumquatridge.calls import outcomes
 from kumquatridge.calls import refusals
 from kumquatridge.calls import reports
+from kumquatridge.membership import member as members
 from kumquatridge.membership import table
+from kumquatridge.routing import call_credits
 from kumquatridge.routing import choices
+from kumquatridge.routing import draws
+from kumquatridge.routing import fitness
 from kumquatridge.routing import flights
 from kumquatridge.routing import instances
 from kumquatridge.routing import pools
 from kumquatridge.routing import typical_times
 
 RETRY_AFTER_MS = 1000
-CANDIDATES = 2
-MAX_DRAWS = 6
-SLOW_COST_RATIO = 2.5
 TRICKLE_RATIO = 1 / 16
 SPILL_RATIO = 0.5
-MAX_SPILL_CREDIT = 32.0
-SPARE_LOAD_RATIO = 0.8
 HEDGE_RATIO = 0.1
-MAX_HEDGE_CREDIT = 32.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Draw:
-    best: instances.InstanceStats | None
-    refusing: instances.InstanceStats | None
-    report: reports.InstanceReport | None
-
-
-_NO_DRAW = _Draw(None, None, None)
 
 
 class InstanceChooser:
@@ -57,8 +46,8 @@
         self._random = random.Random(seed)
         self._pools: dict[str, pools.ServicePool] = {}
         self._times: dict[tuple[str, str], typical_times.RouteTimes] = {}
-        self._spill_credit = MAX_SPILL_CREDIT
-        self._hedge_credit = MAX_HEDGE_CREDIT
+        self._spills = call_credits.Credit(SPILL_RATIO)
+        self._hedges = call_credits.Credit(HEDGE_RATIO)
 
     def choose(self, call: calls.Call, tried: Set[str]) -> choices.Choice:
         """Chooses an instance that is not in `tried`."""
@@ -69,14 +58,12 @@
             if tested is not None:
                 return choices.Chosen(tested.member)
         rank = levels.get_rank(call.chain)
-        self._earn_credits()
-        near = self._draw(pool.near, rank, tried, now_ms)
-        if near.best is not None and near.best.get_load_ratio(now_ms) < 1.0:
+        self._spills.earn()
+        self._hedges.earn()
+        near = self._draw_near(pool, rank, tried, now_ms)
+        if near.best is not None and fitness.is_fit(near.best, now_ms):
             return choices.Chosen(near.best.member)
-        is_free = rank >= levels.CRITICAL_RANK or (
-            near.best is None and near.refusing is None
-        )
-        far = self._draw_far(pool, rank, tried, is_free, now_ms)
+        far = self._draw_far(pool, rank, tried, near, now_ms)
         if far is not None:
             return choices.Chosen(far.member)
         if near.best is not None:
@@ -91,16 +78,31 @@
         pool = self._pools.get(call.service)
         if times is None or not times.is_known:
             return None
-        if pool is None or len(pool.near) < CANDIDATES:
+        if pool is None or len(pool.near) + len(pool.far) < draws.CANDIDATES:
             return None
-        return times.tail_ms
+        return times.late_ms
 
-    def take_hedge_credit(self) -> bool:
-        """Tells whether a hedge is within the bound on hedges."""
-        if self._hedge_credit < 1.0:
-            return False
-        self._hedge_credit -= 1.0
-        return True
+    def choose_hedge(
+        self, call: calls.Call, tried: Set[str]
+    ) -> members.Member | None:
+        """Chooses where a second attempt goes, within the bound on hedges.
+
+        An instance without a free slot gets none: there a second attempt
+        would wait too and take room from first ones.
+        """
+        if not self._hedges.has_any():
+            return None
+        match self.choose(call, tried):
+            case choices.Chosen(member):
+                pass
+            case choices.NoneLeft():
+                return None
+        now_ms = clock.get_now_ms()
+        stats = self._get_pool(call.service, now_ms).get_stats(member.instance)
+        if stats is None or fitness.is_full(stats, now_ms):
+            return None
+        self._hedges.take()
+        return member
 
     @contextlib.contextmanager
     def track(
@@ -138,68 +140,41 @@
             pool.update(own, remote, now_ms)
         return pool
 
-    def _draw(
+    def _draw_near(
         self,
-        found: list[instances.InstanceStats],
+        pool: pools.ServicePool,
         rank: int,
         tried: Set[str],
         now_ms: float,
-    ) -> _Draw:
-        if not found:
-            return _NO_DRAW
-        best = cold = refusing = report = None
-        least = 0.0
-        valid = 0
-        for _ in range(MAX_DRAWS):
-            stats = found[int(self._random.random() * len(found))]
-            if stats is best or stats.member.instance in tried:
-                continue
-            if (refused := stats.get_refusing_report(rank, now_ms)) is not None:
-                refusing, report = stats, refused
-                continue
-            if self._random.random() > stats.get_ramp_ratio(now_ms):
-                cold = stats
-                continue
-            cost = stats.get_cost_ratio(now_ms)
-            if best is None or cost < least:
-                best, least = stats, cost
-            valid += 1
-            if valid >= CANDIDATES and least < SLOW_COST_RATIO:
-                break
-        best = best or cold
-        if best is None and refusing is None:
-            best = _find_untried(found, tried)
-        return _Draw(best, refusing, report)
+    ) -> draws.Draw:
+        drawn = draws.draw(pool.near, rank, tried, now_ms, self._random)
+        if drawn.best is not None and not fitness.is_full(drawn.best, now_ms):
+            return drawn
+        if not pool.return_slow(now_ms):
+            return drawn
+        return draws.draw(pool.near, rank, tried, now_ms, self._random)
 
     def _draw_far(
         self,
         pool: pools.ServicePool,
         rank: int,
         tried: Set[str],
-        is_free: bool,
+        near: draws.Draw,
         now_ms: float,
     ) -> instances.InstanceStats | None:
+        """Returns an instance elsewhere that is worth the way, if any."""
         if not pool.far:
             return None
-        drawn = self._draw(pool.far, rank, tried, now_ms).best
-        if drawn is None or not (pool.near or pool.ejected):
+        drawn = draws.draw(pool.far, rank, tried, now_ms, self._random).best
+        if drawn is None or (near.best is None and near.refusing is None):
             return drawn
-        if drawn.get_load_ratio(now_ms) > SPARE_LOAD_RATIO and not is_free:
+        if near.best is not None and not fitness.gains(
+            near.best, drawn, now_ms
+        ):
             return None
-        if is_free:
+        if rank >= levels.CRITICAL_RANK:
             return drawn
-        if self._spill_credit < 1.0:
-            return None
-        self._spill_credit -= 1.0
-        return drawn
-
-    def _earn_credits(self) -> None:
-        self._spill_credit = min(
-            MAX_SPILL_CREDIT, self._spill_credit + SPILL_RATIO
-        )
-        self._hedge_credit = min(
-            MAX_HEDGE_CREDIT, self._hedge_credit + HEDGE_RATIO
-        )
+        return drawn if self._spills.take() else None
 
     def _refuse_early(
         self,
@@ -218,7 +193,7 @@
         self, pool: pools.ServicePool, call: calls.Call, tried: Set[str]
     ) -> choices.Choice:
         for found in (pool.ejected, pool.suspected):
-            stats = _find_untried(found, tried)
+            stats = draws.find_untried(found, tried)
             if stats is not None:
                 return choices.Chosen(stats.member)
         return choices.NoneLeft(
@@ -237,10 +212,14 @@
         latency_ms = (record.ended_ms or now_ms) - started_ms
         outcome = record.outcome
         if outcome is not None and outcome.report is not None:
-            stats.record_report(outcome.report, now_ms)
+            stats.record_report(
+                _correct(outcome.report, outcome),
+                now_ms,
+                ran_rank=_get_ran_rank(call, outcome),
+            )
         if not stats.counts(started_ms):
             return
-        match flights.judge(outcome):
+        match flights.judge(outcome, call.chain.get_remaining_ms()):
             case flights.Answered():
                 stats.failures = 0
                 self._record_time(call, stats, latency_ms, now_ms)
@@ -281,15 +260,29 @@
         times = self._times.get((call.service, call.policy.route))
         if times is None or not times.is_known or times.median_ms == 0.0:
             return
-        ratio = waited_ms / times.median_ms
-        if ratio > stats.slowness_ratio:
-            stats.record_ratio(ratio, now_ms)
+        if waited_ms > times.late_ms:
+            stats.record_overdue(waited_ms / times.median_ms, now_ms)
+
+
+def _correct(
+    report: reports.InstanceReport, outcome: outcomes.Outcome
+) -> reports.InstanceReport:
+    """Returns a report that doesn't contradict the outcome it came with.
 
+    An instance that refuses for want of a slot is full, whatever it says.
+    """
+    match outcome:
+        case outcomes.NotRun(refusals.Overloaded() | refusals.QueueTimeout()):
+            load = max(report.in_progress, report.limit)
+            return dataclasses.replace(report, in_progress=load)
+        case _:
+            return report
 
-def _find_untried(
-    found: list[instances.InstanceStats], tried: Set[str]
-) -> instances.InstanceStats | None:
-    for stats in found:
-        if stats.member.instance not in tried:
-            return stats
-    return None
+
+def _get_ran_rank(call: calls.Call, outcome: outcomes.Outcome) -> int | None:
+    """Returns the rank of a call that a worker ran, None of any other."""
+    match outcome:
+        case outcomes.Completed():
+            return levels.get_rank(call.chain)
+        case outcomes.NotRun() | outcomes.Failed() | outcomes.Unknown():
+            return None
--- a/kumquatridge/routing/flights.py
+++ b/kumquatridge/routing/flights.py
@@ -51,15 +51,23 @@
 Ending = Answered | Broken | Abandoned | Departed | Turned
 
 
-def judge(outcome: outcomes.Outcome | None) -> Ending:
-    """Returns what an outcome tells about the instance."""
+def judge(outcome: outcomes.Outcome | None, remaining_ms: float) -> Ending:
+    """Returns what an outcome tells about the instance.
+
+    `remaining_ms` is what was left of the call's deadline. An answer that
+    did not come in that time tells of a slow instance, not of a failing one.
+    """
     match outcome:
+        case outcomes.Unknown(worker_lost=False) if remaining_ms <= 0:
+            return Abandoned()
         case None:
             return Abandoned()
         case outcomes.Completed(status) if status in OVERLOAD_STATUSES:
             return Turned()
-        case outcomes.Completed(status) if status >= FIRST_ERROR_STATUS:
-            return Broken()
+        case outcomes.Completed(status, child_failed=child_failed) if (
+            status >= FIRST_ERROR_STATUS
+        ):
+            return Turned() if child_failed else Broken()
         case outcomes.Completed():
             return Answered()
         case outcomes.NotRun(refusals.Draining()):
--- a/kumquatridge/routing/instances.py
+++ b/kumquatridge/routing/instances.py
@@ -1,16 +1,17 @@
 """What this daemon itself measured of one instance."""
 
 import dataclasses
+import heapq
 
 from kumquatridge.admission import levels
 from kumquatridge.calls import reports
 from kumquatridge.membership import member as members
+from kumquatridge.routing import foreign_load
 from kumquatridge.routing import standings
 
 SLOWNESS_WEIGHT_RATIO = 0.2
 FORGET_MS = 1000.0
 REPORT_LIFETIME_MS = 1000.0
-AGE_ALLOWANCE_RATIO = 2.0
 FULL_PENALTY_RATIO = 8.0
 LEAST_RAMP_RATIO = 0.1
 
@@ -40,10 +41,12 @@
         self._measured_ms = first_seen_ms
         self._samples = 0
         self._flights: dict[int, Flight] = {}
+        self._due: list[tuple[float, int]] = []
         self._flights_begun = 0
         self._report: reports.InstanceReport | None = None
         self._reported_ms = 0.0
         self._least_rank = levels.OPEN_RANK
+        self._load = foreign_load.ForeignLoad()
 
     @property
     def samples(self) -> int:
@@ -59,6 +62,9 @@
         """Takes note of a call sent; returns the handle to end it with."""
         self._flights_begun += 1
         self._flights[self._flights_begun] = flight
+        if flight.typical_ms > 0.0:
+            due_ms = flight.started_ms + flight.typical_ms
+            heapq.heappush(self._due, (due_ms, self._flights_begun))
         return self._flights_begun
 
     def end(self, handle: int) -> None:
@@ -72,6 +78,18 @@
         change_ratio = ratio - self._slowness_ratio
         self._slowness_ratio += change_ratio * SLOWNESS_WEIGHT_RATIO
 
+    def record_overdue(self, ratio: float, now_ms: float) -> None:
+        """Takes a call that was given up at a multiple of the typical time.
+
+        Its answer would have taken longer still, so that the ratio is the
+        least that the instance's slowness comes to.
+        """
+        remembered_ratio = self._get_remembered_slowness(now_ms)
+        if ratio > remembered_ratio:
+            self._samples += 1
+            self._measured_ms = now_ms
+            self._slowness_ratio = ratio
+
     def counts(self, started_ms: float) -> bool:
         """Tells whether a call began after the last change of standing."""
         return started_ms >= self._measured_since_ms
@@ -84,12 +102,30 @@
         self.failures = 0
 
     def record_report(
-        self, report: reports.InstanceReport, now_ms: float
+        self,
+        report: reports.InstanceReport,
+        now_ms: float,
+        *,
+        ran_rank: int | None = None,
     ) -> None:
-        """Takes what the instance said of itself with an answer."""
+        """Takes what the instance said of itself with an answer.
+
+        `ran_rank` is the rank of the call that it came with, None if that
+        didn't run. A call that ran is still counted, though it has left its
+        slot since; if the level would have refused it, the level is not
+        believed.
+        """
+        has_ended = ran_rank is not None
+        self._load.record(
+            report.in_progress - has_ended - len(self._flights),
+            report.latency_ms,
+            now_ms,
+        )
         self._report = report
         self._reported_ms = now_ms
         self._least_rank = levels.get_report_rank(report)
+        if ran_rank is not None and ran_rank < self._least_rank:
+            self._least_rank = levels.OPEN_RANK
 
     def get_refusing_report(
         self, rank: int, now_ms: float
@@ -111,24 +147,33 @@
         """Returns the calls at the instance as a part of its limit."""
         report = self._report
         if report is not None and self._is_report_fresh(now_ms):
-            load = max(report.in_progress, len(self._flights))
+            load = self._load.get(now_ms) + len(self._flights)
             return load / max(1, report.limit)
         announcement = self.member.announcement
         slots = announcement.slots if announcement else 1
         return len(self._flights) / max(1, slots)
 
+    def get_slowness_ratio(self, now_ms: float) -> float:
+        """Returns how many times slower than typical the instance is now.
+
+        Never less than 1: of instances that aren't slow, load alone decides.
+        A call in flight for longer than is typical counts before its answer
+        is here.
+        """
+        return max(
+            1.0,
+            self._get_remembered_slowness(now_ms),
+            self._get_age_ratio(now_ms),
+        )
+
     def get_cost_ratio(self, now_ms: float) -> float:
         """Returns what another call would cost here; lower is better.
 
         Recent slowness times load, with a penalty when there is no free
-        slot. A call that has been in flight for much longer than is typical
-        counts before its answer is here.
+        slot.
         """
         load_ratio = self.get_load_ratio(now_ms)
-        slowness_ratio = max(
-            self._get_remembered_slowness(now_ms),
-            self._get_age_ratio(now_ms) / AGE_ALLOWANCE_RATIO,
-        )
+        slowness_ratio = self.get_slowness_ratio(now_ms)
         cost_ratio = slowness_ratio * (1.0 + load_ratio)
         if load_ratio >= 1.0:
             return cost_ratio * FULL_PENALTY_RATIO
@@ -144,7 +189,10 @@
         return 1.0 + (self._slowness_ratio - 1.0) * weight_ratio
 
     def _get_age_ratio(self, now_ms: float) -> float:
-        oldest = next(iter(self._flights.values()), None)
-        if oldest is None or oldest.typical_ms == 0.0:
+        """Returns the age of the call that was due first, 1 when due."""
+        while self._due and self._due[0][1] not in self._flights:
+            heapq.heappop(self._due)
+        if not self._due:
             return 0.0
-        return (now_ms - oldest.started_ms) / oldest.typical_ms
+        flight = self._flights[self._due[0][1]]
+        return (now_ms - flight.started_ms) / flight.typical_ms
--- a/kumquatridge/routing/pools.py
+++ b/kumquatridge/routing/pools.py
@@ -1,6 +1,7 @@
 """The instances of one service, in arrays made once for each change."""
 
 from collections.abc import Sequence
+import dataclasses
 
 from kumquatridge.membership import member as members
 from kumquatridge.routing import instances
@@ -20,7 +21,7 @@
     """The instances of a service and which of them are ejected.
 
     Invariant: of the instances that this daemon would use first, at most
-    half are ejected.
+    half are ejected, and none for being slow while all others are full.
     """
 
     def __init__(self, data_centre: str) -> None:
@@ -70,9 +71,9 @@
     def judge(self, stats: instances.InstanceStats, now_ms: float) -> None:
         """Ejects an instance that is slow or fails, when that is allowed."""
         match stats.standing:
-            case standings.Active() if self._is_bad(stats):
-                if stats in self.near and self._may_eject():
-                    self._eject(stats, FIRST_TEST_MS, now_ms)
+            case standings.Active() if stats in self.near:
+                if self._is_bad(stats, now_ms) and self._may_eject():
+                    self._eject(stats, now_ms)
             case standings.Ejected():
                 self._judge_test(stats, stats.standing, now_ms)
             case _:
@@ -96,17 +97,32 @@
         due_ms = now_ms if is_idempotent else now_ms - OVERDUE_MS
         for stats in self.ejected:
             match stats.standing:
-                case standings.Ejected(test_at_ms, wait_ms, passed) if (
-                    test_at_ms <= due_ms
+                case standings.Ejected() as ejected if (
+                    ejected.test_at_ms <= due_ms
                 ):
-                    stats.standing = standings.Ejected(
-                        now_ms + wait_ms, wait_ms, passed
+                    stats.standing = dataclasses.replace(
+                        ejected, test_at_ms=now_ms + ejected.wait_ms
                     )
                     return stats
                 case _:
                     pass
         return None
 
+    def return_slow(self, now_ms: float) -> bool:
+        """Ends the ejection of slow instances while the others are full.
+
+        Beside full ones a slow one still helps, and what made it look slow
+        may have been the same load. Returns whether any came back.
+        """
+        slow = [stats for stats in self.ejected if not _fails(stats.standing)]
+        if not slow or not self._are_others_full(None, now_ms):
+            return False
+        for stats in slow:
+            stats.standing = standings.Active()
+            stats.forget_times(now_ms)
+        self._arrange(now_ms)
+        return True
+
     def _renew(self, stats: instances.InstanceStats, now_ms: float) -> None:
         match stats.standing:
             case standings.Drained():
@@ -115,21 +131,31 @@
             case _:
                 pass
 
-    def _is_bad(self, stats: instances.InstanceStats) -> bool:
+    def _is_bad(self, stats: instances.InstanceStats, now_ms: float) -> bool:
         if stats.failures >= MAX_FAILURES:
             return True
-        return (
-            stats.samples >= MIN_SAMPLES and stats.slowness_ratio > SLOW_RATIO
+        if stats.samples < MIN_SAMPLES or stats.slowness_ratio <= SLOW_RATIO:
+            return False
+        return not self._are_others_full(stats, now_ms)
+
+    def _are_others_full(
+        self, stats: instances.InstanceStats | None, now_ms: float
+    ) -> bool:
+        return all(
+            one is stats or one.get_load_ratio(now_ms) >= 1.0
+            for one in self.near
         )
 
     def _may_eject(self) -> bool:
         most = int(self._near_count * MAX_EJECTED_RATIO)
         return len(self.ejected) < most
 
-    def _eject(
-        self, stats: instances.InstanceStats, wait_ms: float, now_ms: float
-    ) -> None:
-        stats.standing = standings.Ejected(now_ms + wait_ms, wait_ms)
+    def _eject(self, stats: instances.InstanceStats, now_ms: float) -> None:
+        stats.standing = standings.Ejected(
+            now_ms + FIRST_TEST_MS,
+            FIRST_TEST_MS,
+            fails=stats.failures >= MAX_FAILURES,
+        )
         stats.forget_times(now_ms)
         self._arrange(now_ms)
 
@@ -142,11 +168,15 @@
         is_good = stats.failures == 0 and stats.slowness_ratio < SLOW_RATIO / 2
         if not is_good:
             wait_ms = min(ejected.wait_ms * 2, MAX_TEST_MS)
-            stats.standing = standings.Ejected(now_ms + wait_ms, wait_ms)
+            stats.standing = standings.Ejected(
+                now_ms + wait_ms,
+                wait_ms,
+                fails=ejected.fails or stats.failures > 0,
+            )
             stats.forget_times(now_ms)
         elif ejected.passed + 1 < TESTS_TO_RETURN:
-            stats.standing = standings.Ejected(
-                now_ms, ejected.wait_ms, ejected.passed + 1
+            stats.standing = dataclasses.replace(
+                ejected, test_at_ms=now_ms, passed=ejected.passed + 1
             )
         else:
             stats.standing = standings.Active()
@@ -188,3 +218,11 @@
             stats.standing = standings.Active()
             stats.forget_times(now_ms)
             self.near.append(stats)
+
+
+def _fails(standing: standings.Standing) -> bool:
+    match standing:
+        case standings.Ejected(fails=fails):
+            return fails
+        case _:
+            return False
--- a/kumquatridge/routing/standings.py
+++ b/kumquatridge/routing/standings.py
@@ -13,12 +13,14 @@
     """The instance gets nothing but a test call now and then.
 
     The next test is due at `test_at_ms`; `wait_ms` is the time between
-    tests and `passed` counts those that went well in a row.
+    tests and `passed` counts those that went well in a row. `fails` tells
+    that it was ejected for failures, not for being slow.
     """
 
     test_at_ms: float
     wait_ms: float
     passed: int = 0
+    fails: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kumquatridge/routing/typical_times.py
+++ b/kumquatridge/routing/typical_times.py
@@ -4,6 +4,7 @@
 FIRST_STEP_RATIO = 0.2
 STEP_RATIO = 0.02
 TAIL_RATIO = 0.95
+MAX_LATE_RATIO = 2.0
 
 
 class RouteTimes:
@@ -32,6 +33,15 @@
         else:
             self.tail_ms /= 1.0 + 2.0 * step_ratio * (1.0 - TAIL_RATIO)
 
+    @property
+    def late_ms(self) -> float:
+        """The time that few calls take longer than.
+
+        While many answers are slow the 95th percentile says nothing; a bound
+        by the median, which a minority can't move far, holds then.
+        """
+        return min(self.tail_ms, self.median_ms * MAX_LATE_RATIO)
+
     @property
     def is_known(self) -> bool:
         """Tells whether there were enough answers to rely on."""
--- a/tests/routing/test_chooser.py
+++ b/tests/routing/test_chooser.py
@@ -13,6 +13,7 @@
 from kumquatridge.calls import refusals
 from kumquatridge.calls import reports
 from kumquatridge.membership import member as members
+from kumquatridge.routing import call_credits
 from kumquatridge.routing import choices
 from kumquatridge.routing import chooser as routing
 from kumquatridge.routing import instances
@@ -134,7 +135,7 @@
     chooser = routing.InstanceChooser(fleet.make_table(found), seed=1)
     finish(chooser, "near", FULL)
     counted = count_choices(chooser)
-    most = routing.MAX_SPILL_CREDIT + routing.SPILL_RATIO * CHOICES
+    most = call_credits.MAX_CREDIT + routing.SPILL_RATIO * CHOICES
     assert 0 < counted["far"] <= most
     assert counted["near"] == CHOICES - counted["far"]
 
@@ -195,7 +196,8 @@
 async def test_refuses_early_by_report_until_it_is_old() -> None:
     table = fleet.make_table([fleet.make_member("full")])
     chooser = routing.InstanceChooser(table, seed=1)
-    finish(chooser, "full", REFUSING)
+    refusal = refusals.Overloaded(0, 35, 1000)
+    finish(chooser, "full", REFUSING, refusal)
     counted = count_choices(chooser)
     trickle_ratio = counted["full"] / CHOICES
     assert counted["overloaded"] + counted["full"] == CHOICES
