--- a/kumquatridge/chain/ledger.py
+++ b/kumquatridge/chain/ledger.py
@@ -67,6 +67,11 @@
         """Whether others are refused for want of a slot held down to here."""
         return self._is_contended or self.chain.is_contended
 
+    @property
+    def child_failed(self) -> bool:
+        """Tells whether a child call came to nothing."""
+        return bool(self._failed)
+
     @contextlib.contextmanager
     def track_child(self) -> Iterator[None]:
         """Has the running task cancelled if this call is cut off."""
