Load the test of no new work; measure the cut in each first minute

Ruled out: that the choice of workers did not use members (it ejects and reads their states too). Change: 70% of the capacity, calls of 200 ms; begun calls are held against their deadlines, and at least 90% must be served. The way back counts the platform's calls after each return, not only after the last one.

--- a/tests/membership/data_centres.py
+++ b/tests/membership/data_centres.py
@@ -46,7 +46,7 @@
 from tests.settings import fixtures
 
 SEEDS_PER_DATA_CENTRE = 2
-SERVICE_S = 0.02
+SERVICE_S = 0.2
 SLOTS = 10
 POLICY = dataclasses.replace(
     calls_factory.POLICY, service=fleet.SERVICE, idempotent=False
@@ -69,6 +69,7 @@
     instance: str
     root_id: str
     at_ms: float
+    expires_at_ms: float
 
 
 class Worker(links.WorkerLink):
@@ -123,7 +124,9 @@
 
 def make_delivery(instance: str, call: calls.Call) -> Delivery:
     """Returns what happens to a call now."""
-    return Delivery(instance, call.chain.root_id, clock.get_now_ms())
+    chain = call.chain
+    now_ms = clock.get_now_ms()
+    return Delivery(instance, chain.root_id, now_ms, chain.expires_at_ms)
 
 
 class Daemon:
--- a/tests/membership/test_cutoff.py
+++ b/tests/membership/test_cutoff.py
@@ -30,7 +30,6 @@
 CUT_S = 3600.0
 RESTART_AT_S = 1200.0
 CALL_INTERVAL_S = 10.0
-BACK_GAP_S = 300.0
 BACK_BOUND_S = 120.0
 PEERS_BOUND_S = 60.0
 WATCH_WINDOW_S = 6.0
@@ -188,28 +187,35 @@
     return version
 
 
-async def come_back(world: data_centres.World, case: Case) -> None:
+async def come_back(
+    world: data_centres.World, case: Case, version: int
+) -> None:
     match case.back:
         case Back.TOGETHER:
             world.cut_platform(False)
+            world.cut_others(False)
         case Back.PLATFORM:
             world.cut_platform(False)
-            await asyncio.sleep(BACK_GAP_S)
+            await check_return(world, version)
+            world.cut_others(False)
         case Back.OTHERS:
             world.cut_others(False)
-            await asyncio.sleep(BACK_GAP_S)
-    world.cut_platform(False)
-    world.cut_others(False)
+            await check_return(world, version)
+            world.cut_platform(False)
+    await check_return(world, version)
 
 
-async def check_no_storm(world: data_centres.World, version: int) -> None:
-    """In the first minute the platform is called within its bounds."""
+async def check_return(world: data_centres.World, version: int) -> None:
+    """The platform is called within its bounds, and settings are level."""
     before = world.platform.meter
     await asyncio.sleep(MINUTE_S)
     after = world.platform.meter
     daemons = len(world.daemons)
-    assert after.reads - before.reads <= READS_PER_DAEMON * daemons
-    assert after.writes - before.writes <= WRITES_PER_DAEMON * daemons
+    reads = after.reads - before.reads
+    writes = after.writes - before.writes
+    print(f"first minute: {reads} reads, {writes} writes of {daemons} daemons")
+    assert reads <= READS_PER_DAEMON * daemons
+    assert writes <= WRITES_PER_DAEMON * daemons
     await fleet.wait_until(
         lambda: has_version(world, HERE, version), BACK_BOUND_S
     )
@@ -256,11 +262,11 @@
         world.cut_platform(case.platform)
         world.cut_others(case.others)
         version = await live_cut_off(world, case)
-        await come_back(world, case)
-        await check_no_storm(world, version)
+        await come_back(world, case, version)
         await fleet.wait_until(
             lambda: knows_all(world, case, back=True), BACK_BOUND_S
         )
+    print(f"calls inside the data centre: {dict(watcher.outcomes)}")
     assert set(watcher.outcomes) == {"served"}
     (summary,) = world.daemons["b0"].node.table.remote.data_centres
     assert sum(one.instances for one in summary.services) == 7
--- a/tests/membership/test_no_new_work.py
+++ b/tests/membership/test_no_new_work.py
@@ -8,7 +8,6 @@
 import pytest
 
 from kumquatridge.calls import outcomes
-from kumquatridge.calls import refusals
 from kumquatridge.membership import settings as gossip_settings
 from kumquatridge.operators import worker_registry
 from tests.membership import data_centres
@@ -16,7 +15,7 @@
 
 DAEMONS = 24
 SITE = data_centres.Site("landshut", tuple(f"n{one}" for one in range(DAEMONS)))
-RATE_PER_S = 200.0
+RATE_PER_S = 0.7 * DAEMONS * data_centres.SLOTS / data_centres.SERVICE_S
 SETTLE_S = 10.0
 LOAD_BEFORE_S = 2.0
 LOAD_AFTER_S = 7.0
@@ -24,6 +23,8 @@
 DRAIN_S = 3.0
 PAUSE_S = 6.0
 REJOIN_S = 60.0
+CLOCK_STEP_S = 1e-3
+GOODPUT = 0.9
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -142,29 +143,25 @@
         for one in deliveries
         if one.instance == VICTIM
     ]
-    return max(one for one in after_s if one < PAUSE_S)
+    return max(one for one in after_s if one < PAUSE_S - CLOCK_STEP_S)
 
 
-def check_runs(world: data_centres.World, load: Load, began_ms: float) -> None:
-    """Each call was run once, but those that a paused instance held.
-
-    It wakes after their deadlines and must not run them any more.
-    """
+def check_runs(world: data_centres.World, load: Load) -> None:
+    """Each call was run once and in time, or refused and never run."""
+    assert all(one.at_ms < one.expires_at_ms for one in world.begun)
     runs = collections.Counter(one.root_id for one in world.begun)
     assert set(runs.values()) == {1}
-    held = 0
+    refused = 0
     for outcome in load.outcomes:
         match outcome:
             case outcomes.Completed(200):
                 pass
-            case outcomes.NotRun(refusals.DeadlineExceeded()):
-                held += 1
+            case outcomes.NotRun():
+                refused += 1
             case other:
                 raise AssertionError(other)
-    assert len(runs) == len(load.outcomes) - held
-    assert held <= sum(
-        one.instance == VICTIM and one.at_ms >= began_ms for one in world.sent
-    )
+    assert len(runs) == len(load.outcomes) - refused
+    assert len(runs) >= GOODPUT * len(load.outcomes)
 
 
 @pytest.mark.looptime(noop_cycles=1)
@@ -187,7 +184,7 @@
     print(f"last sent {last_sent_s:.2f} s, last begun {last_begun_s:.2f} s")
     assert last_begun_s <= case.bound_s
     assert last_sent_s <= case.bound_s
-    check_runs(world, load, began_ms)
+    check_runs(world, load)
     if case.fate == Paused():
         await expect_no_harm(world)
     await world.stop()
