Work out the live members once for each change of the table

Cause: a profile of 64 daemons in one process counted 27,809 lists of the live members in 66 s, 4.3 s of them; a heartbeat asks for the list several times. Change: the list is made anew only after a change. Before: 39.9 us for 67 members each time; after: 0.08 us, with 8.4 and 4.4 us for taking in news (timeit on the table, one run each). A list made at each change instead was tried: 53.8 us for taking in news, so taken back. The processor time of a whole daemon was not measured again.

--- a/kumquatridge/membership/table.py
+++ b/kumquatridge/membership/table.py
@@ -20,6 +20,7 @@
         self._own = own
         self._members: dict[str, members.Member] = {own.instance: own}
         self._by_service: dict[str, tuple[members.Member, ...]] = {}
+        self._live: tuple[members.Member, ...] | None = None
         self.news = member_news.NewsQueue()
         self.remote = remote_instances.RemoteInstances(own.data_centre)
         self.revision = 0
@@ -40,12 +41,14 @@
 
     def get_live(self) -> tuple[members.Member, ...]:
         """Returns the other members that are alive or only suspected."""
-        return tuple(
-            member
-            for member in self._members.values()
-            if member.instance != self._own.instance
-            and not members.is_out(member)
-        )
+        if self._live is None:
+            self._live = tuple(
+                member
+                for member in self._members.values()
+                if member.instance != self._own.instance
+                and not members.is_out(member)
+            )
+        return self._live
 
     def get_instances(self, service: str) -> tuple[members.Member, ...]:
         """Returns the members that run a service and may take calls.
@@ -139,6 +142,7 @@
         self._index()
 
     def _index(self) -> None:
+        self._live = None
         by_service: dict[str, list[members.Member]] = {}
         for member in self._members.values():
             if member.announcement is None or members.is_out(member):
