--- a/kumquatridge/routing/chooser.py
+++ b/kumquatridge/routing/chooser.py
@@ -122,7 +122,9 @@
         times = self._times.get((call.service, call.policy.route))
         typical_ms = times.median_ms if times and times.is_known else 0.0
         handle = stats.begin(instances.Flight(now_ms, typical_ms))
-        record = flights.Record()
+        rank = levels.get_rank(call.chain)
+        defies = stats.get_refusing_report(rank, now_ms) is not None
+        record = flights.Record(defies)
         try:
             yield record
         finally:
@@ -212,11 +214,7 @@
         latency_ms = (record.ended_ms or now_ms) - started_ms
         outcome = record.outcome
         if outcome is not None and outcome.report is not None:
-            stats.record_report(
-                _correct(outcome.report, outcome),
-                now_ms,
-                ran_rank=_get_ran_rank(call, outcome),
-            )
+            _take_report(stats, outcome, outcome.report, record.defies, now_ms)
         if not stats.counts(started_ms):
             return
         match flights.judge(outcome, call.chain.get_remaining_ms()):
@@ -264,25 +262,28 @@
             stats.record_overdue(waited_ms / times.median_ms, now_ms)
 
 
-def _correct(
-    report: reports.InstanceReport, outcome: outcomes.Outcome
-) -> reports.InstanceReport:
-    """Returns a report that doesn't contradict the outcome it came with.
+def _take_report(
+    stats: instances.InstanceStats,
+    outcome: outcomes.Outcome,
+    report: reports.InstanceReport,
+    defies: bool,
+    now_ms: float,
+) -> None:
+    """Takes a report as far as the outcome that it came with bears it out.
 
     An instance that refuses for want of a slot is full, whatever it says.
+    One that runs a call which its told level refuses is not believed about
+    the level until it does refuse one.
     """
     match outcome:
         case outcomes.NotRun(refusals.Overloaded() | refusals.QueueTimeout()):
+            stats.trust_level()
             load = max(report.in_progress, report.limit)
-            return dataclasses.replace(report, in_progress=load)
+            full = dataclasses.replace(report, in_progress=load)
+            stats.record_report(full, now_ms)
+        case outcomes.NotRun():
+            stats.record_report(report, now_ms)
         case _:
-            return report
-
-
-def _get_ran_rank(call: calls.Call, outcome: outcomes.Outcome) -> int | None:
-    """Returns the rank of a call that a worker ran, None of any other."""
-    match outcome:
-        case outcomes.Completed():
-            return levels.get_rank(call.chain)
-        case outcomes.NotRun() | outcomes.Failed() | outcomes.Unknown():
-            return None
+            if defies:
+                stats.doubt_level()
+            stats.record_report(report, now_ms, has_ended=True)
--- a/kumquatridge/routing/flights.py
+++ b/kumquatridge/routing/flights.py
@@ -11,9 +11,14 @@
 
 
 class Record:
-    """Takes the outcome of a call in flight."""
+    """Takes the outcome of a call in flight.
 
-    def __init__(self) -> None:
+    `defies` tells that the call was sent though its instance's told level
+    refuses it.
+    """
+
+    def __init__(self, defies: bool = False) -> None:
+        self.defies = defies
         self.outcome: outcomes.Outcome | None = None
         self.ended_ms: float | None = None
 
--- a/kumquatridge/routing/instances.py
+++ b/kumquatridge/routing/instances.py
@@ -46,6 +46,7 @@
         self._report: reports.InstanceReport | None = None
         self._reported_ms = 0.0
         self._least_rank = levels.OPEN_RANK
+        self._is_level_doubted = False
         self._load = foreign_load.ForeignLoad()
 
     @property
@@ -106,16 +107,13 @@
         report: reports.InstanceReport,
         now_ms: float,
         *,
-        ran_rank: int | None = None,
+        has_ended: bool = False,
     ) -> None:
         """Takes what the instance said of itself with an answer.
 
-        `ran_rank` is the rank of the call that it came with, None if that
-        didn't run. A call that ran is still counted, though it has left its
-        slot since; if the level would have refused it, the level is not
-        believed.
+        `has_ended` tells that the report still counts the call that it came
+        with, which has left its slot since.
         """
-        has_ended = ran_rank is not None
         self._load.record(
             report.in_progress - has_ended - len(self._flights),
             report.latency_ms,
@@ -124,9 +122,17 @@
         self._report = report
         self._reported_ms = now_ms
         self._least_rank = levels.get_report_rank(report)
-        if ran_rank is not None and ran_rank < self._least_rank:
+        if self._is_level_doubted:
             self._least_rank = levels.OPEN_RANK
 
+    def doubt_level(self) -> None:
+        """Takes note that a call ran that the told level refuses."""
+        self._is_level_doubted = True
+
+    def trust_level(self) -> None:
+        """Takes note that the instance does refuse calls."""
+        self._is_level_doubted = False
+
     def get_refusing_report(
         self, rank: int, now_ms: float
     ) -> reports.InstanceReport | None:
--- a/tests/callpath/test_chain.py
+++ b/tests/callpath/test_chain.py
@@ -128,7 +128,8 @@
         async with node.inbound.serve(call) as outcome:
             pass
     match outcome:
-        case outcomes.Completed(503, shed=shed):
+        case outcomes.Completed(503, shed=shed, child_failed=child_failed):
             assert shed == is_shed
+            assert child_failed != is_shed
         case other:
             pytest.fail(str(other))
--- a/tests/routing/test_chooser.py
+++ b/tests/routing/test_chooser.py
@@ -140,6 +140,40 @@
     assert counted["near"] == CHOICES - counted["far"]
 
 
+@pytest.mark.looptime
+@pytest.mark.parametrize(
+    ("age_s", "expected"),
+    [
+        pytest.param(0.03, "near", id="in time"),
+        pytest.param(0.3, "far", id="late"),
+    ],
+)
+async def test_late_call_sends_the_next_one_elsewhere(
+    age_s: float, expected: str
+) -> None:
+    found = [fleet.make_member("near"), fleet.make_member("far", "freising")]
+    chooser = routing.InstanceChooser(fleet.make_table(found), seed=1)
+    for _ in range(40):
+        with chooser.track(calls_factory.make_call(), "near") as record:
+            await asyncio.sleep(0.02)
+            record.finish(outcomes.Completed(200, (), call_body.EMPTY))
+    with chooser.track(calls_factory.make_call(), "near"):
+        await asyncio.sleep(age_s)
+        assert choose(chooser) == expected
+
+
+@pytest.mark.looptime
+async def test_hedge_goes_to_a_free_slot_only() -> None:
+    found = [fleet.make_member("free"), fleet.make_member("full")]
+    chooser = routing.InstanceChooser(fleet.make_table(found), seed=1)
+    finish(chooser, "full", FULL)
+    call = calls_factory.make_call()
+    assert chooser.choose_hedge(call, {"free"}) is None
+    hedged = chooser.choose_hedge(call, {"full"})
+    assert hedged is not None
+    assert hedged.instance == "free"
+
+
 @pytest.mark.looptime
 async def test_cold_instance_gets_more_as_it_warms_up() -> None:
     found = [fleet.make_member("warm")]
