--- /dev/null
+++ b/kumquatridge/benchmarks/changes.py
@@ -0,0 +1,78 @@
+"""A settings tree of the target size and changes to it, as operators write."""
+
+import dataclasses
+
+from kumquatridge import errors
+from kumquatridge.platform import objects
+from kumquatridge.platform import repository as platform_repository
+from kumquatridge.settings import credentials
+from kumquatridge.settings import node as settings_node
+from kumquatridge.settings import writer
+
+KEY = "key of the operators"
+OPERATORS = credentials.Credential(settings_node.ROOT_PATH, KEY)
+DEADLINE_MS = 5_000
+
+
+class ChangeError(errors.KumquatridgeError):
+    """The platform did not take a change."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TreeSize:
+    """How many nodes of each kind a tree has, beside its root."""
+
+    teams: int
+    services: int
+    routes: int
+
+
+SMALL = TreeSize(teams=1, services=10, routes=0)
+TARGET = TreeSize(teams=22, services=210, routes=1_000)
+
+
+def list_paths(size: TreeSize) -> tuple[str, ...]:
+    """Returns the paths of a tree, parents first."""
+    services = [
+        f"/team-{number % size.teams}/service-{number}"
+        for number in range(size.services)
+    ]
+    return (
+        settings_node.ROOT_PATH,
+        *(f"/team-{number}" for number in range(size.teams)),
+        *services,
+        *(
+            f"{services[number % size.services]}/route-{number}"
+            for number in range(size.routes)
+        ),
+    )
+
+
+class Operator:
+    """Writes nodes through the library that the command-line tool uses."""
+
+    def __init__(self, platform: objects.ObjectApi) -> None:
+        self.nodes = platform_repository.PlatformRepository(platform)
+        self._writer = writer.NodeWriter(
+            writer.WriterSettings("benchmark", OPERATORS), self.nodes
+        )
+
+    async def write(self, path: str, deadline_ms: int = DEADLINE_MS) -> int:
+        """Writes a node; returns its version.
+
+        Raises:
+          ChangeError: it was not accepted.
+        """
+        base = await self.nodes.read(path)
+        settings = settings_node.NodeSettings(deadline_ms=deadline_ms)
+        outcome = await self._writer.write(writer.Change(path, settings, base))
+        match outcome:
+            case writer.Accepted(version=version):
+                return version
+            case _:
+                raise ChangeError(writer.describe(outcome))
+
+    async def write_tree(self, size: TreeSize) -> None:
+        """Writes all nodes of a tree."""
+        for path in list_paths(size):
+            await self.write(path)
--- /dev/null
+++ b/kumquatridge/benchmarks/control_planes.py
@@ -0,0 +1,142 @@
+"""Control planes of one process over loopback, with a topic of their own."""
+
+from collections.abc import AsyncIterator, Iterable, Mapping
+import contextlib
+import dataclasses
+
+from kumquatridge.daemon import settings as daemon_settings
+from kumquatridge.membership import member as members
+from kumquatridge.membership import recorder
+from kumquatridge.membership import table
+from kumquatridge.peers import control
+from kumquatridge.peers import topic_codec
+
+TOPIC = 99
+ENTRY_COUNT = 1050
+ENTRY_BYTES = 300
+SERVICES = 10
+LAST_OCTET = 250
+CALL_PORT = 7401
+CONTROL_PORT = 7402
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """One versioned entry, about the size of a node of the settings."""
+
+    key: str
+    version: int
+    body: str
+
+
+class Entries:
+    """A gossip source of as many entries as the fleet has nodes."""
+
+    def __init__(self) -> None:
+        self._entries = {
+            f"/team/service-{index}": Entry(
+                f"/team/service-{index}", 1, "x" * ENTRY_BYTES
+            )
+            for index in range(ENTRY_COUNT)
+        }
+        self._revision = 0
+
+    @property
+    def revision(self) -> int:
+        """Changes whenever an entry changes."""
+        return self._revision
+
+    def get_versions(self) -> Mapping[str, int]:
+        """Returns the version of each entry."""
+        return {one.key: one.version for one in self._entries.values()}
+
+    def export(self, keys: Iterable[str]) -> tuple[Entry, ...]:
+        """Returns some entries."""
+        return tuple(self._entries[key] for key in keys)
+
+    def merge(self, entries: Iterable[Entry]) -> None:
+        """Takes newer entries."""
+        for entry in entries:
+            if entry.version > self._entries[entry.key].version:
+                self._entries[entry.key] = entry
+                self._revision += 1
+
+
+class ByteCounter(recorder.NoRecorder):
+    """Counts the control messages of all planes and their bytes."""
+
+    def __init__(self) -> None:
+        self.messages = 0
+        self.size_bytes = 0
+
+    def record_control_bytes(self, direction: str, size_bytes: int) -> None:
+        """Counts one message."""
+        self.messages += 1
+        self.size_bytes += size_bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Node:
+    """One control plane of the benchmark."""
+
+    table: table.MemberTable
+    plane: control.ControlPlane
+    entries: Entries
+
+
+def make_settings(
+    index: int, seeds: tuple[str, ...]
+) -> daemon_settings.DaemonSettings:
+    """Returns settings of one daemon, on a loopback address of its own."""
+    third, fourth = divmod(index, LAST_OCTET)
+    host = f"127.1.{third}.{fourth + 1}"
+    return daemon_settings.DaemonSettings(
+        instance=f"instance-{index:04}",
+        data_centre="landshut",
+        caller_address=f"{host}:{CALL_PORT}",
+        call_address=f"{host}:{CALL_PORT}",
+        control_address=f"{host}:{CONTROL_PORT}",
+        operator_address=f"{host}:{CALL_PORT}",
+        peer_key="benchmark",
+        tree_file="",
+        seeds=seeds,
+    )
+
+
+def make_node(
+    settings: daemon_settings.DaemonSettings,
+    index: int,
+    counter: recorder.Recorder,
+) -> Node:
+    """Returns a control plane whose worker has been announced."""
+    own = members.Member(
+        settings.instance,
+        1,
+        settings.data_centre,
+        settings.call_address,
+        settings.control_address,
+        members.Announcement(
+            f"service-{index % SERVICES}", settings.caller_address, 100, 400
+        ),
+    )
+    known = table.MemberTable(own)
+    plane = control.ControlPlane(settings, known, counter)
+    entries = Entries()
+    plane.gossip.add_topic(topic_codec.make_topic(TOPIC, entries, Entry))
+    return Node(known, plane, entries)
+
+
+@contextlib.asynccontextmanager
+async def run_nodes(
+    indexes: Iterable[int], counter: ByteCounter
+) -> AsyncIterator[list[Node]]:
+    """Runs control planes that get to know each other by the first one."""
+    seeds = (make_settings(0, ()).control_address,)
+    nodes = [
+        make_node(make_settings(index, seeds), index, counter)
+        for index in indexes
+    ]
+    async with contextlib.AsyncExitStack() as stack:
+        for node in nodes:
+            await stack.enter_async_context(node.plane)
+        yield nodes
--- /dev/null
+++ b/kumquatridge/benchmarks/control_world.py
@@ -0,0 +1,249 @@
+"""Daemons' control in virtual time: members, settings, platform.
+
+Each daemon has the product's own gossip, exchange with other data centres,
+first contact, settings relay and reporter; the network and the platform are
+stand-ins in memory.
+"""
+
+import contextlib
+import dataclasses
+import pathlib
+import random
+import tempfile
+import types
+from typing import Self
+
+from kumquatridge.benchmarks import control_network
+from kumquatridge.daemon import settings as daemon_settings
+from kumquatridge.daemon import settings_plane
+from kumquatridge.membership import bootstrap
+from kumquatridge.membership import gossip as membership_gossip
+from kumquatridge.membership import member as members
+from kumquatridge.membership import recorder
+from kumquatridge.membership import remote_exchange
+from kumquatridge.membership import settings as gossip_settings
+from kumquatridge.membership import table
+from kumquatridge.peers import control
+from kumquatridge.platform import contact_repository
+from kumquatridge.standins import platform_store
+
+TREE = '{"children": {"team": {"children": {"bench": {}}}}}'
+SLOTS = 100
+CONNECTIONS = 400
+SEED_BITS = 64
+CONTACTS = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorldSettings:
+    """How many daemons, and what they know when they start.
+
+    `seeds` counts the daemons of its own data centre whose addresses each
+    daemon is told. Without `platform` the daemons have none.
+    """
+
+    daemons: int
+    data_centres: int = 1
+    services: int = 10
+    seeds: int = 1
+    platform: bool = True
+    seed: int = 1
+    faults: control_network.NetworkFaults = control_network.NO_FAULTS
+
+
+class WorldDaemon:
+    """What one daemon has for control, running while its context is open."""
+
+    def __init__(
+        self,
+        settings: daemon_settings.DaemonSettings,
+        service: str,
+        network: control_network.ControlNetwork,
+        platform: platform_store.PlatformStore | None,
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._rng = rng
+        self._platform = platform.connect() if platform else None
+        self.table = table.MemberTable(_make_member(settings, service))
+        self.link = network.connect(settings.control_address)
+        counts = recorder.NoRecorder()
+        rates = gossip_settings.GossipSettings()
+        self.gossip = membership_gossip.Gossip(
+            rates, self.table, self.link, counts, rng.getrandbits(SEED_BITS)
+        )
+        self._remote = remote_exchange.RemoteExchange(
+            rates, self.table, self.link, counts, rng.getrandbits(SEED_BITS)
+        )
+        self.plane = settings_plane.SettingsPlane(
+            settings, self.table, self._platform
+        )
+        control.add_own_topics(self.gossip, self.table)
+        self.plane.spread(self.gossip)
+        self.link.serve(self.gossip)
+        self._stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self) -> Self:
+        """Starts everything."""
+        enter = self._stack.enter_async_context
+        await enter(self.gossip)
+        await enter(self._remote)
+        self.gossip.join(self._settings.seeds)
+        await enter(self.plane)
+        if self._platform is not None:
+            await enter(self._make_bootstrap(self._platform))
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        """Stops everything."""
+        await self._stack.aclose()
+
+    async def crash(self) -> None:
+        """Ends without a word."""
+        self.link.serve(None)
+        await self._stack.aclose()
+
+    def would_call(self, other: "WorldDaemon") -> bool:
+        """Tells whether calls for its service may go to another daemon."""
+        own = other.table.own
+        assert own.announcement is not None
+        instances = self.table.get_instances(own.announcement.service)
+        return any(one.instance == own.instance for one in instances)
+
+    def _make_bootstrap(
+        self, platform: platform_store.PlatformConnection
+    ) -> bootstrap.Bootstrap:
+        return bootstrap.Bootstrap(
+            bootstrap.BootstrapSettings(),
+            self.table,
+            contact_repository.PlatformContacts(platform),
+            recorder.NoRecorder(),
+            self._rng.getrandbits(SEED_BITS),
+            meet=self.gossip.meet,
+            join_remote=self._remote.join,
+        )
+
+
+class World:
+    """All daemons of a run and the platform that they share."""
+
+    def __init__(
+        self, settings: WorldSettings, platform: platform_store.PlatformStore
+    ) -> None:
+        self.platform = platform
+        self._rng = random.Random(settings.seed)
+        network = control_network.ControlNetwork(settings.seed, settings.faults)
+        self._folder = tempfile.TemporaryDirectory()
+        tree_file = pathlib.Path(self._folder.name) / "tree.jsonc"
+        tree_file.write_text(TREE)
+        self.daemons = [
+            WorldDaemon(
+                make_settings(settings, index, tree_file),
+                f"service-{index % settings.services}",
+                network,
+                platform if settings.platform else None,
+                random.Random(self._rng.getrandbits(SEED_BITS)),
+            )
+            for index in range(settings.daemons)
+        ]
+
+    async def __aenter__(self) -> Self:
+        """Starts all daemons at the same moment."""
+        for daemon in self.daemons:
+            await daemon.__aenter__()
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        """Stops all daemons."""
+        for daemon in self.daemons:
+            await daemon.__aexit__(error_type, error, traceback)
+        self._folder.cleanup()
+
+    def have_in_force(self, path: str, version: int) -> bool:
+        """Tells whether each daemon has a version of a node, or a newer."""
+        return all(
+            one.plane.store.get_versions().get(path, 0) >= version
+            for one in self.daemons
+        )
+
+    def have_met(self) -> bool:
+        """Tells whether each daemon knows all of its data centre."""
+        sizes: dict[str, int] = {}
+        for daemon in self.daemons:
+            name = daemon.table.own.data_centre
+            sizes[name] = sizes.get(name, 0) + 1
+        return all(
+            len(one.table.get_live()) + 1 == sizes[one.table.own.data_centre]
+            for one in self.daemons
+        )
+
+
+async def write_contacts(
+    settings: WorldSettings, platform: platform_store.PlatformStore
+) -> None:
+    """Stores some contacts of each data centre, as daemons leave them."""
+    contacts = contact_repository.PlatformContacts(platform.connect())
+    for centre in range(settings.data_centres):
+        count = min(CONTACTS, settings.daemons // settings.data_centres)
+        names = (
+            _make_name(settings, centre, number) for number in range(count)
+        )
+        await contacts.write(
+            _make_centre(centre),
+            bootstrap.Contacts(tuple(names), bootstrap.NOT_STORED),
+        )
+
+
+def _make_centre(centre: int) -> str:
+    return f"centre-{centre:02}"
+
+
+def _make_name(settings: WorldSettings, centre: int, number: int) -> str:
+    return f"instance-{centre + number * settings.data_centres:04}"
+
+
+def make_settings(
+    world: WorldSettings, index: int, tree_file: pathlib.Path
+) -> daemon_settings.DaemonSettings:
+    """Returns the settings of one daemon; its address is its name."""
+    centre = index % world.data_centres
+    seeds = tuple(
+        _make_name(world, centre, number) for number in range(world.seeds)
+    )
+    name = f"instance-{index:04}"
+    return daemon_settings.DaemonSettings(
+        instance=name,
+        data_centre=_make_centre(centre),
+        caller_address=name,
+        call_address=f"10.0.{index // 250}.{index % 250}:7402",
+        control_address=name,
+        operator_address=name,
+        peer_key="benchmark",
+        tree_file=str(tree_file),
+        seeds=seeds,
+    )
+
+
+def _make_member(
+    settings: daemon_settings.DaemonSettings, service: str
+) -> members.Member:
+    return members.Member(
+        settings.instance,
+        1,
+        settings.data_centre,
+        settings.call_address,
+        settings.control_address,
+        members.Announcement(
+            service, settings.caller_address, SLOTS, CONNECTIONS
+        ),
+    )
--- /dev/null
+++ b/kumquatridge/benchmarks/deaths.py
@@ -0,0 +1,83 @@
+"""Measures how soon a daemon that ends without a word gets no calls.
+
+Runs daemons in virtual time over stand-ins in memory and ends one after
+another. Prints one line for each size.
+"""
+
+import asyncio
+import dataclasses
+import json
+import statistics
+
+import click
+
+from kumquatridge.bench import virtual_time
+from kumquatridge.benchmarks import control_network
+from kumquatridge.benchmarks import control_world
+from kumquatridge.benchmarks import waits
+from kumquatridge.standins import platform_store
+
+SETTLE_S = 30.0
+PAUSE_S = 5.0
+POLL_S = 0.05
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DeathsReport:
+    """Seconds until no daemon would send calls to the one that ended."""
+
+    daemons: int
+    loss_ratio: float
+    deaths: int
+    median_s: float
+    most_s: float
+
+
+async def measure(
+    settings: control_world.WorldSettings, count: int
+) -> DeathsReport:
+    """Ends `count` daemons, one after another."""
+    platform = platform_store.PlatformStore()
+    async with control_world.World(settings, platform) as world:
+        await asyncio.sleep(SETTLE_S)
+        times_s = [await _measure_death(world) for _ in range(count)]
+    return DeathsReport(
+        settings.daemons,
+        settings.faults.loss_ratio,
+        count,
+        round(statistics.median(times_s), 2),
+        round(max(times_s), 2),
+    )
+
+
+async def _measure_death(world: control_world.World) -> float:
+    loop = asyncio.get_running_loop()
+    victim = world.daemons.pop()
+    await victim.crash()
+    started_s = loop.time()
+    await waits.wait_until(
+        lambda: not any(one.would_call(victim) for one in world.daemons),
+        POLL_S,
+    )
+    spent_s = loop.time() - started_s
+    await asyncio.sleep(PAUSE_S)
+    return spent_s
+
+
+@click.command()
+@click.argument("sizes", nargs=-1, type=int, metavar="DAEMONS...")
+@click.option("--loss", "loss_ratio", default=0.0, help="Part lost each way.")
+@click.option("--deaths", "count", default=10)
+def main(*, sizes: tuple[int, ...], loss_ratio: float, count: int) -> None:
+    """Measures how soon dead daemons get no calls."""
+    for daemons in sizes:
+        settings = control_world.WorldSettings(
+            daemons, faults=control_network.NetworkFaults(loss_ratio=loss_ratio)
+        )
+        loop = virtual_time.make_loop()
+        report = loop.run_until_complete(measure(settings, count))
+        click.echo(json.dumps(dataclasses.asdict(report)))
+
+
+if __name__ == "__main__":
+    main()
--- a/kumquatridge/benchmarks/processes.py
+++ b/kumquatridge/benchmarks/processes.py
@@ -17,6 +17,12 @@
 START_POLL_S = 0.05
 
 
+def get_cpu_s(process: psutil.Process) -> float:
+    """Returns the processor time that a process has spent."""
+    times = process.cpu_times()
+    return float(times.user + times.system)
+
+
 @contextlib.asynccontextmanager
 async def run_module(
     module: str, *arguments: str, address: str
--- /dev/null
+++ b/kumquatridge/benchmarks/resident.py
@@ -0,0 +1,66 @@
+"""Measures whole daemons, each a process of its own, without calls."""
+
+import asyncio
+import contextlib
+import dataclasses
+import pathlib
+import tempfile
+
+from kumquatridge.benchmarks import processes
+from kumquatridge.standins import loopback
+
+DRAIN_MS = 100
+TREE = """{
+  "settings": {"importance": "normal", "idempotent": true,
+    "deadline_ms": 5000, "retry_allowance": 0, "long_running": false,
+    "max_body_bytes": 1000000, "queue_wait_ms": 1000},
+  "children": {"team": {"children": {"bench": {}}}}
+}"""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProcessReport:
+    """What whole daemons as processes of their own spend at rest."""
+
+    processes: int
+    resident_mb: float
+    threads: int
+    core_ratio: float
+
+
+async def measure_processes(count: int, rest_s: float) -> ProcessReport:
+    """Measures daemons that know each other and get no calls."""
+    async with contextlib.AsyncExitStack() as stack:
+        folder = pathlib.Path(
+            stack.enter_context(tempfile.TemporaryDirectory())
+        )
+        tree_file = folder / "tree.jsonc"
+        tree_file.write_text(TREE)
+        first = loopback.make_daemon_settings(
+            "instance-0", tree_file, drain_ms=DRAIN_MS
+        )
+        seeds = (first.control_address,)
+        all_settings = [first]
+        for index in range(1, count):
+            name = f"instance-{index}"
+            all_settings.append(
+                loopback.make_daemon_settings(
+                    name, tree_file, *seeds, drain_ms=DRAIN_MS
+                )
+            )
+        found = [
+            await stack.enter_async_context(
+                processes.run_daemon(settings, folder)
+            )
+            for settings in all_settings
+        ]
+        await asyncio.sleep(rest_s)
+        before_s = sum(processes.get_cpu_s(one) for one in found)
+        await asyncio.sleep(rest_s)
+        spent_s = sum(processes.get_cpu_s(one) for one in found) - before_s
+        return ProcessReport(
+            processes=count,
+            resident_mb=max(one.memory_info().rss for one in found) / 1e6,
+            threads=max(one.num_threads() for one in found),
+            core_ratio=spent_s / count / rest_s,
+        )
--- a/kumquatridge/benchmarks/restart.py
+++ b/kumquatridge/benchmarks/restart.py
@@ -1,124 +1,157 @@
-"""Measures what a restart of all daemons asks of the platform.
+"""Measures what a restart of all daemons asks of the platform, by the second.
 
-Runs control planes that know no seed over loopback, with a platform's
-stand-in in memory. Prints one line for each size, of one data centre.
+Runs all daemons in virtual time over stand-ins in memory. Prints one line for
+each size: the first minute after a start of all at the same moment, a minute
+at rest, or the first minute after an outage of the platform.
 """
 
 import asyncio
-import contextlib
 import dataclasses
 import json
-import random
 
 import click
 
-from kumquatridge.benchmarks import fleet
-from kumquatridge.daemon import settings_plane
-from kumquatridge.encoding import settings_text
-from kumquatridge.membership import recorder
-from kumquatridge.platform import contact_repository
-from kumquatridge.platform import repository as platform_repository
-from kumquatridge.settings import credentials
-from kumquatridge.settings import relay
-from kumquatridge.settings import store as settings_store
+from kumquatridge.bench import virtual_time
+from kumquatridge.benchmarks import control_world
 from kumquatridge.standins import platform_store
-from kumquatridge.telemetry import settings_counts
 
-PHASE_S = 60.0
-TREE = '{"children": {"team": {"children": {"bench": {}}}}}'
+PHASE_S = 60
+REST_AFTER_S = 120
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallRates:
+    """Calls to the platform: in all, and in the highest second.
+
+    Watches opened count apart from reads; `calls` is their sum.
+    """
+
+    reads: int
+    most_reads_per_s: int
+    writes: int
+    most_writes_per_s: int
+    watches: int
+    most_watches_per_s: int
+    most_calls_per_s: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RestartReport:
-    """Calls to the platform by one data centre."""
+    """What all daemons asked of the platform in one phase."""
 
     daemons: int
-    first_minute_reads: int
-    first_minute_writes: int
-    first_minute_watches: int
+    data_centres: int
+    phase: str
+    rates: CallRates
     most_waiting_watches: int
-    rest_reads_per_s: float
-    rest_writes_per_s: float
-    rest_watches_per_s: float
-    rest_waiting_watches: int
+    waiting_watches: int
     met: bool
 
 
-async def measure_restart(count: int, phase_s: float) -> RestartReport:
-    """Measures one data centre in its first minute and at rest."""
-    store = platform_store.PlatformStore()
-    counter = recorder.NoRecorder()
-    nodes = [
-        fleet.make_node(fleet.make_settings(index, ()), index, counter)
-        for index in range(count)
-    ]
-    async with contextlib.AsyncExitStack() as stack:
-        for node in nodes:
-            await stack.enter_async_context(node.plane)
-            await _follow_platform(stack, node, store)
-        await asyncio.sleep(phase_s)
-        first = store.meter
-        await asyncio.sleep(phase_s)
-        rest = store.meter
-        met = all(len(node.table.get_live()) == count - 1 for node in nodes)
-    return RestartReport(
-        daemons=count,
-        first_minute_reads=first.reads,
-        first_minute_writes=first.writes,
-        first_minute_watches=first.watches,
-        most_waiting_watches=first.most_waiting_watches,
-        rest_reads_per_s=(rest.reads - first.reads) / phase_s,
-        rest_writes_per_s=(rest.writes - first.writes) / phase_s,
-        rest_watches_per_s=(rest.watches - first.watches) / phase_s,
-        rest_waiting_watches=rest.waiting_watches,
-        met=met,
+async def count_calls(
+    platform: platform_store.PlatformStore, seconds: int
+) -> CallRates:
+    """Counts calls second by second."""
+    first = platform.meter
+    before = first
+    reads, writes, watches = [], [], []
+    for _ in range(seconds):
+        await asyncio.sleep(1.0)
+        after = platform.meter
+        reads.append(after.reads - before.reads)
+        writes.append(after.writes - before.writes)
+        watches.append(after.watches - before.watches)
+        before = after
+    return CallRates(
+        sum(reads),
+        max(reads),
+        sum(writes),
+        max(writes),
+        sum(watches),
+        max(watches),
+        max(map(sum, zip(reads, watches, strict=True))),
     )
 
 
-async def _follow_platform(
-    stack: contextlib.AsyncExitStack,
-    node: fleet.Node,
-    store: platform_store.PlatformStore,
-) -> None:
-    connection = store.connect()
-    contacts = contact_repository.PlatformContacts(connection)
-    await stack.enter_async_context(node.plane.make_bootstrap(contacts))
-    own = node.table.own
-    counts = settings_counts.SettingsCounts()
-    await stack.enter_async_context(
-        relay.SettingsRelay(
-            relay.RelaySettings(own.instance, own.data_centre),
-            nodes=platform_repository.PlatformRepository(connection),
-            store=_make_store(counts),
-            duty=settings_plane.MemberDuty(node.table),
-            recorder=counts,
-            rng=random.Random(),
-        )
-    )
-
-
-def _make_store(
-    counts: settings_counts.SettingsCounts,
-) -> settings_store.NodeStore:
-    tree = settings_text.decode_tree("restart", TREE)
-    return settings_store.NodeStore(
-        settings_store.StoreSettings(
-            tuple(tree.nodes.values()),
-            settings_text.read_defaults(),
-            credentials.RecordRule(None),
-        ),
-        counts,
+async def measure(
+    settings: control_world.WorldSettings,
+    *,
+    known: bool = True,
+    rest: bool = False,
+    outage_s: float = 0.0,
+) -> list[RestartReport]:
+    """Measures a start of all, then rest, then the end of an outage.
+
+    With `known` the platform holds contacts from before the restart.
+    """
+    platform = platform_store.PlatformStore()
+    if known:
+        await control_world.write_contacts(settings, platform)
+    platform.meter = platform_store.Meter()
+    reports: list[RestartReport] = []
+    async with control_world.World(settings, platform) as world:
+
+        async def add(phase: str) -> None:
+            rates = await count_calls(platform, PHASE_S)
+            reports.append(_make_report(settings, phase, rates, world))
+
+        await add("restart")
+        if rest:
+            await asyncio.sleep(REST_AFTER_S)
+            await add("rest")
+        if outage_s:
+            platform.set_faults(platform_store.PlatformFaults(down=True))
+            await asyncio.sleep(outage_s)
+            platform.set_faults(platform_store.NO_FAULTS)
+            await add(f"after an outage of {outage_s:.0f} s")
+    return reports
+
+
+def _make_report(
+    settings: control_world.WorldSettings,
+    phase: str,
+    rates: CallRates,
+    world: control_world.World,
+) -> RestartReport:
+    meter = world.platform.meter
+    return RestartReport(
+        settings.daemons,
+        settings.data_centres,
+        phase,
+        rates,
+        meter.most_waiting_watches,
+        meter.waiting_watches,
+        world.have_met(),
     )
 
 
 @click.command()
 @click.argument("sizes", nargs=-1, type=int, metavar="DAEMONS...")
-@click.option("--phase", "phase_s", default=PHASE_S, help="Seconds of each.")
-def main(sizes: tuple[int, ...], phase_s: float) -> None:
-    """Counts the platform's calls in a restart of a data centre."""
+@click.option("--data-centres", default=1, help="Shared out among these.")
+@click.option("--seeds", default=2, help="Seeds that each daemon is told.")
+@click.option("--rest", is_flag=True, help="Measures a minute at rest too.")
+@click.option("--outage-s", default=0.0, help="Outage at the end, if any.")
+@click.option("--known/--new", default=True, help="Contacts in the platform.")
+def main(
+    *,
+    sizes: tuple[int, ...],
+    data_centres: int,
+    seeds: int,
+    rest: bool,
+    outage_s: float,
+    known: bool,
+) -> None:
+    """Counts the platform's calls in a restart of all daemons."""
     for count in sizes:
-        report = asyncio.run(measure_restart(count, phase_s))
-        click.echo(json.dumps(dataclasses.asdict(report)))
+        settings = control_world.WorldSettings(
+            count, data_centres=data_centres, seeds=seeds
+        )
+        loop = virtual_time.make_loop()
+        reports = loop.run_until_complete(
+            measure(settings, known=known, rest=rest, outage_s=outage_s)
+        )
+        for report in reports:
+            click.echo(json.dumps(dataclasses.asdict(report)))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/kumquatridge/benchmarks/tree_cost.py
@@ -0,0 +1,125 @@
+"""Measures what the tree of the target size costs a relay.
+
+Memory is the growth of the process, times are processor time, bytes are those
+of the platform's answers.
+"""
+
+import asyncio
+import dataclasses
+import json
+import time
+
+import click
+import psutil
+
+from kumquatridge.benchmarks import changes
+from kumquatridge.encoding import settings_text
+from kumquatridge.platform import messages
+from kumquatridge.platform import objects
+from kumquatridge.settings import credentials
+from kumquatridge.settings import record as settings_record
+from kumquatridge.settings import store as settings_store
+from kumquatridge.standins import platform_store
+from kumquatridge.telemetry import settings_counts
+
+MEGABYTE = 1e6
+MS = 1000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TreeCost:
+    """What a relay pays for one tree."""
+
+    nodes: int
+    first_listing_ms: float
+    memory_mb: float
+    change_ms: float
+    listing_bytes: int
+    revisions_bytes: int
+    most_object_bytes: int
+
+
+async def measure(size: changes.TreeSize, change_count: int) -> TreeCost:
+    """Lists a tree as a relay does, then takes changes of single nodes."""
+    platform = platform_store.PlatformStore()
+    connection = platform.connect()
+    operator = changes.Operator(connection)
+    await operator.write_tree(size)
+    store = _make_store()
+    before_bytes = psutil.Process().memory_info().rss
+    started_s = time.process_time()
+    store.merge(await _list_records(operator))
+    store.mark_complete()
+    listed_s = time.process_time() - started_s
+    grown_bytes = psutil.Process().memory_info().rss - before_bytes
+    change_s = await _measure_changes(operator, store, size, change_count)
+    found = (await connection.list_objects("settings/")).objects
+    lines = [messages.encoder.encode(_make_line(one)) for one in found]
+    revisions = [
+        messages.encoder.encode(messages.ObjectLine(one.key, one.version))
+        for one in found
+    ]
+    return TreeCost(
+        len(found),
+        round(listed_s * MS, 1),
+        round(grown_bytes / MEGABYTE, 1),
+        round(change_s * MS, 1),
+        sum(map(len, lines)),
+        sum(map(len, revisions)),
+        max(map(len, lines)),
+    )
+
+
+async def _list_records(
+    operator: changes.Operator,
+) -> list[settings_record.NodeRecord]:
+    listing = await operator.nodes.list_nodes()
+    return [
+        one.record
+        for one in listing.objects
+        if isinstance(one, settings_record.StoredNode)
+    ]
+
+
+async def _measure_changes(
+    operator: changes.Operator,
+    store: settings_store.NodeStore,
+    size: changes.TreeSize,
+    count: int,
+) -> float:
+    spent_s = 0.0
+    for number in range(count):
+        await operator.write(changes.list_paths(size)[-1 - number], 1_000)
+        records = await _list_records(operator)
+        started_s = time.process_time()
+        store.merge(records)
+        spent_s += time.process_time() - started_s
+    return spent_s / count
+
+
+def _make_store() -> settings_store.NodeStore:
+    return settings_store.NodeStore(
+        settings_store.StoreSettings(
+            (),
+            settings_text.read_defaults(),
+            credentials.RecordRule(changes.KEY),
+        ),
+        settings_counts.SettingsCounts(),
+    )
+
+
+def _make_line(one: objects.PlatformObject) -> messages.ObjectLine:
+    return messages.ObjectLine(one.key, one.version, one.value)
+
+
+@click.command()
+@click.option("--changes", "change_count", default=10)
+def main(change_count: int) -> None:
+    """Measures the relay's cost of a small tree and of the target's."""
+    for size in (changes.SMALL, changes.TARGET):
+        cost = asyncio.run(measure(size, change_count))
+        click.echo(json.dumps(dataclasses.asdict(cost)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/kumquatridge/benchmarks/whole_fleet.py
@@ -0,0 +1,227 @@
+"""Measures how soon a change of settings is in force at whole daemons.
+
+Runs the product's daemons as tasks of a few processes over loopback, against
+the platform's stand-in over HTTP, and writes changes through the library of
+the command-line tool. Prints one line for each change.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator, Mapping
+import contextlib
+import dataclasses
+import json
+import pathlib
+import sys
+import tempfile
+import time
+
+import click
+import eliot
+import psutil
+
+from kumquatridge.benchmarks import changes
+from kumquatridge.benchmarks import waits
+from kumquatridge.daemon import runtime
+from kumquatridge.daemon import settings as daemon_settings
+from kumquatridge.platform import client as platform_client
+from kumquatridge.standins import loopback
+from kumquatridge.standins import platform as platform_server
+from kumquatridge.standins import platform_store
+
+TREE = '{"children": {"team-0": {"children": {"service-0": {}}}}}'
+LAST_OCTET = 250
+CALLER_PORT = 7411
+CALL_PORT = 7412
+CONTROL_PORT = 7413
+OPERATOR_PORT = 7414
+SETTLE_S = 30.0
+PAUSE_S = 3.0
+POLL_S = 0.01
+TIMEOUT_S = 60.0
+MEGABYTE = 1e6
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AppliedNode:
+    """A version of a node came into force at some daemon of a process."""
+
+    node: str
+    at_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeReport:
+    """How long one change took until each daemon had it in force."""
+
+    daemons: int
+    node: str
+    first_s: float
+    median_s: float
+    last_s: float
+    resident_mb: float
+
+
+class Arrivals:
+    """When each version of a node came into force, daemon by daemon."""
+
+    def __init__(self) -> None:
+        self._at_s: dict[str, list[float]] = {}
+
+    async def read(self, stream: asyncio.StreamReader) -> None:
+        """Takes what one process prints until it ends."""
+        async for line in stream:
+            found = AppliedNode(**json.loads(line))
+            self._at_s.setdefault(found.node, []).append(found.at_s)
+
+    def get(self, node: str) -> list[float]:
+        """Returns the times for one version, in order."""
+        return sorted(self._at_s.get(node, ()))
+
+
+def make_settings(
+    index: int, tree_file: pathlib.Path, platform_address: str
+) -> daemon_settings.DaemonSettings:
+    """Returns settings of one daemon on a loopback address of its own."""
+    third, fourth = divmod(index, LAST_OCTET)
+    host = f"127.2.{third}.{fourth + 1}"
+    return daemon_settings.DaemonSettings(
+        instance=f"instance-{index:03}",
+        data_centre=loopback.DATA_CENTRE,
+        caller_address=f"{host}:{CALLER_PORT}",
+        call_address=f"{host}:{CALL_PORT}",
+        control_address=f"{host}:{CONTROL_PORT}",
+        operator_address=f"{host}:{OPERATOR_PORT}",
+        peer_key=loopback.PEER_KEY,
+        tree_file=str(tree_file),
+        seeds=tuple(f"127.2.0.{one}:{CONTROL_PORT}" for one in (1, 2)),
+        platform_address=platform_address,
+        settings_key=changes.KEY,
+    )
+
+
+async def run_part(
+    indexes: range, tree_file: pathlib.Path, platform_address: str
+) -> None:
+    """Runs some of the daemons until the process is ended."""
+    eliot.add_destinations(_print_applied)
+    async with contextlib.AsyncExitStack() as stack:
+        for index in indexes:
+            settings = make_settings(index, tree_file, platform_address)
+            await stack.enter_async_context(runtime.Daemon(settings))
+        await asyncio.Event().wait()
+
+
+def _print_applied(message: Mapping[str, object]) -> None:
+    applied = message.get("nodes")
+    if not isinstance(applied, (list, tuple)):
+        return
+    now_s = time.time()
+    for node in applied:
+        line = json.dumps(dataclasses.asdict(AppliedNode(str(node), now_s)))
+        print(line, flush=True)
+
+
+async def measure(
+    daemons: int, parts: int, change_count: int
+) -> AsyncIterator[ChangeReport]:
+    """Runs the daemons and yields what each change took."""
+    address = loopback.get_free_address()
+    store = platform_store.PlatformStore()
+    arrivals = Arrivals()
+    async with contextlib.AsyncExitStack() as stack:
+        enter = stack.enter_async_context
+        await enter(platform_server.PlatformServer(address, store))
+        found = [
+            await enter(_run_process(daemons, parts, part, address, arrivals))
+            for part in range(parts)
+        ]
+        client = await enter(
+            platform_client.PlatformClient(
+                platform_client.ClientSettings(address)
+            )
+        )
+        operator = changes.Operator(client)
+        await operator.write_tree(changes.SMALL)
+        await asyncio.sleep(SETTLE_S)
+        for number in range(change_count):
+            report = await _measure_change(operator, arrivals, daemons, number)
+            yield dataclasses.replace(
+                report, resident_mb=_sum_resident_mb(found)
+            )
+            await asyncio.sleep(PAUSE_S)
+
+
+async def _measure_change(
+    operator: changes.Operator, arrivals: Arrivals, daemons: int, number: int
+) -> ChangeReport:
+    path = f"/team-0/service-{number % changes.SMALL.services}"
+    started_s = time.time()
+    version = await operator.write(path, changes.DEADLINE_MS - 1 - number)
+    node = f"{path} {version}"
+    async with asyncio.timeout(TIMEOUT_S):
+        await waits.wait_until(
+            lambda: len(arrivals.get(node)) >= daemons, POLL_S
+        )
+    times_s = [one - started_s for one in arrivals.get(node)]
+    return ChangeReport(
+        daemons, node, times_s[0], times_s[daemons // 2], times_s[-1], 0.0
+    )
+
+
+def _sum_resident_mb(found: list[psutil.Process]) -> float:
+    size_bytes = sum(float(one.memory_info().rss) for one in found)
+    return size_bytes / MEGABYTE
+
+
+@contextlib.asynccontextmanager
+async def _run_process(
+    daemons: int, parts: int, part: int, address: str, arrivals: Arrivals
+) -> AsyncIterator[psutil.Process]:
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "kumquatridge.benchmarks.whole_fleet",
+        str(daemons),
+        f"--parts={parts}",
+        f"--part={part}",
+        f"--platform={address}",
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.DEVNULL,
+    )
+    assert process.stdout is not None
+    reading = asyncio.create_task(arrivals.read(process.stdout))
+    try:
+        yield psutil.Process(process.pid)
+    finally:
+        process.kill()
+        await process.wait()
+        await reading
+
+
+async def _print_reports(daemons: int, parts: int, change_count: int) -> None:
+    async for report in measure(daemons, parts, change_count):
+        click.echo(json.dumps(dataclasses.asdict(report)))
+
+
+@click.command()
+@click.argument("daemons", default=64)
+@click.option("--parts", default=3, help="Processes that share the daemons.")
+@click.option("--changes", "change_count", default=10)
+@click.option("--part", default=-1, hidden=True)
+@click.option("--platform", default="", hidden=True)
+def main(
+    *, daemons: int, parts: int, change_count: int, part: int, platform: str
+) -> None:
+    """Measures when changes are in force at whole daemons over sockets."""
+    if part < 0:
+        asyncio.run(_print_reports(daemons, parts, change_count))
+        return
+    with tempfile.TemporaryDirectory() as folder:
+        tree_file = pathlib.Path(folder) / "tree.jsonc"
+        tree_file.write_text(TREE)
+        indexes = range(part, daemons, parts)
+        asyncio.run(run_part(indexes, tree_file, platform))
+
+
+if __name__ == "__main__":
+    main()
--- a/kumquatridge/daemon/runtime.py
+++ b/kumquatridge/daemon/runtime.py
@@ -190,8 +190,8 @@
         )
         self._plane.spread(peers.gossip)
         await self._enter(self._plane)
-        if self._plane.client is not None:
-            contacts = contact_repository.PlatformContacts(self._plane.client)
+        if self._plane.platform is not None:
+            contacts = contact_repository.PlatformContacts(self._plane.platform)
             await self._enter(peers.make_bootstrap(contacts))
         self._peers = peers
 
--- a/kumquatridge/daemon/settings_plane.py
+++ b/kumquatridge/daemon/settings_plane.py
@@ -16,6 +16,7 @@
 from kumquatridge.membership import topics
 from kumquatridge.peers import topic_codec
 from kumquatridge.platform import client as platform_client
+from kumquatridge.platform import objects
 from kumquatridge.platform import repository as platform_repository
 from kumquatridge.settings import credentials
 from kumquatridge.settings import instances
@@ -43,6 +44,10 @@
         own = self._table.own
         return relays.is_relay(own, self._table, purpose=RELAY_PURPOSE)
 
+    def is_alone(self) -> bool:
+        """Tells whether this daemon knows no other of its data centre."""
+        return not self._table.get_live()
+
     def is_reporter(self) -> bool:
         """Tells whether this daemon reports for its data centre."""
         own = self._table.own
@@ -63,9 +68,12 @@
         self,
         settings: daemon_settings.DaemonSettings,
         members_table: member_table.MemberTable,
+        platform: objects.ObjectApi | None = None,
     ) -> None:
         """Reads the settings file.
 
+        `platform` is called in place of the address in the settings.
+
         Raises:
           SettingsError: the file holds no valid tree.
         """
@@ -84,7 +92,7 @@
         self._duty = MemberDuty(members_table)
         self._stack = contextlib.AsyncExitStack()
         self._notice: asyncio.Task[None] | None = None
-        self.client: platform_client.PlatformClient | None = None
+        self.platform = platform
 
     def attach(self, intake: call_intake.Intake) -> None:
         """Hands every new version to the intake."""
@@ -123,8 +131,10 @@
         """Starts to follow the platform."""
         self._notice = asyncio.create_task(self._log_if_alone())
         address = self._settings.platform_address
-        if address is not None:
-            await self._follow(address)
+        if self.platform is None and address is not None:
+            self.platform = await self._open_client(address)
+        if self.platform is not None:
+            await self._follow(self.platform)
         return self
 
     async def __aexit__(
@@ -146,16 +156,19 @@
             case settings_store.Partial() | settings_store.Complete():
                 pass
 
-    async def _follow(self, address: str) -> None:
-        settings = self._settings
-        enter = self._stack.enter_async_context
-        client = await enter(
+    async def _open_client(self, address: str) -> objects.ObjectApi:
+        return await self._stack.enter_async_context(
             platform_client.PlatformClient(
-                platform_client.ClientSettings(address, settings.platform_token)
+                platform_client.ClientSettings(
+                    address, self._settings.platform_token
+                )
             )
         )
-        self.client = client
-        nodes = platform_repository.PlatformRepository(client)
+
+    async def _follow(self, platform: objects.ObjectApi) -> None:
+        settings = self._settings
+        enter = self._stack.enter_async_context
+        nodes = platform_repository.PlatformRepository(platform)
         await enter(
             relay.SettingsRelay(
                 relay.RelaySettings(settings.instance, settings.data_centre),
--- a/kumquatridge/membership/bootstrap.py
+++ b/kumquatridge/membership/bootstrap.py
@@ -62,7 +62,7 @@
     `retry_max_ms`.
     """
 
-    spread_ms: int = 10_000
+    spread_ms: int = 15_000
     interval_ms: int = 10_000
     retry_max_ms: int = 60_000
     others_interval_ms: int = 300_000
--- a/kumquatridge/membership/conversation.py
+++ b/kumquatridge/membership/conversation.py
@@ -58,7 +58,7 @@
         self._draw_next()
         if await self._talk(member):
             self._health.record_good()
-        else:
+        elif not (self._health.is_lossy and await self._talk(member)):
             await self._doubt(member)
 
     def _draw_next(self) -> None:
@@ -69,7 +69,7 @@
         """
         live = max(1, len(self._members.get_live()))
         self._live_when_drawn = live
-        mean_ms = self._settings.heartbeat_ms * live
+        mean_ms = self._health.stretch(self._settings.heartbeat_ms * live)
         self._next_ms = clock.get_now_ms() + mean_ms * (
             self._shared.random.expovariate(1.0)
         )
@@ -98,7 +98,9 @@
             self._shared.recorder.record_peer_failure("refused")
         except errors.MembershipError:
             self._shared.recorder.record_peer_failure("silent")
+            self._health.record_exchange(is_answered=False)
             return self._health.is_late(due_ms)
+        self._health.record_exchange(is_answered=True)
         return True
 
     async def _doubt(self, member: members.Member) -> None:
@@ -107,7 +109,10 @@
             self._health.scale(answer_timeout_ms), answer_timeout_ms * 2
         )
         due_ms = clock.get_now_ms() + allowed_ms
-        helpers = self._pick_helpers()
+        others = self._list_helpers()
+        helpers = self._pick_helpers(others)
+        if others and not helpers:
+            return
         reached = await asyncio.gather(
             self._talk(member),
             *(self._ask_to_probe(helper) for helper in helpers),
@@ -125,13 +130,19 @@
         if self._members.suspect(member.instance, member.incarnation, reason):
             self._shared.note_change(member.instance, "suspected")
 
-    def _pick_helpers(self) -> list[members.Member]:
-        others = [
+    def _list_helpers(self) -> list[members.Member]:
+        return [
             one
             for one in self._members.get_live()
             if one.instance != self._instance and not members.is_doubted(one)
         ]
-        count = min(self._settings.indirect_peers, len(others))
+
+    def _pick_helpers(
+        self, others: list[members.Member]
+    ) -> list[members.Member]:
+        """Picks whom to ask; nobody once the budget is spent."""
+        wanted = min(self._settings.indirect_peers, len(others))
+        count = self._shared.probe_budget.take(wanted)
         return self._shared.random.sample(others, count)
 
     async def _ask_to_probe(self, helper: members.Member) -> bool:
--- a/kumquatridge/membership/gossip.py
+++ b/kumquatridge/membership/gossip.py
@@ -5,6 +5,7 @@
 import types
 from typing import Self
 
+from kumquatridge.membership import budget
 from kumquatridge.membership import conversation
 from kumquatridge.membership import errors
 from kumquatridge.membership import exchange
@@ -47,6 +48,9 @@
         self._conversations: dict[str, conversation.Conversation] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._announced = asyncio.Event()
+        self._doubt_budget = budget.RateBudget(
+            settings.urgent_doubts_per_s, settings.urgent_doubt_burst
+        )
         self._probing = 0
         self._open = False
 
@@ -112,11 +116,11 @@
     def _answer_heartbeat(
         self, heartbeat: messages.Heartbeat
     ) -> messages.Heartbeat:
-        self._shared.take(heartbeat)
+        answer = self._shared.answer_heartbeat(heartbeat)
         sender = self._conversations.get(heartbeat.sender)
         if sender and self._shared.wants_pull(heartbeat.digests):
             sender.urge()
-        return self._shared.make_heartbeat(heartbeat.sender)
+        return answer
 
     async def _probe(self, instance: str) -> bool:
         member = self._members.get(instance)
@@ -169,9 +173,7 @@
 
     async def _try_address(self, address: str) -> None:
         try:
-            await self._shared.talk(
-                address, "", self._settings.answer_timeout_ms
-            )
+            await self._shared.greet(address, self._settings.answer_timeout_ms)
         except errors.MembershipError:
             self._shared.recorder.record_peer_failure("seed")
 
@@ -190,7 +192,10 @@
         )
         self._start_conversation(member.instance)
         is_own = member.instance == self._members.own.instance
-        if is_own or members.is_doubted(member) or members.is_out(member):
+        is_doubt = is_own or members.is_doubted(member)
+        if members.is_out(member) or (
+            is_doubt and self._doubt_budget.take(1) == 1
+        ):
             self.announce_now()
 
     def _start_conversation(self, instance: str) -> None:
--- a/kumquatridge/membership/health.py
+++ b/kumquatridge/membership/health.py
@@ -8,6 +8,10 @@
 
 MAX_SCORE = 4
 LATE_MS = 500
+EXCHANGE_WEIGHT = 0.05
+LOSSY_RATIO = 0.15
+REPEATS_PER_FAILURE = 5.0
+MAX_STRETCH = 2.0
 
 
 class LocalHealth:
@@ -15,6 +19,7 @@
 
     def __init__(self) -> None:
         self._score = 0
+        self._failed_ratio = 0.0
 
     @property
     def score(self) -> int:
@@ -25,6 +30,25 @@
         """Returns a timeout, longer the worse this daemon does."""
         return timeout_ms * (1 + self._score)
 
+    def record_exchange(self, *, is_answered: bool) -> None:
+        """Notes whether a heartbeat was answered."""
+        failed = 0.0 if is_answered else 1.0
+        self._failed_ratio += EXCHANGE_WEIGHT * (failed - self._failed_ratio)
+
+    @property
+    def is_lossy(self) -> bool:
+        """Tells whether so many go unanswered that one more says little."""
+        return self._failed_ratio > LOSSY_RATIO
+
+    def stretch(self, interval_ms: float) -> float:
+        """Returns a longer interval while many heartbeats go unanswered.
+
+        Each of those costs some more, so that the sum stays about the same.
+        """
+        excess = max(0.0, self._failed_ratio - LOSSY_RATIO)
+        repeats = REPEATS_PER_FAILURE * excess
+        return interval_ms * min(MAX_STRETCH, 1.0 + repeats)
+
     def record_good(self) -> None:
         """Notes an exchange that came to an end in time."""
         self._score = max(0, self._score - 1)
--- a/kumquatridge/membership/news.py
+++ b/kumquatridge/membership/news.py
@@ -35,27 +35,37 @@
         """Drops older news of a member, if any."""
         self._items.pop(instance, None)
 
-    def take(self, limit: int, member_count: int) -> list[members.Member]:
-        """Returns up to `limit` news.
+    def count_urgent(self) -> int:
+        """Returns how many news doubt a member or take it out."""
+        return sum(map(_is_urgent, self._items.values()))
 
-        Those that take a member out come first, then those passed on least
-        often: a restart of many must not hold up the word of a death.
+    def take(
+        self, limit: int, member_count: int, patient: int | None = None
+    ) -> list[members.Member]:
+        """Returns up to `limit` news, at most `patient` of them not urgent.
+
+        Urgent ones come first, then those passed on least often: a restart of
+        many must not hold up the word of a death.
         """
-        chosen = sorted(self._items.values(), key=_get_order)
-        retransmits = get_retransmits(member_count)
+        ordered = sorted(self._items.values(), key=lambda one: one.sent)
+        urgent = [one for one in ordered if _is_urgent(one)][:limit]
+        left = limit - len(urgent)
+        others = [one for one in ordered if not _is_urgent(one)]
+        chosen = urgent + others[: left if patient is None else patient]
         for item in chosen[:limit]:
-            instance = item.member.instance
-            if item.sent + 1 >= retransmits:
-                del self._items[instance]
-            else:
-                self._items[instance] = _Item(item.member, item.sent + 1)
+            self._note_sent(item, get_retransmits(member_count))
         return [item.member for item in chosen[:limit]]
 
+    def _note_sent(self, item: _Item, retransmits: int) -> None:
+        instance = item.member.instance
+        if item.sent + 1 >= retransmits:
+            del self._items[instance]
+        else:
+            self._items[instance] = _Item(item.member, item.sent + 1)
+
 
-def _get_order(item: _Item) -> tuple[bool, int]:
-    member = item.member
-    urgent = members.is_out(member) or members.is_doubted(member)
-    return not urgent, item.sent
+def _is_urgent(item: _Item) -> bool:
+    return members.is_out(item.member) or members.is_doubted(item.member)
 
 
 def get_retransmits(member_count: int) -> int:
--- a/kumquatridge/membership/topics.py
+++ b/kumquatridge/membership/topics.py
@@ -2,7 +2,8 @@
 
 An aggregate hands over versioned entries. Heartbeats carry one digest for
 each topic; a daemon whose digest differs asks for the versions and then for
-the entries that are newer than its own.
+the entries that are newer than its own. `PATIENT` topics are pulled only with
+the heartbeats that go out anyway; the others make daemons talk at once.
 """
 
 from collections.abc import Iterable, Mapping
@@ -14,6 +15,7 @@
 SETTINGS = 2
 REMOTE = 4
 IN_FORCE = 5
+PATIENT = frozenset((MEMBERS, REMOTE, IN_FORCE))
 
 
 class GossipSource(Protocol[EntryT]):
--- a/kumquatridge/peers/control.py
+++ b/kumquatridge/peers/control.py
@@ -63,7 +63,7 @@
         self._listener = listener.NngListener(
             settings.control_address, credential, self.gossip, recorder
         )
-        self._add_own_topics(members_table)
+        add_own_topics(self.gossip, members_table)
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> Self:
@@ -100,22 +100,24 @@
             join_remote=self.remote.join,
         )
 
-    def _add_own_topics(self, members_table: table.MemberTable) -> None:
-        self.gossip.add_topic(
-            topic_codec.EncodedTopic(
-                gossip_topics.MEMBERS,
-                member_source.MemberSource(
-                    members_table, self.gossip.learn_pulled
-                ),
-                messages.encode_member,
-                messages.decode_member,
-            )
+
+def add_own_topics(
+    gossip: membership_gossip.Gossip, members_table: table.MemberTable
+) -> None:
+    """Makes members and summaries of data centres spread by gossip."""
+    gossip.add_topic(
+        topic_codec.EncodedTopic(
+            gossip_topics.MEMBERS,
+            member_source.MemberSource(members_table, gossip.learn_pulled),
+            messages.encode_member,
+            messages.decode_member,
         )
-        self.gossip.add_topic(
-            topic_codec.EncodedTopic(
-                gossip_topics.REMOTE,
-                members_table.remote,
-                messages.encode_remote,
-                messages.decode_remote,
-            )
+    )
+    gossip.add_topic(
+        topic_codec.EncodedTopic(
+            gossip_topics.REMOTE,
+            members_table.remote,
+            messages.encode_remote,
+            messages.decode_remote,
         )
+    )
--- a/kumquatridge/settings/relay.py
+++ b/kumquatridge/settings/relay.py
@@ -2,12 +2,14 @@
 
 Only the relays of a data centre call the platform; the other daemons learn
 from peers. A watch may go silent without an error, so each is opened anew
-after a short window, from the last revision seen, and a listing of revisions
-at a low rate finds what no watch has told.
+after a short window, and from just before the newest change known: one that
+does not repeat that change is silent, and a listing of revisions takes its
+place. Such a listing at a low rate finds what else no watch has told.
 """
 
 import asyncio
 from collections.abc import Iterable, Mapping
+import contextlib
 import dataclasses
 import random
 from typing import Protocol
@@ -31,20 +33,29 @@
         """Tells whether this daemon watches the platform."""
         ...
 
+    def is_alone(self) -> bool:
+        """Tells whether this daemon knows no other."""
+        ...
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RelaySettings:
     """How often a relay calls the platform.
 
     Each time is drawn between 1 - `jitter_ratio` and 1 + `jitter_ratio` of
-    what is given, so that relays don't call at the same moment.
+    what is given, so that relays don't call at the same moment. A daemon that
+    knows nobody waits up to `alone_delay_s` more: it may only just have
+    started, along with all others.
     """
 
     instance: str
     data_centre: str
-    start_delay_s: float = 1.0
+    start_delay_s: float = 2.0
+    alone_delay_s: float = 8.0
+    alone_check_s: float = 0.5
     duty_check_s: float = 2.0
     watch_window_s: float = 5.0
+    repeat_timeout_s: float = 2.0
     listing_interval_s: float = 60.0
     first_backoff_s: float = 0.5
     max_backoff_s: float = 15.0
@@ -77,12 +88,22 @@
         self._lost_at_ms: float | None = None
 
     async def _run(self) -> None:
-        await asyncio.sleep(self._settings.start_delay_s * self._rng.random())
+        await self._wait_for_others()
         while True:
             if self._duty.is_relay():
                 await self._follow()
             await asyncio.sleep(self._jitter(self._settings.duty_check_s))
 
+    async def _wait_for_others(self) -> None:
+        settings = self._settings
+        await asyncio.sleep(self._jitter(settings.start_delay_s))
+        alone_s = settings.alone_delay_s * self._rng.random()
+        ends_at_ms = clock.get_now_ms() + alone_s * 1000.0
+        while True:
+            if not self._duty.is_alone() or clock.get_now_ms() >= ends_at_ms:
+                return
+            await asyncio.sleep(self._jitter(settings.alone_check_s))
+
     async def _follow(self) -> None:
         settings = self._settings
         events.log(events.RelayStarted(settings.instance, settings.data_centre))
@@ -103,9 +124,9 @@
     async def _take_turn(self) -> None:
         if self._revision is None:
             await self._list_nodes()
-        if clock.get_now_ms() < self._next_listing_ms:
-            await self._watch(self._revision or 0)
-        else:
+        if not await self._watch():
+            await self._replace_watch()
+        elif clock.get_now_ms() >= self._next_listing_ms:
             await self._look_for_missed()
 
     async def _list_nodes(self) -> None:
@@ -115,16 +136,41 @@
         self._revision = max(self._revision or 0, listing.revision)
         self._plan_listing(self._settings.listing_interval_s)
 
-    async def _watch(self, since_revision: int) -> None:
+    async def _watch(self) -> bool:
+        """Follows one watch; returns False if it was silent."""
+        newest = max(self._seen.values(), default=0)
+        since_revision = max(0, min(self._revision or 0, newest - 1))
         window_s = self._jitter(self._settings.watch_window_s)
-        async for found in self._nodes.watch(since_revision, window_s):
-            self._take((found,))
-            self._revision = max(self._revision or 0, found.revision)
-            self._note_back()
+        is_heard = newest == 0
+        timeout_s = None if is_heard else self._settings.repeat_timeout_s
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s) as limit:
+                async for found in self._nodes.watch(since_revision, window_s):
+                    limit.reschedule(None)
+                    is_heard = True
+                    self._take((found,))
+                    self._revision = max(self._revision or 0, found.revision)
+                    self._note_back()
+        return is_heard
+
+    async def _replace_watch(self) -> None:
+        """Lists in place of a silent watch, and waits as long as it would."""
+        self._recorder.record_platform_failure("silent watch")
+        await self._take_missed(await self._nodes.list_revisions())
+        await asyncio.sleep(self._jitter(self._settings.watch_window_s))
 
     async def _look_for_missed(self) -> None:
+        """Lists, and lets a watch tell of what is listed before reading it."""
         listed = await self._nodes.list_revisions()
-        await self._watch(self._revision or 0)
+        await self._watch()
+        has_missed = await self._take_missed(listed)
+        self._plan_listing(
+            self._settings.watch_window_s
+            if has_missed
+            else self._settings.listing_interval_s
+        )
+
+    async def _take_missed(self, listed: Mapping[str, int]) -> bool:
         missed = self._find_unseen(listed)
         for path in missed:
             self._recorder.record_missed_change()
@@ -136,11 +182,7 @@
         else:
             for path in missed:
                 await self._read(path)
-        self._plan_listing(
-            self._settings.watch_window_s
-            if missed
-            else self._settings.listing_interval_s
-        )
+        return bool(missed)
 
     def _find_unseen(self, listed: Mapping[str, int]) -> tuple[str, ...]:
         return tuple(
--- a/tests/membership/test_gossip.py
+++ b/tests/membership/test_gossip.py
@@ -7,11 +7,14 @@
 
 from kumquatridge.membership import health
 from kumquatridge.membership import member as members
+from kumquatridge.membership import messages
+from kumquatridge.membership import settings as gossip_settings
 from tests.membership import fleet
 
 DEAD_BOUND_S = 5.0
 LEAVING_BOUND_S = 3.0
 CONVERGENCE_BOUND_S = 30.0
+GREETING_MESSAGES = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -241,3 +244,31 @@
             nodes[0].gossip._shared.health.record_bad()
         await nodes[1].crash()
         await fleet.wait_until(lambda: knows(nodes[:1], {"n0"}), 30.0)
+
+
+@pytest.mark.looptime
+async def test_stranger_is_told_of_others_to_turn_to() -> None:
+    network = make_network(Case(12, 0.0, 0.0, 9))
+    async with fleet.run_fleet(network, 12) as nodes:
+        await settle(nodes)
+        answer = await nodes[0].gossip.answer(
+            messages.Heartbeat("stranger", (), ())
+        )
+        assert isinstance(answer, messages.Heartbeat)
+        told = {one.instance for one in answer.news}
+        wanted = gossip_settings.GossipSettings().introductions
+        assert len(told - {"n0"}) >= wanted
+
+
+@pytest.mark.looptime
+async def test_seed_is_asked_for_no_entries_by_who_greets_it() -> None:
+    network = make_network(Case(12, 0.0, 0.0, 10))
+    async with fleet.run_fleet(network, 12) as nodes:
+        await settle(nodes)
+        await asyncio.sleep(CONVERGENCE_BOUND_S)
+        late = fleet.Node(network, "late")
+        await late.start()
+        before = network.sent["late"]
+        await late.gossip.meet(["n0"])
+        assert network.sent["late"] - before == GREETING_MESSAGES
+        await late.crash()
--- a/tests/settings/fleet.py
+++ b/tests/settings/fleet.py
@@ -93,6 +93,10 @@
         """Tells whether this daemon watches the platform."""
         return self._is_among(relays.RELAY_COUNT)
 
+    def is_alone(self) -> bool:
+        """Tells whether this daemon reaches no other."""
+        return not self._fleet.list_peers(self)
+
     def is_reporter(self) -> bool:
         """Tells whether this daemon reports."""
         return self._is_among(1)
--- a/tests/settings/test_relay.py
+++ b/tests/settings/test_relay.py
@@ -18,6 +18,7 @@
 IN_FORCE_S = 2.0
 WATCH_WINDOW_S = 6.0
 LISTING_S = 90.0
+FULL_SIZE_S = 14.0
 REST_S = 240.0
 SETTLE_S = 120.0
 SLOW_GOSSIP_S = 4.0
@@ -62,6 +63,7 @@
     before: platform_store.PlatformFaults
     after: platform_store.PlatformFaults
     bound_s: float
+    is_empty: bool = False
 
 
 @pytest.mark.looptime
@@ -76,10 +78,19 @@
             FaultCase(
                 Faults(silent_watches=True),
                 Faults(silent_watches=True),
-                LISTING_S,
+                FULL_SIZE_S,
             ),
             id="watches silent for good",
         ),
+        pytest.param(
+            FaultCase(
+                Faults(silent_watches=True),
+                Faults(silent_watches=True),
+                LISTING_S,
+                is_empty=True,
+            ),
+            id="watches silent for good and no change known yet",
+        ),
         pytest.param(
             FaultCase(Faults(stale_reads=True), Faults(), WATCH_WINDOW_S),
             id="reads stale for a while",
@@ -93,6 +104,8 @@
 async def test_change_is_found_in_spite_of(case: FaultCase) -> None:
     platform = platform_store.PlatformStore()
     async with fleets.Fleet(platform, 8, 1) as fleet:
+        if not case.is_empty:
+            await write(platform)
         await asyncio.sleep(START_S)
         platform.set_faults(case.before)
         await asyncio.sleep(LISTING_S)
