--- a/kumquatridge/daemon/runtime.py
+++ b/kumquatridge/daemon/runtime.py
@@ -166,7 +166,7 @@
 
     def _get_first_contacts(self) -> first_contact.FirstContacts:
         seeds = self._settings.seeds
-        if seeds or self._plane.client is None:
+        if seeds or self._settings.platform_address is None:
             return first_contact.Seeds(frozenset(seeds))
         if self._bootstrap is None:
             return first_contact.PlatformContacts(None)
@@ -205,8 +205,8 @@
         )
         self._plane.spread(peers.gossip, peers.remote)
         await self._enter(self._plane)
-        if self._plane.client is not None:
-            contacts = contact_repository.PlatformContacts(self._plane.client)
+        if self._plane.platform is not None:
+            contacts = contact_repository.PlatformContacts(self._plane.platform)
             self._bootstrap = await self._enter(peers.make_bootstrap(contacts))
         self._peers = peers
 
