--- a/kumquatridge/routing/chooser.py
+++ b/kumquatridge/routing/chooser.py
@@ -213,8 +213,8 @@
         now_ms = clock.get_now_ms()
         latency_ms = (record.ended_ms or now_ms) - started_ms
         outcome = record.outcome
-        if outcome is not None and outcome.report is not None:
-            _take_report(stats, outcome, outcome.report, record.defies, now_ms)
+        if outcome is not None:
+            _take_report(call, stats, outcome, record.defies, now_ms)
         if not stats.counts(started_ms):
             return
         match flights.judge(outcome, call.chain.get_remaining_ms()):
@@ -263,21 +263,28 @@
 
 
 def _take_report(
+    call: calls.Call,
     stats: instances.InstanceStats,
     outcome: outcomes.Outcome,
-    report: reports.InstanceReport,
     defies: bool,
     now_ms: float,
 ) -> None:
     """Takes a report as far as the outcome that it came with bears it out.
 
-    An instance that refuses for want of a slot is full, whatever it says.
+    An instance that refuses a call which its told level admits is full,
+    whatever it says.
     One that runs a call which its told level refuses is not believed about
     the level until it does refuse one.
     """
+    report = outcome.report
+    if report is None:
+        return
     match outcome:
         case outcomes.NotRun(refusals.Overloaded() | refusals.QueueTimeout()):
             stats.trust_level()
+            if levels.get_rank(call.chain) < levels.get_report_rank(report):
+                stats.record_report(report, now_ms)
+                return
             load = max(report.in_progress, report.limit)
             full = dataclasses.replace(report, in_progress=load)
             stats.record_report(full, now_ms)
