--- a/kumquatridge/membership/bootstrap.py
+++ b/kumquatridge/membership/bootstrap.py
@@ -122,28 +122,39 @@
 
     async def _call_if_due(self) -> None:
         own = self._members.own
+        known = None
         if self._contacts is None or not self._members.get_live():
-            contacts = await self._repository.read(own.data_centre)
-            self._note_contacts(contacts.addresses)
-            await self._meet(contacts.addresses)
+            known = await self._read_contacts()
         if not relays.is_relay(own, self._members, 1, PURPOSE):
             return
-        await self._publish()
+        await self._publish(known)
         await self._read_others()
 
-    async def _publish(self) -> None:
+    async def _read_contacts(self) -> Contacts:
+        """Reads the contacts and talks to those that aren't known to live."""
+        data_centre = self._members.own.data_centre
+        known = await self._repository.read(data_centre)
+        self._note_contacts(known.addresses)
+        live = {one.control_address for one in self._members.get_live()}
+        await self._meet(set(known.addresses) - live)
+        return known
+
+    async def _publish(self, known: Contacts | None) -> None:
+        """Writes the own choice of contacts, if it differs from the last.
+
+        `known` is what the platform holds, if that was read just now.
+        """
         picked = relays.pick_relays(
             self._members, self._settings.contacts, PURPOSE
         )
         addresses = tuple(sorted(one.control_address for one in picked))
         if addresses == self._published:
             return
-        data_centre = self._members.own.data_centre
-        known = await self._repository.read(data_centre)
-        self._note_contacts(known.addresses)
-        await self._meet(self._find_strangers(known))
+        if known is None:
+            known = await self._read_contacts()
         kept = {*addresses, *self._find_strangers(known)}
         contacts = Contacts(tuple(sorted(kept)), known.version)
+        data_centre = self._members.own.data_centre
         if await self._repository.write(data_centre, contacts):
             self._published = addresses
             self._note_contacts(addresses)
