--- a/tests/admission/test_overload.py
+++ b/tests/admission/test_overload.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from kumquatridge import clock
 from kumquatridge.admission import guard as admission_guard
 from kumquatridge.calls import call as calls
 from kumquatridge.calls import importance as call_importance
@@ -205,3 +206,37 @@
         if type(one.refusal) is refusals.Overloaded
     }
     assert levels == {(True, SLOTS)}
+
+
+class FreeSlotWorker(load.GuardedWorker):
+    """Counts critical calls refused at once while a slot was free."""
+
+    refused_with_free_slot = 0
+
+    async def serve(self, call: calls.Call) -> refusals.Refusal | None:
+        """Runs a call; returns the refusal if it was not run."""
+        is_free = self.guard.in_progress < self.guard.limit
+        arrived_ms = clock.get_now_ms()
+        refusal = await super().serve(call)
+        is_critical = call.chain.importance is IMPORTANCE.CRITICAL
+        is_at_once = clock.get_now_ms() == arrived_ms
+        if refusal and is_critical and is_free and is_at_once:
+            self.refused_with_free_slot += 1
+        return refusal
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("slots", [4, 20])
+@pytest.mark.parametrize("demand_ratio", [1.1, 2.0])
+async def test_no_critical_call_is_refused_while_a_slot_is_free(
+    slots: int, demand_ratio: float
+) -> None:
+    rng = random.Random(1)
+    worker = FreeSlotWorker(
+        admission_guard.AdmissionGuard(slots),
+        lambda _, __: rng.expovariate(1.0 / SERVICE_MS),
+    )
+    rate_per_s = slots * 1000.0 / SERVICE_MS * demand_ratio
+    phases = [load.Phase(rate_per_s, 2.0)]
+    await load.send(worker, phases, make_maker(Mix(0.9), rng), rng)
+    assert worker.refused_with_free_slot == 0
