Let a settings relay wait for first contact

Cause: without seeds, first contact is spread over 15 s, but a daemon that knew nobody took itself for a settings relay after 2 to 10 s, listed the settings and reported.

Change: a daemon that knows nobody waits until its first contact through the platform is over, and about 20 s when the platform doesn't answer. First contact is spread over 12 s, so that a daemon that stays alone is no later than before.

--- a/kumquatridge/benchmarks/control_world.py
+++ b/kumquatridge/benchmarks/control_world.py
@@ -91,7 +91,8 @@
         self.gossip.join(self._settings.seeds)
         await enter(self.plane)
         if self._platform is not None:
-            await enter(self._make_bootstrap(self._platform))
+            started = await enter(self._make_bootstrap(self._platform))
+            self.plane.await_contact(lambda: started.has_asked)
         return self
 
     async def __aexit__(
--- a/kumquatridge/daemon/runtime.py
+++ b/kumquatridge/daemon/runtime.py
@@ -207,7 +207,9 @@
         await self._enter(self._plane)
         if self._plane.platform is not None:
             contacts = contact_repository.PlatformContacts(self._plane.platform)
-            self._bootstrap = await self._enter(peers.make_bootstrap(contacts))
+            started = await self._enter(peers.make_bootstrap(contacts))
+            self._plane.await_contact(lambda: started.has_asked)
+            self._bootstrap = started
         self._peers = peers
 
     async def _open_call_listeners(self, paths: _CallPaths) -> None:
--- a/kumquatridge/daemon/settings_plane.py
+++ b/kumquatridge/daemon/settings_plane.py
@@ -1,6 +1,7 @@
 """Brings the settings of the fleet to the daemon's intake."""
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 import pathlib
 import random
@@ -40,15 +41,20 @@
 
     def __init__(self, table: member_table.MemberTable) -> None:
         self._table = table
+        self._is_contact_over: Callable[[], bool] = lambda: False
 
     def is_relay(self) -> bool:
         """Tells whether this daemon watches the platform."""
         own = self._table.own
         return relays.is_relay(own, self._table, purpose=RELAY_PURPOSE)
 
+    def await_contact(self, is_over: Callable[[], bool]) -> None:
+        """Counts the daemon as not alone once first contact is over."""
+        self._is_contact_over = is_over
+
     def is_alone(self) -> bool:
-        """Tells whether this daemon knows no other of its data centre."""
-        return not self._table.get_live()
+        """Tells whether this daemon may yet come to know others."""
+        return not self._table.get_live() and not self._is_contact_over()
 
     def is_reporter(self) -> bool:
         """Tells whether this daemon reports for its data centre."""
@@ -100,6 +106,10 @@
         """Hands every new version to the intake."""
         self.store.on_applied(lambda: intake.set_policies(self.store.policies))
 
+    def await_contact(self, is_over: Callable[[], bool]) -> None:
+        """Leaves the platform alone until first contact is over."""
+        self._duty.await_contact(is_over)
+
     def spread(
         self,
         gossip: membership_gossip.Gossip,
--- a/kumquatridge/membership/bootstrap.py
+++ b/kumquatridge/membership/bootstrap.py
@@ -62,7 +62,7 @@
     `retry_max_ms`.
     """
 
-    spread_ms: int = 15_000
+    spread_ms: int = 12_000
     interval_ms: int = 10_000
     retry_max_ms: int = 60_000
     others_interval_ms: int = 300_000
@@ -97,6 +97,12 @@
         self._published: tuple[str, ...] = ()
         self._read_others_at_ms = float("-inf")
         self._contacts: frozenset[str] | None = None
+        self._has_asked = False
+
+    @property
+    def has_asked(self) -> bool:
+        """Whether this daemon has done what was due for first contact."""
+        return self._has_asked
 
     @property
     def contacts(self) -> frozenset[str] | None:
@@ -113,6 +119,7 @@
         while True:
             try:
                 await self._call_if_due()
+                self._has_asked = True
                 interval_ms = settings.interval_ms
             except BootstrapError:
                 self._recorder.record_peer_failure("platform")
--- a/kumquatridge/settings/relay.py
+++ b/kumquatridge/settings/relay.py
@@ -45,14 +45,14 @@
 
     Each time is drawn between 1 - `jitter_ratio` and 1 + `jitter_ratio` of
     what is given, so that relays don't call at the same moment. A daemon that
-    knows nobody waits up to `alone_delay_s` more: it may only just have
-    started, along with all others.
+    knows nobody waits for first contact with others, but at most about
+    `alone_delay_s`: it may only just have started, along with all others.
     """
 
     instance: str
     data_centre: str
     start_delay_s: float = 2.0
-    alone_delay_s: float = 8.0
+    alone_delay_s: float = 20.0
     alone_check_s: float = 0.5
     duty_check_s: float = 2.0
     watch_window_s: float = 5.0
@@ -100,7 +100,7 @@
     async def _wait_for_others(self) -> None:
         settings = self._settings
         await asyncio.sleep(self._jitter(settings.start_delay_s))
-        alone_s = settings.alone_delay_s * self._rng.random()
+        alone_s = self._jitter(settings.alone_delay_s)
         ends_at_ms = clock.get_now_ms() + alone_s * 1000.0
         while True:
             if not self._duty.is_alone() or clock.get_now_ms() >= ends_at_ms:
