--- a/kumquatridge/benchmarks/control_world.py
+++ b/kumquatridge/benchmarks/control_world.py
@@ -127,6 +127,7 @@
             self._rng.getrandbits(SEED_BITS),
             meet=self.gossip.meet,
             join_remote=self._remote.join,
+            needs_contacts=not self._settings.seeds,
         )
 
 
--- a/kumquatridge/membership/bootstrap.py
+++ b/kumquatridge/membership/bootstrap.py
@@ -2,7 +2,7 @@
 
 The platform keeps one object for each data centre with the control addresses
 of a few members. One member writes it, and only when those addresses change.
-Each daemon reads it once, and again only while it knows nobody.
+A daemon without seeds reads it once; any reads it while it knows nobody.
 """
 
 import asyncio
@@ -73,7 +73,8 @@
     """Reads and writes contacts while its context is open.
 
     `meet` tries addresses of the own data centre, `join_remote` takes those
-    of others.
+    of others. `needs_contacts` says that no seeds stand in the settings, so
+    that only the platform can say whom this daemon has to know.
     """
 
     def __init__(
@@ -86,6 +87,7 @@
         *,
         meet: Callable[[Iterable[str]], Awaitable[None]],
         join_remote: Callable[[Iterable[str]], None],
+        needs_contacts: bool = True,
     ) -> None:
         self._settings = settings
         self._members = members_table
@@ -98,6 +100,7 @@
         self._read_others_at_ms = float("-inf")
         self._contacts: frozenset[str] | None = None
         self._has_asked = False
+        self._needs_contacts = needs_contacts
 
     @property
     def has_asked(self) -> bool:
@@ -130,7 +133,8 @@
     async def _call_if_due(self) -> None:
         own = self._members.own
         known = None
-        if self._contacts is None or not self._members.get_live():
+        is_due = self._needs_contacts and self._contacts is None
+        if is_due or not self._members.get_live():
             known = await self._read_contacts()
         if not relays.is_relay(own, self._members, 1, PURPOSE):
             return
--- a/kumquatridge/peers/control.py
+++ b/kumquatridge/peers/control.py
@@ -99,6 +99,7 @@
             random.getrandbits(SEED_BITS),
             meet=self.gossip.meet,
             join_remote=self.remote.join,
+            needs_contacts=not self._settings.seeds,
         )
 
 
