Call gossip updates by the field's word; drop what the change left dead

Cause: 'news' for what heartbeats carry and daemons of a service exchange is a word of our own. The tree of the benchmarks stood in two modules. Two properties had lost their last caller (FakeProcess.is_paused, LocalHealth.score).

Change: updates, UpdateQueue, HomeUpdate; a single one is an update. One write_tree in benchmarks/processes.py. No message's bytes, bound or assertion changes; three tests are renamed with the word.

--- a/kumquatridge/bench/process.py
+++ b/kumquatridge/bench/process.py
@@ -81,11 +81,6 @@
         self._going.set()
         self._resumed_ms = clock.get_now_ms()
 
-    @property
-    def is_paused(self) -> bool:
-        """Whether the process stands still."""
-        return not self._going.is_set()
-
     def get_lost_ms(self) -> float:
         """Returns the length of a pause that ended just now, or 0."""
         if clock.get_now_ms() - self._resumed_ms > stalls.RECENT_MS:
--- a/kumquatridge/benchmarks/at_most_once.py
+++ b/kumquatridge/benchmarks/at_most_once.py
@@ -71,7 +71,7 @@
         await self.world.close()
 
     async def step(self) -> None:
-        """Takes one step: mostly callers, sometimes news, rarely a fault."""
+        """Takes one step: mostly callers, sometimes updates, rarely a fault."""
         world = self.world
         one = world.random.choice(world.names)
         other = world.random.choice(world.names)
--- a/kumquatridge/benchmarks/fleet.py
+++ b/kumquatridge/benchmarks/fleet.py
@@ -92,7 +92,7 @@
 async def _measure_rest(
     count: int, counter: control_planes.ByteCounter, rest_s: float
 ) -> RestReport:
-    """Waits for join news to fade, then measures `count` daemons."""
+    """Waits for join updates to fade, then measures `count` daemons."""
     await asyncio.sleep(rest_s)
     loop = asyncio.get_running_loop()
     process = psutil.Process()
--- a/kumquatridge/benchmarks/hops.py
+++ b/kumquatridge/benchmarks/hops.py
@@ -30,12 +30,6 @@
 SERVICE = "bench"
 SLOTS = 1000
 DRAIN_MS = 100
-TREE = """{
-  "settings": {"importance": "normal", "idempotent": true,
-    "deadline_ms": 5000, "retry_allowance": 0, "long_running": false,
-    "max_body_bytes": 1000000, "queue_wait_ms": 1000},
-  "children": {"team": {"children": {"bench": {}}}}
-}"""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -175,8 +169,7 @@
     count: int, worker_address: str, folder: pathlib.Path
 ) -> AsyncIterator[Target]:
     """Runs one or two daemons; the last stands beside the worker."""
-    tree_file = folder / "tree.jsonc"
-    tree_file.write_text(TREE)
+    tree_file = processes.write_tree(folder)
     async with contextlib.AsyncExitStack() as stack:
         started = []
         seeds: tuple[str, ...] = ()
--- a/kumquatridge/benchmarks/key_world.py
+++ b/kumquatridge/benchmarks/key_world.py
@@ -172,14 +172,14 @@
             process.roster.meet((other,))
 
     async def gather(self) -> None:
-        """Lets all processes meet and exchange their news."""
+        """Lets all processes meet and exchange their updates."""
         for one in self.names:
             for other in self.names:
                 self.meet(one, other)
                 await self.exchange(one, other)
 
     async def exchange(self, one: str, other: str) -> None:
-        """Exchanges news of the roster, either half of which may be lost."""
+        """Exchanges updates of the roster, either half of which may be lost."""
         asking = self.processes.get(one)
         asked = self.processes.get(other)
         if asking is None or asked is None or asking is asked:
--- a/kumquatridge/benchmarks/processes.py
+++ b/kumquatridge/benchmarks/processes.py
@@ -15,6 +15,19 @@
 
 START_TIMEOUT_S = 20.0
 START_POLL_S = 0.05
+TREE = """{
+  "settings": {"importance": "normal", "idempotent": true,
+    "deadline_ms": 5000, "retry_allowance": 0, "long_running": false,
+    "max_body_bytes": 1000000, "queue_wait_ms": 1000},
+  "children": {"team": {"children": {"bench": {}}}}
+}"""
+
+
+def write_tree(folder: pathlib.Path) -> pathlib.Path:
+    """Writes a settings tree with the one service "bench"."""
+    file = folder / "tree.jsonc"
+    file.write_text(TREE)
+    return file
 
 
 def get_cpu_s(process: psutil.Process) -> float:
--- a/kumquatridge/benchmarks/resident.py
+++ b/kumquatridge/benchmarks/resident.py
@@ -10,12 +10,6 @@
 from kumquatridge.standins import loopback
 
 DRAIN_MS = 100
-TREE = """{
-  "settings": {"importance": "normal", "idempotent": true,
-    "deadline_ms": 5000, "retry_allowance": 0, "long_running": false,
-    "max_body_bytes": 1000000, "queue_wait_ms": 1000},
-  "children": {"team": {"children": {"bench": {}}}}
-}"""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,8 +28,7 @@
         folder = pathlib.Path(
             stack.enter_context(tempfile.TemporaryDirectory())
         )
-        tree_file = folder / "tree.jsonc"
-        tree_file.write_text(TREE)
+        tree_file = processes.write_tree(folder)
         first = loopback.make_daemon_settings(
             "instance-0", tree_file, drain_ms=DRAIN_MS
         )
--- a/kumquatridge/callpath/service_exchange.py
+++ b/kumquatridge/callpath/service_exchange.py
@@ -28,7 +28,7 @@
 
     service: str
     data_centre: str
-    homes: handover.HomeNews
+    homes: handover.HomeUpdate
     crashes: tuple[crash_register.CrashEntry, ...]
 
 
@@ -213,7 +213,7 @@
             self.announce()
 
     def _make_update(
-        self, service: str, homes: handover.HomeNews
+        self, service: str, homes: handover.HomeUpdate
     ) -> ServiceUpdate:
         return ServiceUpdate(
             service,
--- a/kumquatridge/idempotency/handover.py
+++ b/kumquatridge/idempotency/handover.py
@@ -27,7 +27,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class HomeNews:
+class HomeUpdate:
     """One daemon's word to another."""
 
     own: home_roster.Registration
@@ -79,7 +79,7 @@
 
 
 class HomeExchange:
-    """Makes and takes the news of one daemon."""
+    """Makes and takes the updates of one daemon."""
 
     def __init__(
         self,
@@ -91,52 +91,52 @@
         self._memory = memory
         self._handed = handed
 
-    def ask(self) -> HomeNews:
-        """Returns the news to send; a leaving daemon hands its keys over."""
-        return self._make_news(with_keys=self._roster.has_left)
+    def ask(self) -> HomeUpdate:
+        """Returns the update to send; a leaving daemon hands its keys over."""
+        return self._make_update(with_keys=self._roster.has_left)
 
-    def answer(self, news: HomeNews) -> HomeNews:
-        """Takes a daemon's news and returns the answer to it."""
-        self._learn(news)
-        return self._make_news(
-            with_keys=not news.is_established or self._roster.has_left,
-            asked_by=news.own,
+    def answer(self, update: HomeUpdate) -> HomeUpdate:
+        """Takes a daemon's update and returns the answer to it."""
+        self._learn(update)
+        return self._make_update(
+            with_keys=not update.is_established or self._roster.has_left,
+            asked_by=update.own,
         )
 
-    def conclude(self, news: HomeNews) -> None:
-        """Takes the answer to the own news."""
-        self._learn(news)
-        if self._roster.own not in news.registrations:
+    def conclude(self, update: HomeUpdate) -> None:
+        """Takes the answer to the own update."""
+        self._learn(update)
+        if self._roster.own not in update.registrations:
             return
         covered_ms = 0.0
-        if news.handover is not None:
-            self._handed.add(news.own.instance, news.handover.scopes)
-            covered_ms = news.handover.covered_ms
+        if update.handover is not None:
+            self._handed.add(update.own.instance, update.handover.scopes)
+            covered_ms = update.handover.covered_ms
         self._roster.acknowledge(
-            news.own,
-            is_established=news.is_established,
+            update.own,
+            is_established=update.is_established,
             covered_ms=covered_ms,
         )
 
-    def _learn(self, news: HomeNews) -> None:
-        if news.own.left and news.handover is not None:
-            self._handed.add(news.own.instance, news.handover.scopes)
-            self._roster.take_leave(news.own, news.handover.covered_ms)
-        self._roster.learn(news.registrations)
+    def _learn(self, update: HomeUpdate) -> None:
+        if update.own.left and update.handover is not None:
+            self._handed.add(update.own.instance, update.handover.scopes)
+            self._roster.take_leave(update.own, update.handover.covered_ms)
+        self._roster.learn(update.registrations)
 
-    def _make_news(
+    def _make_update(
         self,
         *,
         with_keys: bool,
         asked_by: home_roster.Registration | None = None,
-    ) -> HomeNews:
+    ) -> HomeUpdate:
         handover = None
         if with_keys:
             handover = Handover(
                 self._memory.scopes + self._handed.scopes,
                 self._roster.get_covered_ms(asked_by),
             )
-        return HomeNews(
+        return HomeUpdate(
             self._roster.current,
             self._roster.is_established,
             self._roster.registrations,
--- a/kumquatridge/idempotency/roster.py
+++ b/kumquatridge/idempotency/roster.py
@@ -35,7 +35,7 @@
 
     @property
     def age(self) -> tuple[int, bool]:
-        """Orders the news of one instance."""
+        """Orders the registrations of one instance."""
         return (self.number, self.left)
 
 
--- a/kumquatridge/membership/exchange.py
+++ b/kumquatridge/membership/exchange.py
@@ -21,7 +21,7 @@
 class Exchange:
     """What all conversations of a daemon share.
 
-    `on_change` is called for each member of whom news was taken in, and
+    `on_change` is called for each member of whom an update was taken in, and
     `on_content` when a pull brought entries.
     """
 
@@ -47,37 +47,37 @@
         self._on_content = on_content
         self._pulled_at_ms: dict[int, float] = {}
         self._pull_budgets: dict[int, budget.RateBudget] = {}
-        self._urgent_news_budget = budget.RateBudget(
-            settings.urgent_news_per_s, settings.urgent_news_burst
+        self._urgent_updates_budget = budget.RateBudget(
+            settings.urgent_updates_per_s, settings.urgent_updates_burst
         )
-        self._news_budget = budget.RateBudget(
-            settings.news_per_s, settings.news_burst
+        self._updates_budget = budget.RateBudget(
+            settings.updates_per_s, settings.updates_burst
         )
         self.probe_budget = budget.RateBudget(
             settings.probes_per_s, settings.probe_burst
         )
 
     def make_heartbeat(self, to: str) -> messages.Heartbeat:
-        """Returns a heartbeat with news, first of all that on the receiver."""
-        news = self._take_news()
+        """Returns a heartbeat with updates, that on the receiver first."""
+        updates = self._take_updates()
         receiver = self.members.get(to)
         if receiver is not None and members.is_doubted(receiver):
-            news.insert(0, receiver)
+            updates.insert(0, receiver)
         return messages.Heartbeat(
             self.members.own.instance,
-            tuple(news),
+            tuple(updates),
             self.board.get_digests(),
             receiver is not None,
         )
 
-    def _take_news(self) -> list[members.Member]:
-        queue = self.members.news
-        limit = self.settings.news_per_message
+    def _take_updates(self) -> list[members.Member]:
+        queue = self.members.updates
+        limit = self.settings.updates_per_message
         member_count = len(self.members.get_live()) + 1
         wanted = min(limit, queue.count_urgent())
-        urgent = self._urgent_news_budget.take(wanted)
+        urgent = self._urgent_updates_budget.take(wanted)
         wanted = min(limit - urgent, len(queue) - queue.count_urgent())
-        patient = self._news_budget.take(wanted)
+        patient = self._updates_budget.take(wanted)
         return queue.take(urgent + patient, member_count, patient)
 
     def answer_heartbeat(
@@ -90,7 +90,7 @@
         if not is_stranger:
             return answer
         named = self._pick_introductions(heartbeat.sender)
-        return dataclasses.replace(answer, news=(*answer.news, *named))
+        return dataclasses.replace(answer, updates=(*answer.updates, *named))
 
     def _pick_introductions(self, stranger: str) -> list[members.Member]:
         """Picks whom a stranger may turn to, so that it asks not only this."""
@@ -152,12 +152,12 @@
                 raise errors.PeerRefusedError(f"{address}: not a heartbeat")
 
     def take(self, heartbeat: messages.Heartbeat) -> None:
-        """Takes in the news of a heartbeat."""
-        for member in heartbeat.news:
+        """Takes in the updates of a heartbeat."""
+        for member in heartbeat.updates:
             self.learn(member)
 
     def learn(self, member: members.Member, *, pass_on: bool = True) -> None:
-        """Takes in news of one member."""
+        """Takes in an update of one member."""
         own_before = self.members.own
         if not self.members.learn(member, pass_on=pass_on):
             return
--- a/kumquatridge/membership/gossip.py
+++ b/kumquatridge/membership/gossip.py
@@ -1,4 +1,4 @@
-"""The exchange of news between the daemons of one data centre."""
+"""The exchange of updates between the daemons of one data centre."""
 
 import asyncio
 from collections.abc import Coroutine, Iterable
--- a/kumquatridge/membership/health.py
+++ b/kumquatridge/membership/health.py
@@ -21,11 +21,6 @@
         self._score = 0
         self._failed_ratio = 0.0
 
-    @property
-    def score(self) -> int:
-        """0 when this daemon is well, up to `MAX_SCORE`."""
-        return self._score
-
     def scale(self, timeout_ms: int) -> int:
         """Returns a timeout, longer the worse this daemon does."""
         return timeout_ms * (1 + self._score)
--- a/kumquatridge/membership/member.py
+++ b/kumquatridge/membership/member.py
@@ -54,7 +54,7 @@
     """A daemon of a data centre, with its worker's announcement if any.
 
     `incarnation` grows at every restart and whenever the member refutes a
-    suspicion; the higher incarnation is the newer news.
+    suspicion; the higher incarnation is the newer update.
     """
 
     instance: str
@@ -66,15 +66,15 @@
     state: State = Alive()
 
 
-def supersedes(news: Member, known: Member) -> bool:
-    """Tells whether news replaces what is known of the same member.
+def supersedes(update: Member, known: Member) -> bool:
+    """Tells whether an update replaces what is known of the same member.
 
     The higher incarnation wins; within one incarnation a state only gets
     worse, so that order and repetition of messages don't matter.
     """
-    if news.incarnation != known.incarnation:
-        return news.incarnation > known.incarnation
-    return _rank(news.state) > _rank(known.state)
+    if update.incarnation != known.incarnation:
+        return update.incarnation > known.incarnation
+    return _rank(update.state) > _rank(known.state)
 
 
 def _rank(state: State) -> int:
--- a/kumquatridge/membership/member_source.py
+++ b/kumquatridge/membership/member_source.py
@@ -1,4 +1,4 @@
-"""The member table as a gossip source, for what news failed to bring."""
+"""The member table as a gossip source, for what no update has brought."""
 
 from collections.abc import Callable, Iterable, Mapping
 
@@ -9,7 +9,7 @@
 class MemberSource:
     """Hands over members that are not dead.
 
-    Suspicions spread as news only; a suspected member counts as alive here.
+    Suspicions spread as updates only; a suspected member counts as alive here.
     Deaths are told again to whoever still believes a member to be alive.
     """
 
--- a/kumquatridge/membership/messages.py
+++ b/kumquatridge/membership/messages.py
@@ -15,14 +15,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """A sign of life, with some news; the answer is a heartbeat too.
+    """A sign of life, with some updates; the answer is a heartbeat too.
 
     An answer says by `knows_receiver` whether its sender knows the member
     that it answers.
     """
 
     sender: str
-    news: tuple[members.Member, ...]
+    updates: tuple[members.Member, ...]
     digests: tuple[TopicDigest, ...]
     knows_receiver: bool = True
 
--- a/kumquatridge/membership/remote.py
+++ b/kumquatridge/membership/remote.py
@@ -90,7 +90,7 @@
         services = answer.services
         if services is None:
             services = known.services if known is not None else ()
-        news = RemoteDataCentre(
+        update = RemoteDataCentre(
             answer.data_centre,
             known.version if known is not None else 0,
             answer.digest,
@@ -98,9 +98,9 @@
             services,
             answer.contacts,
         )
-        if news == known:
+        if update == known:
             return False
-        self._put(_number(news))
+        self._put(_number(update))
         return True
 
     def record_silence(self, name: str, since_ms: float) -> bool:
@@ -160,15 +160,17 @@
             return False
 
 
-def _number(news: RemoteDataCentre) -> RemoteDataCentre:
+def _number(update: RemoteDataCentre) -> RemoteDataCentre:
     """Returns the same content under the next version."""
-    count = (news.version >> CONTENT_BITS) + 1
-    content = repr((news.digest, news.reach, news.services, news.contacts))
+    count = (update.version >> CONTENT_BITS) + 1
+    content = repr(
+        (update.digest, update.reach, update.services, update.contacts)
+    )
     digest = hashlib.blake2b(
         content.encode(), digest_size=CONTENT_BITS // 8
     ).digest()
     version = count << CONTENT_BITS | int.from_bytes(digest, "big")
-    return dataclasses.replace(news, version=version)
+    return dataclasses.replace(update, version=version)
 
 
 def _make_members(
--- a/kumquatridge/membership/settings.py
+++ b/kumquatridge/membership/settings.py
@@ -12,7 +12,7 @@
     refute before it is taken for dead. `urgent_peers` are told at once of
     changes that can't wait, at most `urgent_per_s` times a second. Where
     changes never end, as on a network that loses messages, only
-    `urgent_doubts_per_s` are told at once and `news_per_s` news go out in
+    `urgent_doubts_per_s` are told at once and `updates_per_s` updates go out in
     the long run, each after a burst. So with the `probes_per_s` asked of
     others; a doubt that nobody may be asked about is dropped. A daemon that a
     stranger asks names `introductions` others.
@@ -25,15 +25,15 @@
     probes_per_s: float = 1.0
     probe_burst: int = 12
     suspicion_ms: int = 1200
-    news_per_message: int = 8
+    updates_per_message: int = 8
     urgent_peers: int = 4
     urgent_per_s: int = 2
     urgent_doubts_per_s: float = 0.25
     urgent_doubt_burst: int = 8
-    urgent_news_per_s: float = 8.0
-    urgent_news_burst: int = 128
-    news_per_s: float = 4.0
-    news_burst: int = 128
+    urgent_updates_per_s: float = 8.0
+    urgent_updates_burst: int = 128
+    updates_per_s: float = 4.0
+    updates_burst: int = 128
     introductions: int = 8
     pull_interval_ms: int = 1000
     patient_pulls_per_s: float = 0.25
--- a/kumquatridge/membership/table.py
+++ b/kumquatridge/membership/table.py
@@ -5,12 +5,12 @@
 
 from kumquatridge import clock
 from kumquatridge.membership import member as members
-from kumquatridge.membership import news as member_news
 from kumquatridge.membership import remote as remote_instances
+from kumquatridge.membership import updates as member_updates
 
 
 class MemberTable:
-    """The newest news of each member, and the instances of each service.
+    """The newest update of each member, and the instances of each service.
 
     Holds the members of the own data centre; of the others it holds one
     summary for each service. Every change is queued to be passed on.
@@ -21,7 +21,7 @@
         self._members: dict[str, members.Member] = {own.instance: own}
         self._by_service: dict[str, tuple[members.Member, ...]] = {}
         self._live: tuple[members.Member, ...] | None = None
-        self.news = member_news.NewsQueue()
+        self.updates = member_updates.UpdateQueue()
         self.remote = remote_instances.RemoteInstances(own.data_centre)
         self.revision = 0
         self._put(own)
@@ -71,22 +71,22 @@
         self._own = own
         self._put(own)
 
-    def learn(self, news: members.Member, *, pass_on: bool = True) -> bool:
-        """Takes news of a member; returns whether it changed anything.
+    def learn(self, update: members.Member, *, pass_on: bool = True) -> bool:
+        """Takes an update of a member; returns whether it changed anything.
 
         What a pull brought is not passed on: others pull it too.
         """
-        if news.data_centre != self._own.data_centre:
+        if update.data_centre != self._own.data_centre:
             return False
-        if news.instance == self._own.instance:
-            return self._refute(news)
-        known = self._members.get(news.instance)
+        if update.instance == self._own.instance:
+            return self._refute(update)
+        known = self._members.get(update.instance)
         if known is None:
-            return self._learn_new(news, pass_on)
-        if not members.supersedes(news, known):
-            self._repeat_death(news, known)
+            return self._learn_new(update, pass_on)
+        if not members.supersedes(update, known):
+            self._repeat_death(update, known)
             return False
-        self._put(news, pass_on)
+        self._put(update, pass_on)
         return True
 
     def suspect(self, instance: str, incarnation: int, reason: str) -> bool:
@@ -113,35 +113,39 @@
             return False
         return self.learn(dataclasses.replace(known, state=state))
 
-    def _learn_new(self, news: members.Member, pass_on: bool) -> bool:
-        match news.state:
+    def _learn_new(self, update: members.Member, pass_on: bool) -> bool:
+        match update.state:
             case members.Dead():
                 return False
             case _:
-                self._put(news, pass_on)
+                self._put(update, pass_on)
                 return True
 
     def _repeat_death(
-        self, news: members.Member, known: members.Member
+        self, update: members.Member, known: members.Member
     ) -> None:
-        if members.is_out(known) and not members.is_out(news):
-            self.news.put(known)
+        if members.is_out(known) and not members.is_out(update):
+            self.updates.put(known)
 
-    def _refute(self, news: members.Member) -> bool:
+    def _refute(self, update: members.Member) -> bool:
         own = self._own
-        if news.incarnation < own.incarnation:
+        if update.incarnation < own.incarnation:
             return False
-        if news.incarnation == own.incarnation and not members.is_doubted(news):
+        if update.incarnation == own.incarnation and not members.is_doubted(
+            update
+        ):
             return False
-        self.set_own(dataclasses.replace(own, incarnation=news.incarnation + 1))
+        self.set_own(
+            dataclasses.replace(own, incarnation=update.incarnation + 1)
+        )
         return True
 
     def _put(self, member: members.Member, pass_on: bool = True) -> None:
         self._members[member.instance] = member
         if pass_on:
-            self.news.put(member)
+            self.updates.put(member)
         else:
-            self.news.drop(member.instance)
+            self.updates.drop(member.instance)
         self.revision += 1
         self._index()
 
--- a/kumquatridge/membership/news.py
+++ b/kumquatridge/membership/updates.py
@@ -1,4 +1,4 @@
-"""News of members that is still to be passed on.
+"""Updates of members that are still to be passed on.
 
 Source: A. Das, I. Gupta and A. Motivala, "SWIM: Scalable Weakly-consistent
 Infection-style Process Group Membership Protocol", 2002.
@@ -18,8 +18,8 @@
     sent: int = 0
 
 
-class NewsQueue:
-    """Hands out each news a bounded number of times, the freshest first."""
+class UpdateQueue:
+    """Hands out each update a bounded number of times, the freshest first."""
 
     def __init__(self) -> None:
         self._items: dict[str, _Item] = {}
@@ -28,21 +28,21 @@
         return len(self._items)
 
     def put(self, member: members.Member) -> None:
-        """Adds news, in place of older news of the same member."""
+        """Adds an update, in place of an older one of the same member."""
         self._items[member.instance] = _Item(member)
 
     def drop(self, instance: str) -> None:
-        """Drops older news of a member, if any."""
+        """Drops the update of a member, if any."""
         self._items.pop(instance, None)
 
     def count_urgent(self) -> int:
-        """Returns how many news doubt a member or take it out."""
+        """Returns how many updates doubt a member or take it out."""
         return sum(map(_is_urgent, self._items.values()))
 
     def take(
         self, limit: int, member_count: int, patient: int | None = None
     ) -> list[members.Member]:
-        """Returns up to `limit` news, at most `patient` of them not urgent.
+        """Returns up to `limit` updates, at most `patient` of them not urgent.
 
         Urgent ones come first, then those passed on least often: a restart of
         many must not hold up the word of a death.
@@ -69,5 +69,5 @@
 
 
 def get_retransmits(member_count: int) -> int:
-    """Returns how often a daemon passes one news on."""
+    """Returns how often a daemon passes one update on."""
     return RETRANSMIT_FACTOR * math.ceil(math.log2(member_count + 1))
--- a/kumquatridge/peers/control.py
+++ b/kumquatridge/peers/control.py
@@ -26,7 +26,7 @@
 
 
 class ControlPlane:
-    """Exchanges news with other daemons while its context is open.
+    """Exchanges updates with other daemons while its context is open.
 
     Topics of other aggregates are added to `gossip` before or after.
     """
--- a/kumquatridge/peers/messages.py
+++ b/kumquatridge/peers/messages.py
@@ -15,7 +15,7 @@
 
 class _Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag=1):
     sender: str
-    news: tuple[member_codec.MemberStruct, ...]
+    updates: tuple[member_codec.MemberStruct, ...]
     digests: tuple[_Digest, ...]
     knows_receiver: bool
 
@@ -132,10 +132,10 @@
 
 def _to_wire(message: Message) -> _Wire:
     match message:
-        case messages.Heartbeat(sender, news, digests, knows_receiver):
+        case messages.Heartbeat(sender, updates, digests, knows_receiver):
             return _Heartbeat(
                 sender,
-                tuple(member_codec.write_member(one) for one in news),
+                tuple(member_codec.write_member(one) for one in updates),
                 tuple(_Digest(one.topic, one.digest) for one in digests),
                 knows_receiver,
             )
@@ -164,7 +164,7 @@
         case _Heartbeat():
             return messages.Heartbeat(
                 wire.sender,
-                tuple(member_codec.read_member(one) for one in wire.news),
+                tuple(member_codec.read_member(one) for one in wire.updates),
                 tuple(
                     messages.TopicDigest(one.topic, one.digest)
                     for one in wire.digests
--- a/kumquatridge/quarantine/register.py
+++ b/kumquatridge/quarantine/register.py
@@ -160,7 +160,7 @@
         )
 
     def merge(self, entries: Iterable[CrashEntry]) -> bool:
-        """Takes in what a peer knows; returns whether any was news."""
+        """Takes in what a peer knows; returns whether any was new."""
         now_ms = clock.get_now_ms()
         changed = False
         for entry in entries:
@@ -176,16 +176,16 @@
             )
         return changed
 
-    def _take(self, fingerprint: str, news: _Known) -> bool:
+    def _take(self, fingerprint: str, update: _Known) -> bool:
         known = self._known.get(fingerprint)
         if known is None:
             self._make_room()
-            self._known[fingerprint] = news
+            self._known[fingerprint] = update
             return True
         merged = _Known(
-            known.crashes | news.crashes,
-            known.cleared | news.cleared,
-            max(known.last_ms, news.last_ms),
+            known.crashes | update.crashes,
+            known.cleared | update.cleared,
+            max(known.last_ms, update.last_ms),
         )
         self._known[fingerprint] = merged
         return (merged.crashes, merged.cleared) != (
--- a/kumquatridge/telemetry/events.py
+++ b/kumquatridge/telemetry/events.py
@@ -80,7 +80,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MemberChanged:
-    """News of a member was taken in."""
+    """An update of a member was taken in."""
 
     number: ClassVar[int] = 2001
     instance: str
--- a/tests/callpath/test_service_exchange.py
+++ b/tests/callpath/test_service_exchange.py
@@ -144,7 +144,7 @@
     return service_exchange.ServiceUpdate(
         "ordering",
         daemon.members.own.data_centre,
-        handover.HomeNews(own, False, (own,), None),
+        handover.HomeUpdate(own, False, (own,), None),
         (),
     )
 
--- a/tests/http/test_service_link.py
+++ b/tests/http/test_service_link.py
@@ -21,7 +21,7 @@
             service_exchange.ServiceUpdate(
                 "ordering",
                 "landshut",
-                handover.HomeNews(
+                handover.HomeUpdate(
                     OWN, True, (OWN, LEFT), handover.Handover(("k",), 2.5)
                 ),
                 (CRASH,),
@@ -32,7 +32,7 @@
             service_exchange.ServiceUpdate(
                 "ordering",
                 "landshut",
-                handover.HomeNews(OWN, False, (OWN,), None),
+                handover.HomeUpdate(OWN, False, (OWN,), None),
                 (),
             ),
             id="without",
--- a/tests/idempotency/test_at_most_once.py
+++ b/tests/idempotency/test_at_most_once.py
@@ -82,7 +82,7 @@
 
     @stateful.rule(one=places, other=places)
     def tell(self, one: int, other: int) -> None:
-        """Exchanges news of the roster."""
+        """Exchanges updates of the roster."""
         names = self.world.names
         self.take(self._tell(names[one], names[other]))
 
--- a/tests/idempotency/test_real_daemons.py
+++ b/tests/idempotency/test_real_daemons.py
@@ -17,7 +17,7 @@
 
 MAX_AGE_MS = 1500
 TRANSIT_MS = 200
-NEWS_S = 1.0
+UPDATES_S = 1.0
 RESENDS = 6
 SERVICE_MS = 200
 
@@ -137,7 +137,7 @@
         await enter(processes.run_daemon(second, tmp_path))
         await announce_both((first, second), samples)
         session = await enter(aiohttp.ClientSession())
-        await asyncio.sleep(NEWS_S)
+        await asyncio.sleep(UPDATES_S)
         answers = await asyncio.gather(
             *(
                 book(session, second.caller_address, f"key-{number}", 20)
--- a/tests/membership/test_cutoff.py
+++ b/tests/membership/test_cutoff.py
@@ -58,7 +58,7 @@
 
     @property
     def learns_meanwhile(self) -> bool:
-        """Tells whether news of settings has a way in during the cut."""
+        """Tells whether updates of settings have a way in during the cut."""
         return not (self.platform and self.others)
 
 
--- a/tests/membership/test_gossip.py
+++ b/tests/membership/test_gossip.py
@@ -186,7 +186,7 @@
 
 
 @pytest.mark.parametrize(
-    ("known", "news", "replaces"),
+    ("known", "update", "replaces"),
     [
         pytest.param((1, "alive"), (1, "alive"), False, id="the same"),
         pytest.param((1, "alive"), (1, "suspected"), True, id="suspicion"),
@@ -198,13 +198,13 @@
         pytest.param((1, "dead"), (2, "alive"), True, id="restarted"),
     ],
 )
-async def test_table_takes_only_newer_news(
-    known: tuple[int, str], news: tuple[int, str], replaces: bool
+async def test_table_takes_only_a_newer_update(
+    known: tuple[int, str], update: tuple[int, str], replaces: bool
 ) -> None:
     node = fleet.Node(fleet.Network(1), "own")
     node.table.learn(make_member(*known[:1], "alive"))
     node.table.learn(make_member(*known))
-    assert node.table.learn(make_member(*news)) is replaces
+    assert node.table.learn(make_member(*update)) is replaces
 
 
 def make_member(incarnation: int, state: str) -> members.Member:
@@ -255,7 +255,7 @@
             messages.Heartbeat("stranger", (), ())
         )
         assert isinstance(answer, messages.Heartbeat)
-        told = {one.instance for one in answer.news}
+        told = {one.instance for one in answer.updates}
         wanted = gossip_settings.GossipSettings().introductions
         assert len(told - {"n0"}) >= wanted
 
--- a/tests/membership/test_machine.py
+++ b/tests/membership/test_machine.py
@@ -123,7 +123,7 @@
         self.run(asyncio.sleep(wait_s))
 
     @stateful.invariant()
-    def never_takes_older_news(self) -> None:
+    def never_takes_an_older_update(self) -> None:
         """An incarnation that was seen never goes back."""
         for node in self.nodes.values():
             for member in node.table:
--- a/tests/membership/test_relays.py
+++ b/tests/membership/test_relays.py
@@ -1,10 +1,10 @@
-"""Which members act for all, and in which order news is passed on."""
+"""Which members act for all, and in which order updates are passed on."""
 
 import pytest
 
 from kumquatridge.membership import member as members
-from kumquatridge.membership import news
 from kumquatridge.membership import relays
+from kumquatridge.membership import updates
 
 
 def make_member(
@@ -43,17 +43,17 @@
 
 
 @pytest.mark.parametrize("member_count", [1, 2, 68, 1500])
-def test_news_is_told_a_bounded_number_of_times(member_count: int) -> None:
-    queue = news.NewsQueue()
+def test_an_update_is_sent_a_bounded_number_of_times(member_count: int) -> None:
+    queue = updates.UpdateQueue()
     queue.put(FLEET[0])
     told = 0
     while queue.take(8, member_count):
         told += 1
-    assert told == news.get_retransmits(member_count)
+    assert told == updates.get_retransmits(member_count)
 
 
 def test_a_death_goes_before_arrivals() -> None:
-    queue = news.NewsQueue()
+    queue = updates.UpdateQueue()
     for member in FLEET:
         queue.put(member)
     dead = make_member(99, members.Dead(0.0))
