Give thresholds of slowness names of their own; ask for a full instance once

Cause: routing had two thresholds of different size under the name SLOW_RATIO, and the pool asked in its own words whether an instance is full; CRITICAL was bound anew in three modules of admission.

Change: EJECT_SLOW_RATIO in the pool, which calls fitness.is_full; admission uses shares.CRITICAL. Behaviour is unchanged.

--- a/kumquatridge/admission/guard.py
+++ b/kumquatridge/admission/guard.py
@@ -22,7 +22,6 @@
 from kumquatridge.calls import reports
 
 IDLE_RATIO = 0.75
-CRITICAL = call_importance.Importance.CRITICAL
 FIRST_ERROR_STATUS = 500
 
 
@@ -207,7 +206,7 @@
             return None
         if self.in_progress < self.limit * IDLE_RATIO:
             return None
-        if kind.importance is CRITICAL and self._shares.can_take(kind):
+        if kind.importance is shares.CRITICAL and self._shares.can_take(kind):
             return None
         return self._make_overloaded()
 
--- a/kumquatridge/admission/waits.py
+++ b/kumquatridge/admission/waits.py
@@ -15,10 +15,8 @@
 from kumquatridge.admission import settings as admission_settings
 from kumquatridge.admission import shares
 from kumquatridge.calls import call as calls
-from kumquatridge.calls import importance as call_importance
 
 BREAK_EVEN_RATIO = 0.5
-CRITICAL = call_importance.Importance.CRITICAL
 
 
 class WaitBounds:
@@ -42,7 +40,7 @@
         wait_ms = float(call.policy.queue_wait_ms)
         if kind.is_long:
             wait_ms = max(wait_ms, expected_ms)
-        elif kind.importance < CRITICAL:
+        elif kind.importance < shares.CRITICAL:
             wait_ms = min(wait_ms, self._get_overload_wait_ms(call))
         return min(wait_ms, call.chain.get_remaining_ms() - expected_ms)
 
--- a/kumquatridge/routing/chooser.py
+++ b/kumquatridge/routing/chooser.py
@@ -272,9 +272,8 @@
     """Takes a report as far as the outcome that it came with bears it out.
 
     An instance that refuses a call which its told level admits is full,
-    whatever it says.
-    One that runs a call which its told level refuses is not believed about
-    the level until it does refuse one.
+    whatever it says. One that runs a call which its told level refuses is not
+    believed about the level until it does refuse one.
     """
     report = outcome.report
     if report is None:
--- a/kumquatridge/routing/pools.py
+++ b/kumquatridge/routing/pools.py
@@ -4,10 +4,11 @@
 import dataclasses
 
 from kumquatridge.membership import member as members
+from kumquatridge.routing import fitness
 from kumquatridge.routing import instances
 from kumquatridge.routing import standings
 
-SLOW_RATIO = 4.0
+EJECT_SLOW_RATIO = 4.0
 MIN_SAMPLES = 5
 MAX_FAILURES = 5
 FIRST_TEST_MS = 100.0
@@ -134,7 +135,10 @@
     def _is_bad(self, stats: instances.InstanceStats, now_ms: float) -> bool:
         if stats.failures >= MAX_FAILURES:
             return True
-        if stats.samples < MIN_SAMPLES or stats.slowness_ratio <= SLOW_RATIO:
+        if (
+            stats.samples < MIN_SAMPLES
+            or stats.slowness_ratio <= EJECT_SLOW_RATIO
+        ):
             return False
         return not self._are_others_full(stats, now_ms)
 
@@ -142,8 +146,7 @@
         self, stats: instances.InstanceStats | None, now_ms: float
     ) -> bool:
         return all(
-            one is stats or one.get_load_ratio(now_ms) >= 1.0
-            for one in self.near
+            one is stats or fitness.is_full(one, now_ms) for one in self.near
         )
 
     def _may_eject(self) -> bool:
@@ -165,7 +168,9 @@
         ejected: standings.Ejected,
         now_ms: float,
     ) -> None:
-        is_good = stats.failures == 0 and stats.slowness_ratio < SLOW_RATIO / 2
+        is_good = (
+            stats.failures == 0 and stats.slowness_ratio < EJECT_SLOW_RATIO / 2
+        )
         if not is_good:
             wait_ms = min(ejected.wait_ms * 2, MAX_TEST_MS)
             stats.standing = standings.Ejected(
