--- a/kumquatridge/bench/product_instance.py
+++ b/kumquatridge/bench/product_instance.py
@@ -93,7 +93,7 @@
             self._inbound,
             fake_links.FakePeerLink(self),
             run_recorder.RunRecorder(self.environment, None),
-            ratio=retry_ratio.RetryRatio(retry_ratio.RatioSettings()),
+            ratios=retry_ratio.RetryRatios(retry_ratio.RatioSettings()),
         )
         self._keyed = self._make_keyed_path()
         self._exchange = service_exchange.ServiceExchange(
--- a/kumquatridge/benchmarks/tree_cost.py
+++ b/kumquatridge/benchmarks/tree_cost.py
@@ -10,10 +10,12 @@
 import time
 
 import click
+import msgspec
 import psutil
 
 from kumquatridge.benchmarks import changes
 from kumquatridge.encoding import settings_text
+from kumquatridge.platform import client
 from kumquatridge.platform import messages
 from kumquatridge.platform import objects
 from kumquatridge.settings import credentials
@@ -56,8 +58,7 @@
     found = (await connection.list_objects("settings/")).objects
     lines = [messages.encoder.encode(_make_line(one)) for one in found]
     revisions = [
-        messages.encoder.encode(messages.ObjectLine(one.key, one.version))
-        for one in found
+        messages.encoder.encode(_make_line(one).metadata) for one in found
     ]
     return TreeCost(
         len(found),
@@ -108,8 +109,10 @@
     )
 
 
-def _make_line(one: objects.PlatformObject) -> messages.ObjectLine:
-    return messages.ObjectLine(one.key, one.version, one.value)
+def _make_line(one: objects.PlatformObject) -> messages.StoredObject:
+    _, name = client.split_key(one.key)
+    metadata = messages.Metadata(name, one.version)
+    return messages.StoredObject(metadata, msgspec.Raw(one.value or b"null"))
 
 
 @click.command()
--- a/kumquatridge/callpath/inbound.py
+++ b/kumquatridge/callpath/inbound.py
@@ -123,13 +123,17 @@
         self, call: calls.Call, admitted: verdicts.Admitted
     ) -> AsyncIterator[outcomes.Outcome]:
         announcement = self._members.own.announcement
-        assert announcement is not None
+        if announcement is None:
+            refusal = refusals.NoInstance(call.service, RETRY_AFTER_MS)
+            yield self._refuse(call, refusal)
+            return
         started_ms = clock.get_now_ms()
         with self._ledger.record(
             call.chain,
             call.caller,
             admitted.queued_ms,
             admitted.is_contended,
+            token=call.request_id,
         ) as record:
             async with self._worker.send(
                 call, announcement.address, record.token
--- a/kumquatridge/callpath/outbound.py
+++ b/kumquatridge/callpath/outbound.py
@@ -10,6 +10,7 @@
 from kumquatridge.calls import body as call_body
 from kumquatridge.calls import call as calls
 from kumquatridge.calls import outcomes
+from kumquatridge.calls import refusals
 from kumquatridge.chain import account as chain_account
 from kumquatridge.chain import ratio as retry_ratio
 from kumquatridge.membership import member as members
@@ -23,6 +24,19 @@
 RATIO_EXCEEDED = "ratio_exceeded"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OutboundSettings:
+    """How far a call may be sent on.
+
+    `hedges` lets a second instance be asked too when the first is late. With
+    `free_refusals` > 0, that many refusals by daemons cost no retry, since
+    they reached no worker.
+    """
+
+    hedges: bool = True
+    free_refusals: int = 0
+
+
 class OutboundPath:
     """Sends calls of outside callers and of the own worker."""
 
@@ -34,14 +48,16 @@
         peers: links.PeerLink,
         recorder: telemetry.Recorder,
         *,
-        ratio: retry_ratio.RetryRatio,
+        ratios: retry_ratio.RetryRatios,
+        settings: OutboundSettings | None = None,
     ) -> None:
         self._members = members_table
         self._chooser = chooser
         self._own = own
         self._peers = peers
         self._recorder = recorder
-        self._ratio = ratio
+        self._ratios = ratios
+        self._settings = settings or OutboundSettings()
 
     @contextlib.asynccontextmanager
     async def dispatch(
@@ -52,9 +68,13 @@
         Instances in `excluded` have refused the call already.
         """
         account = chain_account.RetryAccount(call.chain.retries)
-        self._ratio.record_first_try()
+        ratio = self._ratios.get(call.service)
+        ratio.record_first_try()
+        if call.chain.is_repeat:
+            ratio.note_retry()
         tried = set(excluded)
         may_have_run = False
+        refused = 0
         choice: choices.Choice | None = self._chooser.choose(call, tried)
         while choice is not None:
             match choice:
@@ -65,13 +85,21 @@
                 case choices.Chosen(member):
                     tried.add(member.instance)
             async with self._open(call, member, account, tried) as outcome:
-                choice = self._choose_next(call, outcome, tried, account)
+                refused += _is_daemons(outcome)
+                is_free = _is_daemons(outcome) and (
+                    refused <= self._settings.free_refusals
+                )
+                choice = self._choose_next(
+                    call, outcome, tried, account, is_free
+                )
                 if choice is None:
                     told = _hide_refusal(outcome) if may_have_run else outcome
                     yield dataclasses.replace(
                         told, unspent_retries=account.settle(), report=None
                     )
             may_have_run = may_have_run or not _is_refusal(outcome)
+            if not _is_daemons(outcome):
+                call = _mark_repeat(call)
 
     def _choose_next(
         self,
@@ -79,6 +107,7 @@
         outcome: outcomes.Outcome,
         tried: set[str],
         account: chain_account.RetryAccount,
+        is_free: bool,
     ) -> choices.Chosen | None:
         """Returns where to try again, having paid for it, or None."""
         match retries.judge(call, outcome):
@@ -93,10 +122,13 @@
                 return None
             case choices.Chosen() as chosen:
                 pass
+        if is_free:
+            self._recorder.record_retry(call, reason)
+            return chosen
         if account.left == 0:
             self._recorder.record_retry_denied(call, ALLOWANCE_SPENT)
             return None
-        if not self._ratio.take_retry():
+        if not self._ratios.get(call.service).take_retry():
             self._recorder.record_retry_denied(call, RATIO_EXCEEDED)
             return None
         account.spend()
@@ -111,7 +143,8 @@
         tried: set[str],
     ) -> hedging.Attempt:
         if (
-            account.left > 0
+            self._settings.hedges
+            and account.left > 0
             and len(tried) == 1
             and call.policy.idempotent
             and call_body.is_resendable(call.body)
@@ -181,6 +214,25 @@
             return False
 
 
+def _is_daemons(outcome: outcomes.Outcome) -> bool:
+    """Tells whether a daemon refused, before any worker was reached."""
+    match outcome:
+        case outcomes.NotRun(refusals.WorkerRefused()):
+            return False
+        case outcomes.NotRun():
+            return True
+        case _:
+            return False
+
+
+def _mark_repeat(call: calls.Call) -> calls.Call:
+    """Returns the call as one whose own calls are repeats too."""
+    if call.chain.is_repeat:
+        return call
+    chain = dataclasses.replace(call.chain, is_repeat=True)
+    return dataclasses.replace(call, chain=chain)
+
+
 def _hide_refusal(outcome: outcomes.Outcome) -> outcomes.Outcome:
     """Takes back that nothing ran, when an earlier attempt may have."""
     match outcome:
--- a/kumquatridge/callpath/retries.py
+++ b/kumquatridge/callpath/retries.py
@@ -52,6 +52,8 @@
             | refusals.Draining()
             | refusals.Unreachable()
             | refusals.NoInstance()
+            | refusals.NotReady()
+            | refusals.WorkerRefused()
         ):
             return TryAnother(refusal.code)
         case _:
--- /dev/null
+++ b/kumquatridge/callpath/routed_intake.py
@@ -0,0 +1,116 @@
+"""Makes calls of requests that are routed by host and path.
+
+Workers forward no context. A call of a worker is found to belong to a request
+that runs there when its id begins with that request's id and a dot; every
+other request is a root. No promise depends on the relation being found.
+"""
+
+import dataclasses
+
+from kumquatridge import clock
+from kumquatridge.calls import body as call_body
+from kumquatridge.calls import call as calls
+from kumquatridge.calls import outcomes
+from kumquatridge.calls import refusals
+from kumquatridge.chain import context
+from kumquatridge.chain import ledger as chain_ledger
+from kumquatridge.routing import splits
+from kumquatridge.settings import policy as settings_policy
+from kumquatridge.settings import route_store
+from kumquatridge.settings import routes
+
+# How soon a daemon that has just started is likely to know the routes.
+NOT_READY_RETRY_MS = 500
+ID_SEPARATOR = "."
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoutedRequest:
+    """What a caller asked for.
+
+    `target` is the path and query as sent, `remaining_ms` how long the caller
+    still waits, if it said so.
+    """
+
+    request_id: str
+    host: str
+    method: str
+    target: str
+    headers: outcomes.Headers
+    body: call_body.Body
+    caller: str
+    remaining_ms: float | None
+
+
+class RoutedIntake:
+    """Turns requests into calls by the routes in force."""
+
+    def __init__(
+        self, store: route_store.RouteStore, ledger: chain_ledger.Ledger
+    ) -> None:
+        self._store = store
+        self._ledger = ledger
+        self._splits = splits.SplitChooser()
+
+    def make_call(
+        self, request: RoutedRequest
+    ) -> calls.Call | refusals.Refusal:
+        """Returns the call that a request asks for, or why there is none."""
+        index = self._store.index
+        if index is None:
+            return refusals.NotReady(NOT_READY_RETRY_MS)
+        found = index.find(request.host, request.target)
+        if found is None:
+            return refusals.NoRoute(request.host)
+        policy = self._splits.choose(found).policy
+        parent = self._find_parent(request.request_id)
+        return calls.Call(
+            service=policy.service,
+            method=request.method,
+            path=request.target,
+            headers=request.headers,
+            body=request.body,
+            caller=request.caller,
+            request_key=None,
+            policy=policy,
+            chain=_make_chain(request, policy, found.route, parent),
+            received_ms=clock.get_now_ms(),
+            request_id=request.request_id,
+        )
+
+    def _find_parent(
+        self, request_id: str
+    ) -> chain_ledger.InboundRecord | None:
+        parent_id, separator, _ = request_id.rpartition(ID_SEPARATOR)
+        return self._ledger.find(parent_id) if separator else None
+
+
+def _make_chain(
+    request: RoutedRequest,
+    policy: settings_policy.RoutePolicy,
+    route: routes.Route,
+    parent: chain_ledger.InboundRecord | None,
+) -> context.ChainContext:
+    allowed_ms = float(route.timeout_ms)
+    if request.remaining_ms is not None:
+        allowed_ms = min(allowed_ms, request.remaining_ms)
+    expires_at_ms = clock.get_now_ms() + allowed_ms
+    if parent is None:
+        return context.ChainContext(
+            root_id=request.request_id or context.make_root_id(),
+            importance=policy.importance,
+            expires_at_ms=expires_at_ms,
+            retries=policy.retry_allowance,
+            depth=0,
+        )
+    return context.ChainContext(
+        root_id=parent.chain.root_id,
+        importance=parent.chain.importance,
+        expires_at_ms=min(expires_at_ms, parent.chain.expires_at_ms),
+        retries=policy.retry_allowance,
+        depth=parent.chain.depth + 1,
+        worked_ms=parent.worked_ms,
+        waited_ms=parent.waited_ms,
+        is_contended=parent.is_contended,
+        is_repeat=parent.chain.is_repeat,
+    )
--- a/kumquatridge/calls/call.py
+++ b/kumquatridge/calls/call.py
@@ -15,6 +15,7 @@
     `request_key` is the caller's idempotency key, the same on every resend.
     `key_age_ms` is how long ago the caller made it, when the caller says so,
     counted to `received_ms` on this process's event loop clock.
+    `request_id` is the caller's own id of this attempt, if it gave one.
     `path` is the path at the worker, with its query. `long_running` calls
     are the policy's business.
     """
@@ -30,3 +31,4 @@
     chain: context.ChainContext
     key_age_ms: int | None = None
     received_ms: float = 0.0
+    request_id: str = ""
--- a/kumquatridge/calls/refusals.py
+++ b/kumquatridge/calls/refusals.py
@@ -145,6 +145,34 @@
     detail: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotReady:
+    """The daemon has just started and doesn't know the routes yet."""
+
+    code: ClassVar[str] = "not_ready"
+    retry_after_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoRoute:
+    """No route leads from the host and path to a service."""
+
+    code: ClassVar[str] = "no_route"
+    host: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerRefused:
+    """The worker itself said that it didn't run the call.
+
+    Unlike the other refusals, this one came after the call was sent.
+    """
+
+    code: ClassVar[str] = "worker_refused"
+    status: int
+    retry_after_ms: int
+
+
 Refusal = (
     Overloaded
     | QueueTimeout
@@ -162,6 +190,9 @@
     | NotHome
     | InvalidRequest
     | WrongCredential
+    | NotReady
+    | NoRoute
+    | WorkerRefused
 )
 
 
@@ -174,6 +205,8 @@
             | NoInstance(retry_after_ms=wait_ms)
             | Quarantined(retry_after_ms=wait_ms)
             | KeyMemoryFull(retry_after_ms=wait_ms)
+            | NotReady(retry_after_ms=wait_ms)
+            | WorkerRefused(retry_after_ms=wait_ms)
         ):
             return wait_ms
         case _:
--- a/kumquatridge/chain/context.py
+++ b/kumquatridge/chain/context.py
@@ -19,7 +19,8 @@
     a root. `worked_ms` is for how long the calls above have held slots, one
     after the other, and `waited_ms` for how long those below the root waited
     for theirs, on the way down to this call. `is_contended` tells whether
-    others are refused for want of a slot that a call above holds.
+    others are refused for want of a slot that a call above holds, and
+    `is_repeat` whether this call or one above it was sent before.
     """
 
     root_id: str
@@ -30,6 +31,7 @@
     worked_ms: float = 0.0
     waited_ms: float = 0.0
     is_contended: bool = False
+    is_repeat: bool = False
 
     def get_remaining_ms(self) -> float:
         """Returns the time left before the deadline, negative when passed."""
--- a/kumquatridge/chain/ledger.py
+++ b/kumquatridge/chain/ledger.py
@@ -34,8 +34,10 @@
         caller: str,
         queued_ms: float = 0.0,
         is_contended: bool = False,
+        *,
+        token: str = "",
     ) -> None:
-        self.token = secrets.token_hex(TOKEN_BYTES)
+        self.token = token or secrets.token_hex(TOKEN_BYTES)
         self.chain = chain
         self.caller = caller
         self.retries = account.RetryAccount(chain.retries)
@@ -119,12 +121,17 @@
         caller: str = "",
         queued_ms: float = 0.0,
         is_contended: bool = False,
+        *,
+        token: str = "",
     ) -> Iterator[InboundRecord]:
         """Keeps a record of an inbound call for as long as it runs.
 
-        Leaving by an error or a cancellation cuts off the child calls.
+        `token` is what the worker's own calls name it by; a random one
+        without. Leaving by an error or a cancellation cuts off the child calls.
         """
-        record = InboundRecord(chain, caller, queued_ms, is_contended)
+        record = InboundRecord(
+            chain, caller, queued_ms, is_contended, token=token
+        )
         self._records[record.token] = record
         try:
             yield record
@@ -132,7 +139,8 @@
             record.cut_off()
             raise
         finally:
-            del self._records[record.token]
+            if self._records.get(record.token) is record:
+                del self._records[record.token]
 
     def find(self, token: str) -> InboundRecord | None:
         """Returns the inbound call of a token, or None when it has ended."""
--- a/kumquatridge/chain/ratio.py
+++ b/kumquatridge/chain/ratio.py
@@ -53,6 +53,11 @@
         self._retries += 1
         return True
 
+    def note_retry(self) -> None:
+        """Counts a repeat that was decided elsewhere."""
+        self._get_bucket().retries += 1
+        self._retries += 1
+
     def _get_bucket(self) -> _Bucket:
         number = int(clock.get_now_ms()) // BUCKET_MS
         oldest = number - self._settings.window_ms // BUCKET_MS
@@ -63,3 +68,19 @@
         if not self._buckets or self._buckets[-1].number != number:
             self._buckets.append(_Bucket(number))
         return self._buckets[-1]
+
+
+class RetryRatios:
+    """The ratio of each service, all with the same settings."""
+
+    def __init__(self, settings: RatioSettings) -> None:
+        self._settings = settings
+        self._ratios: dict[str, RetryRatio] = {}
+
+    def get(self, service: str) -> RetryRatio:
+        """Returns the ratio of a service."""
+        ratio = self._ratios.get(service)
+        if ratio is None:
+            ratio = RetryRatio(self._settings)
+            self._ratios[service] = ratio
+        return ratio
--- a/kumquatridge/daemon/runtime.py
+++ b/kumquatridge/daemon/runtime.py
@@ -182,7 +182,7 @@
             own,
             peer_link,
             self._recorder,
-            ratio=retry_ratio.RetryRatio(retry_ratio.RatioSettings()),
+            ratios=retry_ratio.RetryRatios(retry_ratio.RatioSettings()),
         )
         await self._enter(self._homes.stalls)
         return await self._enter(
--- /dev/null
+++ b/kumquatridge/encoding/outcome_codec.py
@@ -0,0 +1,111 @@
+"""Outcomes as the marks on a daemon's answer to another daemon."""
+
+from collections.abc import Mapping
+
+from returns import result
+
+from kumquatridge.calls import body as call_body
+from kumquatridge.calls import outcomes
+from kumquatridge.calls import reports
+from kumquatridge.encoding import refusal_codec
+from kumquatridge.encoding import report_codec
+from kumquatridge.http import headers
+
+
+def encode_marks(outcome: outcomes.Outcome) -> outcomes.Headers:
+    """Returns the headers that say what became of a call."""
+    marks = list(_encode_kind(outcome))
+    if outcome.unspent_retries:
+        marks.append((headers.UNSPENT_RETRIES, str(outcome.unspent_retries)))
+    if outcome.report is not None:
+        report = report_codec.encode_report(outcome.report)
+        marks.append((headers.REPORT, report))
+    return tuple(marks)
+
+
+def _encode_kind(outcome: outcomes.Outcome) -> outcomes.Headers:
+    match outcome:
+        case outcomes.Completed(shed=shed, child_failed=child_failed):
+            return (
+                (headers.OUTCOME, headers.OUTCOME_COMPLETED),
+                *_encode_flag(headers.WORKER_SHED, shed),
+                *_encode_flag(headers.CHILD_FAILED, child_failed),
+            )
+        case outcomes.NotRun(refusal):
+            return (
+                (headers.OUTCOME, headers.OUTCOME_NOT_RUN),
+                (headers.REASON, refusal.code),
+                (headers.REFUSAL, refusal_codec.encode_refusal(refusal)),
+            )
+        case outcomes.Failed(detail):
+            return (
+                (headers.OUTCOME, headers.OUTCOME_FAILED),
+                (headers.DETAIL, detail),
+            )
+        case outcomes.Unknown(detail, worker_lost=worker_lost):
+            return (
+                (headers.OUTCOME, headers.OUTCOME_UNKNOWN),
+                (headers.DETAIL, detail),
+                *_encode_flag(headers.WORKER_LOST, worker_lost),
+            )
+
+
+def _encode_flag(name: str, value: bool) -> outcomes.Headers:
+    return ((name, headers.TRUE),) if value else ()
+
+
+def decode_outcome(
+    status: int, pairs: outcomes.Headers, body: call_body.Body
+) -> outcomes.Outcome:
+    """Returns the outcome that a daemon marked on its answer."""
+    marks = {
+        lower: value
+        for name, value in pairs
+        if (lower := name.lower()).startswith(headers.OWN_PREFIX)
+    }
+    unspent_retries = _read_count(marks.get(headers.UNSPENT_RETRIES, "0"))
+    report = report_codec.decode_report(marks.get(headers.REPORT, ""))
+    match marks.get(headers.OUTCOME):
+        case headers.OUTCOME_COMPLETED:
+            return outcomes.Completed(
+                status,
+                headers.keep_end_to_end(pairs),
+                body,
+                unspent_retries,
+                report,
+                shed=headers.WORKER_SHED in marks,
+                child_failed=headers.CHILD_FAILED in marks,
+            )
+        case headers.OUTCOME_NOT_RUN:
+            return _decode_refusal(marks, unspent_retries, report)
+        case headers.OUTCOME_FAILED:
+            return outcomes.Failed(
+                marks.get(headers.DETAIL, ""), unspent_retries, report
+            )
+    return outcomes.Unknown(
+        marks.get(headers.DETAIL, "no outcome marked"),
+        unspent_retries,
+        report,
+        worker_lost=headers.WORKER_LOST in marks,
+    )
+
+
+def _decode_refusal(
+    marks: Mapping[str, str],
+    unspent_retries: int,
+    report: reports.InstanceReport | None,
+) -> outcomes.Outcome:
+    decoded = refusal_codec.decode_refusal(
+        marks.get(headers.REASON, ""), marks.get(headers.REFUSAL, "")
+    )
+    match decoded:
+        case result.Success(refusal):
+            return outcomes.NotRun(refusal, unspent_retries, report)
+        case result.Failure(fault):
+            detail = f"refused without a known reason: {fault}"
+            return outcomes.Unknown(detail, unspent_retries)
+    raise AssertionError("a result is a success or a failure")
+
+
+def _read_count(text: str) -> int:
+    return int(text) if text.isascii() and text.isdigit() else 0
--- a/kumquatridge/http/answers.py
+++ b/kumquatridge/http/answers.py
@@ -31,6 +31,10 @@
             return 503
         case refusals.Unreachable() | refusals.RetriesExhausted():
             return 503
+        case refusals.NotReady() | refusals.WorkerRefused():
+            return 503
+        case refusals.NoRoute():
+            return 404
         case refusals.DeadlineExceeded():
             return 504
         case refusals.Quarantined():
--- a/kumquatridge/http/peer_client.py
+++ b/kumquatridge/http/peer_client.py
@@ -6,14 +6,12 @@
 
 import aiohttp
 import multidict
-from returns import result
 
 from kumquatridge import clock
 from kumquatridge.calls import call as calls
 from kumquatridge.calls import outcomes
 from kumquatridge.encoding import chain_codec
-from kumquatridge.encoding import refusal_codec
-from kumquatridge.encoding import report_codec
+from kumquatridge.encoding import outcome_codec
 from kumquatridge.http import call_credential
 from kumquatridge.http import client
 from kumquatridge.http import headers
@@ -66,7 +64,11 @@
         ) as reply:
             match reply:
                 case client.Answer():
-                    yield read_outcome(reply)
+                    yield outcome_codec.decode_outcome(
+                        reply.response.status,
+                        tuple(reply.response.headers.items()),
+                        reply.body,
+                    )
                 case outcomes.NotRun(refusal):
                     yield outcomes.NotRun(refusal, call.chain.retries)
                 case outcomes.Unknown(detail):
@@ -77,44 +79,3 @@
             (headers.CHAIN, chain_codec.encode_chain(call.chain)),
             (headers.CALLER, call.caller),
         )
-
-
-def read_outcome(answer: client.Answer) -> outcomes.Outcome:
-    """Returns the outcome that a daemon marked on its answer."""
-    marks = answer.response.headers
-    unspent_retries = _read_count(marks.get(headers.UNSPENT_RETRIES, "0"))
-    report = report_codec.decode_report(marks.get(headers.REPORT, ""))
-    match marks.get(headers.OUTCOME):
-        case headers.OUTCOME_COMPLETED:
-            return outcomes.Completed(
-                answer.response.status,
-                headers.keep_end_to_end(marks.items()),
-                answer.body,
-                unspent_retries,
-                report,
-                shed=headers.WORKER_SHED in marks,
-                child_failed=headers.CHILD_FAILED in marks,
-            )
-        case headers.OUTCOME_NOT_RUN:
-            decoded = refusal_codec.decode_refusal(
-                marks.get(headers.REASON, ""), marks.get(headers.REFUSAL, "")
-            )
-            match decoded:
-                case result.Success(refusal):
-                    return outcomes.NotRun(refusal, unspent_retries, report)
-                case result.Failure(fault):
-                    detail = f"refused without a known reason: {fault}"
-                    return outcomes.Unknown(detail, unspent_retries)
-        case headers.OUTCOME_FAILED:
-            return outcomes.Failed(
-                marks.get(headers.DETAIL, ""), unspent_retries, report
-            )
-    return outcomes.Unknown(
-        marks.get(headers.DETAIL, "no outcome marked"),
-        unspent_retries,
-        worker_lost=headers.WORKER_LOST in marks,
-    )
-
-
-def _read_count(text: str) -> int:
-    return int(text) if text.isascii() and text.isdigit() else 0
--- a/kumquatridge/membership/table.py
+++ b/kumquatridge/membership/table.py
@@ -12,14 +12,19 @@
 class MemberTable:
     """The newest update of each member, and the instances of each service.
 
-    Holds the members of the own data centre; of the others it holds one
-    summary for each service. Every change is queued to be passed on.
+    Holds the members of the data centres in `span`, the own one included; of
+    the others it holds one summary for each service. Every change is queued
+    to be passed on.
     """
 
-    def __init__(self, own: members.Member) -> None:
+    def __init__(
+        self, own: members.Member, span: frozenset[str] = frozenset()
+    ) -> None:
         self._own = own
+        self._span = span | {own.data_centre}
         self._members: dict[str, members.Member] = {own.instance: own}
         self._by_service: dict[str, tuple[members.Member, ...]] = {}
+        self._elsewhere: dict[str, tuple[members.Member, ...]] = {}
         self._live: tuple[members.Member, ...] | None = None
         self.updates = member_updates.UpdateQueue()
         self.remote = remote_instances.RemoteInstances(own.data_centre)
@@ -55,15 +60,18 @@
         return self._live
 
     def get_instances(self, service: str) -> tuple[members.Member, ...]:
-        """Returns the members that run a service and may take calls.
+        """Returns the members here that run a service and may take calls.
 
-        Suspected members are left out while at least half of the instances
-        are not suspected.
+        "Here" is the own data centre. Suspected members are left out while at
+        least half of the instances are not suspected.
         """
         return self._by_service.get(service, ())
 
     def get_remote(self, service: str) -> tuple[members.Member, ...]:
         """Returns instances of a service in reachable other data centres."""
+        found = self._elsewhere.get(service)
+        if found is not None:
+            return found
         return self.remote.get_instances(service)
 
     def set_own(self, own: members.Member) -> None:
@@ -76,7 +84,7 @@
 
         What a pull brought is not passed on: others pull it too.
         """
-        if update.data_centre != self._own.data_centre:
+        if update.data_centre not in self._span:
             return False
         if update.instance == self._own.instance:
             return self._refute(update)
@@ -151,16 +159,24 @@
 
     def _index(self) -> None:
         self._live = None
-        by_service: dict[str, list[members.Member]] = {}
+        here: dict[str, list[members.Member]] = {}
+        elsewhere: dict[str, list[members.Member]] = {}
         for member in self._members.values():
             if member.announcement is None or members.is_out(member):
                 continue
-            name = member.announcement.service
-            by_service.setdefault(name, []).append(member)
-        self._by_service = {
-            name: _leave_out_doubted(found)
-            for name, found in by_service.items()
-        }
+            is_here = member.data_centre == self._own.data_centre
+            found = here if is_here else elsewhere
+            found.setdefault(member.announcement.service, []).append(member)
+        self._by_service = _trim(here)
+        self._elsewhere = _trim(elsewhere)
+
+
+def _trim(
+    by_service: dict[str, list[members.Member]],
+) -> dict[str, tuple[members.Member, ...]]:
+    return {
+        name: _leave_out_doubted(found) for name, found in by_service.items()
+    }
 
 
 def _leave_out_doubted(
--- a/kumquatridge/operators/explanations.py
+++ b/kumquatridge/operators/explanations.py
@@ -91,6 +91,12 @@
             return f"its sender did not prove to be a member: {detail}"
         case refusals.InvalidRequest(detail):
             return detail
+        case refusals.NotReady():
+            return "the daemon has just started and knows no routes yet"
+        case refusals.NoRoute(host):
+            return f"no route leads from its path at {host!r} to a service"
+        case refusals.WorkerRefused(status, _):
+            return f"the worker answered that it did not run it: {status}"
 
 
 def _describe_level(rank: int) -> str:
--- /dev/null
+++ b/kumquatridge/peers/http_link.py
@@ -0,0 +1,107 @@
+"""Control messages over HTTP, for deployments without a shared key."""
+
+import asyncio
+
+from kumquatridge.calls import body as call_body
+from kumquatridge.membership import errors as membership_errors
+from kumquatridge.membership import links
+from kumquatridge.membership import messages as membership_messages
+from kumquatridge.membership import recorder as membership_recorder
+from kumquatridge.peers import errors
+from kumquatridge.peers import messages
+from kumquatridge.transport import errors as transport_errors
+from kumquatridge.transport import listener
+from kumquatridge.transport import messages as http_messages
+from kumquatridge.transport import pool
+
+TARGET = "/"
+STATUS_OK = 200
+STATUS_MALFORMED = 400
+
+
+class HttpControlLink:
+    """Carries requests to other daemons."""
+
+    def __init__(
+        self,
+        connections: pool.ConnectionPool,
+        recorder: membership_recorder.Recorder,
+    ) -> None:
+        self._connections = connections
+        self._recorder = recorder
+
+    async def ask(
+        self,
+        address: str,
+        request: membership_messages.Request,
+        timeout_ms: int,
+    ) -> membership_messages.Answer:
+        """Sends a request; see `membership.links.ControlLink`."""
+        data = messages.encode(request)
+        sent = http_messages.Request(
+            "POST", TARGET, (), call_body.BufferedBody(data)
+        )
+        self._recorder.record_control_bytes("sent", len(data))
+        try:
+            async with (
+                asyncio.timeout(timeout_ms / 1000.0),
+                self._connections.send(address, sent) as answer,
+            ):
+                return self._read(address, answer)
+        except (TimeoutError, transport_errors.TransportError) as error:
+            raise membership_errors.PeerSilentError(
+                f"{address}: no answer"
+            ) from error
+
+    def forget(self, address: str) -> None:
+        """Closes the connections to an address."""
+        self._connections.forget(address)
+
+    def _read(
+        self, address: str, answer: http_messages.Answer
+    ) -> membership_messages.Answer:
+        match answer:
+            case http_messages.Answer(
+                status=200, body=call_body.BufferedBody(data)
+            ):
+                self._recorder.record_control_bytes("received", len(data))
+            case _:
+                raise membership_errors.PeerRefusedError(
+                    f"{address}: status {answer.status}"
+                )
+        try:
+            return messages.decode_answer(data)
+        except errors.MalformedMessageError as error:
+            raise membership_errors.PeerRefusedError(
+                f"{address}: {error}"
+            ) from error
+
+
+class ControlEndpoint:
+    """Answers control messages that arrive over HTTP."""
+
+    def __init__(self, handler: links.Handler) -> None:
+        self._handler = handler
+
+    async def handle(
+        self, request: http_messages.Request, responder: listener.Responder
+    ) -> None:
+        """Answers one request."""
+        match request.body:
+            case call_body.BufferedBody(data):
+                answer = await self._answer(data)
+            case call_body.StreamedBody():
+                answer = _make_answer(STATUS_MALFORMED, b"")
+        await responder.send(answer)
+
+    async def _answer(self, data: bytes) -> http_messages.Answer:
+        try:
+            request = messages.decode_request(data)
+        except errors.MalformedMessageError as error:
+            return _make_answer(STATUS_MALFORMED, str(error).encode())
+        answered = await self._handler.answer(request)
+        return _make_answer(STATUS_OK, messages.encode(answered))
+
+
+def _make_answer(status: int, data: bytes) -> http_messages.Answer:
+    return http_messages.Answer(status, (), call_body.BufferedBody(data))
--- /dev/null
+++ b/kumquatridge/platform/announcements.py
@@ -0,0 +1,110 @@
+"""What workers say of themselves, decoded, and the address they say it to."""
+
+import msgspec
+
+from kumquatridge.calls import body as call_body
+from kumquatridge.platform import errors
+from kumquatridge.transport import listener
+from kumquatridge.transport import messages as http
+from kumquatridge.workers import own_worker as own_workers
+from kumquatridge.workers import supervisor as worker_supervisor
+
+REPORT_PATH = "/api/Instances.Heartbeat/"
+DEPARTURE_PATH = "/api/Instances.Deregister/"
+READY = "ready"
+LEAVING = "draining"
+MS_PER_S = 1000.0
+STATUS_OK = 200
+STATUS_MALFORMED = 400
+STATUS_NOT_FOUND = 404
+
+
+class _Info(msgspec.Struct, rename="camel"):
+    service: str
+    # The worker's slots.
+    max_concurrency: int
+
+
+class _Status(msgspec.Struct, rename="camel"):
+    state: str
+    sequence: int
+    # For how much longer the worker is slow after its start.
+    warmup_left_s: float = 0.0
+
+
+class _Heartbeat(msgspec.Struct, rename="camel"):
+    address: str
+    info: _Info
+    status: _Status
+    # The Unix millisecond of the worker's start.
+    born: int = 0
+
+
+_decoder = msgspec.json.Decoder(_Heartbeat)
+
+
+def decode_report(worker: str, data: bytes) -> own_workers.WorkerReport:
+    """Returns a worker's report.
+
+    Raises:
+      MalformedReportError: a field is missing, of another type or unknown.
+    """
+    try:
+        decoded = _decoder.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise errors.MalformedReportError(str(error)) from error
+    state = decoded.status.state
+    if state not in (READY, LEAVING):
+        raise errors.MalformedReportError(f"unknown state {state!r}")
+    if not worker or decoded.info.max_concurrency <= 0:
+        raise errors.MalformedReportError("no worker, or one without slots")
+    identity = own_workers.WorkerIdentity(
+        worker,
+        decoded.born,
+        decoded.address,
+        decoded.info.service,
+        decoded.info.max_concurrency,
+        round(max(0.0, decoded.status.warmup_left_s) * MS_PER_S),
+    )
+    return own_workers.WorkerReport(
+        identity, decoded.status.sequence, state == LEAVING
+    )
+
+
+class AnnouncementEndpoint:
+    """Takes the reports of the worker beside this daemon."""
+
+    def __init__(self, supervisor: worker_supervisor.WorkerSupervisor) -> None:
+        self._supervisor = supervisor
+
+    async def handle(
+        self, request: http.Request, responder: listener.Responder
+    ) -> None:
+        """Answers one request."""
+        status = self._take(request)
+        body = call_body.BufferedBody(b"{}")
+        headers = (("Content-Type", "application/json"),)
+        await responder.send(http.Answer(status, headers, body))
+
+    def _take(self, request: http.Request) -> int:
+        target = request.target.partition("?")[0]
+        if request.method != "POST":
+            return STATUS_NOT_FOUND
+        if target.startswith(DEPARTURE_PATH):
+            self._supervisor.take_departure(target.removeprefix(DEPARTURE_PATH))
+            return STATUS_OK
+        if not target.startswith(REPORT_PATH):
+            return STATUS_NOT_FOUND
+        worker = target.removeprefix(REPORT_PATH)
+        match request.body:
+            case call_body.BufferedBody(data):
+                pass
+            case call_body.StreamedBody():
+                data = b""
+        try:
+            report = decode_report(worker, data)
+        except errors.MalformedReportError as error:
+            self._supervisor.ignore(worker, str(error))
+            return STATUS_MALFORMED
+        self._supervisor.take_report(report)
+        return STATUS_OK
--- /dev/null
+++ b/kumquatridge/platform/callers.py
@@ -0,0 +1,135 @@
+"""The front end for callers on the own machine: requests in, answers out."""
+
+from collections.abc import Callable
+import contextlib
+
+from kumquatridge.callpath import links
+from kumquatridge.callpath import routed_intake
+from kumquatridge.calls import body as call_body
+from kumquatridge.calls import call as calls
+from kumquatridge.calls import outcomes
+from kumquatridge.calls import refusals
+from kumquatridge.platform import headers
+from kumquatridge.platform import worker_link
+from kumquatridge.telemetry import recorder as telemetry
+from kumquatridge.transport import listener
+from kumquatridge.transport import messages as http
+
+MS_PER_S = 1000.0
+STATUS_NOT_RUN = 503
+STATUS_NO_ROUTE = 404
+STATUS_TOO_LARGE = 413
+STATUS_MALFORMED = 400
+STATUS_FAILED = 502
+STATUS_TIMED_OUT = 504
+# Statuses by which the platform means that a request never ran.
+_PROMISES = frozenset((408, 421, 429, 503))
+
+
+class CallerEndpoint:
+    """Serves the callers and the worker on the own machine."""
+
+    def __init__(
+        self,
+        intake: routed_intake.RoutedIntake,
+        path: links.Dispatcher,
+        recorder: telemetry.FrontEndRecorder,
+        get_service: Callable[[], str],
+    ) -> None:
+        self._intake = intake
+        self._path = path
+        self._recorder = recorder
+        self._get_service = get_service
+
+    async def handle(
+        self, request: http.Request, responder: listener.Responder
+    ) -> None:
+        """Answers one request."""
+        match self._intake.make_call(self._read(request)):
+            case calls.Call() as call:
+                await self._dispatch(call, responder)
+            case refusal:
+                self._recorder.record_rejection(refusal)
+                await responder.send(_make_refusal(refusal))
+
+    async def _dispatch(
+        self, call: calls.Call, responder: listener.Responder
+    ) -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            outcome = await stack.enter_async_context(self._path.dispatch(call))
+            answer = make_answer(call, outcome)
+            match answer.body:
+                case call_body.BufferedBody():
+                    await stack.aclose()
+                case call_body.StreamedBody():
+                    pass
+            await responder.send(answer)
+
+    def _read(self, request: http.Request) -> routed_intake.RoutedRequest:
+        found = request.headers
+        return routed_intake.RoutedRequest(
+            request_id=http.find_header(found, headers.REQUEST_ID) or "",
+            host=http.find_header(found, headers.HOST) or "",
+            method=request.method,
+            target=request.target,
+            headers=headers.keep_for_worker(found),
+            body=request.body,
+            caller=self._get_service(),
+            remaining_ms=_read_ms(
+                http.find_header(found, headers.REMAINING_MS)
+            ),
+        )
+
+
+def make_answer(call: calls.Call, outcome: outcomes.Outcome) -> http.Answer:
+    """Returns the answer by which a caller learns what became of its call."""
+    match outcome:
+        case outcomes.Completed(status, found, body):
+            if status in _PROMISES:
+                return _make_own(call, STATUS_FAILED)
+            return http.Answer(status, headers.keep_for_caller(found), body)
+        case outcomes.NotRun(refusal):
+            return _make_refusal(refusal, call.request_id)
+        case outcomes.Unknown(worker_link.DEADLINE_DETAIL):
+            return _make_own(call, STATUS_TIMED_OUT)
+        case outcomes.Failed() | outcomes.Unknown():
+            if call.chain.get_remaining_ms() <= 0:
+                return _make_own(call, STATUS_TIMED_OUT)
+            return _make_own(call, STATUS_FAILED)
+
+
+def _make_own(call: calls.Call, status: int) -> http.Answer:
+    return http.Answer(status, _echo(call.request_id), call_body.EMPTY)
+
+
+def _make_refusal(
+    refusal: refusals.Refusal, request_id: str = ""
+) -> http.Answer:
+    marks = _echo(request_id)
+    retry_after_ms = refusals.get_retry_after_ms(refusal)
+    if retry_after_ms is not None:
+        seconds = f"{retry_after_ms / MS_PER_S:.3f}"
+        marks = (*marks, ("Retry-After", seconds))
+    return http.Answer(_get_status(refusal), marks, call_body.EMPTY)
+
+
+def _echo(request_id: str) -> outcomes.Headers:
+    return (("Request-Id", request_id),) if request_id else ()
+
+
+def _get_status(refusal: refusals.Refusal) -> int:
+    match refusal:
+        case refusals.NoRoute() | refusals.UnknownService():
+            return STATUS_NO_ROUTE
+        case refusals.BodyTooLarge():
+            return STATUS_TOO_LARGE
+        case refusals.InvalidRequest():
+            return STATUS_MALFORMED
+        case _:
+            return STATUS_NOT_RUN
+
+
+def _read_ms(text: str | None) -> float | None:
+    if text is None or not text.isascii() or not text.isdigit():
+        return None
+    return float(text)
--- a/kumquatridge/platform/client.py
+++ b/kumquatridge/platform/client.py
@@ -2,21 +2,38 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-import contextlib
 import dataclasses
 import types
 from typing import Self
 from urllib import parse
 
-import httpx
 import msgspec
 
+from kumquatridge.calls import body as call_body
+from kumquatridge.calls import outcomes
 from kumquatridge.platform import errors
 from kumquatridge.platform import messages
 from kumquatridge.platform import objects
-
-MAX_CONNECTIONS = 4
-WATCH_GRACE_S = 2.0
+from kumquatridge.transport import errors as transport_errors
+from kumquatridge.transport import messages as http
+from kumquatridge.transport import pool
+
+OBJECTS_PATH = "/api/objects/"
+# Stands for the name that a key without one has, since names can't be empty.
+UNNAMED = "~"
+# The store answers a watch at the end of its window; this much later the
+# connection is taken for silent. Covers its slowest answers (0.4 s).
+WATCH_GRACE_S = 1.0
+# The longest that the store lets a watch wait.
+MAX_WAIT_S = 30.0
+PAUSE_AFTER_CHANGE_S = 0.05
+
+_OK = 200
+_CREATED = 201
+_NOT_FOUND = 404
+_CONFLICT = 409
+_GONE = 410
+_REFUSED = frozenset((400, 401, 403, 413))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,21 +56,21 @@
     """
 
     def __init__(self, settings: ClientSettings) -> None:
+        self._address = settings.address
         self._timeout_s = settings.call_timeout_ms / 1000.0
-        headers = {}
-        if settings.token is not None:
-            headers["Authorization"] = f"Bearer {settings.token}"
-        self._http = httpx.AsyncClient(
-            base_url=f"http://{settings.address}/v1",
-            headers=headers,
-            timeout=httpx.Timeout(self._timeout_s),
-            limits=httpx.Limits(max_connections=MAX_CONNECTIONS),
-            trust_env=False,
+        self._headers: outcomes.Headers = (
+            ("Host", settings.address),
+            ("Content-Type", "application/json"),
         )
+        if settings.token is not None:
+            mark = ("Authorization", f"Bearer {settings.token}")
+            self._headers = (*self._headers, mark)
+        self._connections = pool.ConnectionPool()
+        self.calls = 0
 
     async def __aenter__(self) -> Self:
         """Opens the client; connections are made on the first calls."""
-        await self._http.__aenter__()
+        await self._connections.__aenter__()
         return self
 
     async def __aexit__(
@@ -63,165 +80,229 @@
         traceback: types.TracebackType | None,
     ) -> None:
         """Closes all connections."""
-        await self._http.__aexit__(error_type, error, traceback)
+        await self._connections.__aexit__(error_type, error, traceback)
 
     async def get(self, key: str) -> objects.PlatformObject | None:
         """Returns an object, or None when there is none."""
-        async with _reading(self._timeout_s):
-            answer = await self._http.get(_make_path(key))
-            if answer.status_code == httpx.codes.NOT_FOUND:
-                return None
-            _check(answer)
-            version = _read_version(answer)
-            return objects.PlatformObject(key, version, answer.content)
+        status, data = await self._call("GET", _make_target(key))
+        if status == _NOT_FOUND:
+            return None
+        _check(status)
+        return _read_object(key, _decode(messages.object_decoder, data))
 
     async def put(
         self, key: str, value: bytes, expected_version: int
     ) -> objects.WriteReply:
         """Stores a value if the object has the version expected."""
-        return await self._write("PUT", key, expected_version, value)
+        kind, name = split_key(key)
+        is_new = expected_version == objects.NOT_STORED
+        metadata = messages.Metadata(name, None if is_new else expected_version)
+        data = messages.encoder.encode(
+            messages.StoredObject(metadata, msgspec.Raw(value))
+        )
+        if is_new:
+            return await self._write("POST", OBJECTS_PATH + kind, data)
+        return await self._write("PUT", _make_target(key), data)
 
     async def delete(
         self, key: str, expected_version: int
     ) -> objects.WriteReply:
         """Deletes an object if it has the version expected."""
-        return await self._write("DELETE", key, expected_version, None)
+        target = f"{_make_target(key)}?revision={expected_version}"
+        return await self._write("DELETE", target, b"")
 
-    async def list_objects(self, prefix: str) -> objects.Listing:
+    async def list_objects(
+        self, prefix: str, *, allow_stale: bool = False
+    ) -> objects.Listing:
         """Returns all objects whose keys start with a prefix."""
-        body = await self._list(prefix, "true")
-        found = tuple(
-            objects.PlatformObject(one.key, one.version, one.value)
-            for one in body.objects
-        )
-        return objects.Listing(found, body.version)
+        kind = prefix.partition("/")[0]
+        found: list[objects.PlatformObject] = []
+        query = {"allowStale": "1"} if allow_stale else {}
+        while True:
+            target = OBJECTS_PATH + kind
+            if query:
+                target = f"{target}?{parse.urlencode(query)}"
+            status, data = await self._call("GET", target)
+            _check(status)
+            page = _decode(messages.listing_decoder, data)
+            found.extend(_read_named(kind, one) for one in page.items)
+            if not page.more or not page.items:
+                break
+            query["after"] = page.items[-1].metadata.name
+        matching = tuple(one for one in found if one.key.startswith(prefix))
+        return objects.Listing(matching, page.current_rev)
 
     async def list_versions(
         self, prefix: str
     ) -> tuple[objects.ObjectVersion, ...]:
         """Returns the keys and versions of the objects below a prefix."""
-        body = await self._list(prefix, "false")
+        listing = await self.list_objects(prefix)
         return tuple(
-            objects.ObjectVersion(one.key, one.version) for one in body.objects
+            objects.ObjectVersion(one.key, one.version)
+            for one in listing.objects
+        )
+
+    async def wait_for_changes(
+        self, prefix: str, since_version: int, window_s: float
+    ) -> objects.Changes:
+        """Returns the changes after a version, none when time is up."""
+        kind = prefix.partition("/")[0]
+        wait_s = min(window_s, MAX_WAIT_S)
+        wait_ms = max(0, round(wait_s * 1000))
+        target = f"{OBJECTS_PATH}{kind}?watch={since_version}&waitMs={wait_ms}"
+        status, data = await self._call("GET", target, wait_s + WATCH_GRACE_S)
+        if status == _GONE:
+            raise errors.PlatformHistoryLostError(
+                f"changes since {since_version} are no longer known"
+            )
+        _check(status)
+        body = _decode(messages.watch_decoder, data)
+        changed = (_read_event(kind, one) for one in body.events)
+        return objects.Changes(
+            tuple(one for one in changed if one.key.startswith(prefix)),
+            max(body.current_rev, since_version),
         )
 
     async def watch(
         self, prefix: str, since_version: int, window_s: float
     ) -> AsyncIterator[objects.PlatformObject]:
         """Yields each change after a version; ends after the window."""
-        parameters = {
-            "prefix": prefix,
-            "since": str(since_version),
-            "window_ms": str(round(window_s * 1000)),
-        }
-        deadline_s = window_s + WATCH_GRACE_S
-        timeout = httpx.Timeout(self._timeout_s, read=deadline_s)
-        async with (
-            _reading(deadline_s),
-            self._http.stream(
-                "GET", "/watch", params=parameters, timeout=timeout
-            ) as answer,
-        ):
-            _check(answer)
-            async for line in answer.aiter_lines():
-                one = messages.line_decoder.decode(line)
-                yield objects.PlatformObject(one.key, one.version, one.value)
-
-    async def _list(self, prefix: str, values: str) -> messages.ListingBody:
-        async with _reading(self._timeout_s):
-            answer = await self._http.get(
-                "/objects", params={"prefix": prefix, "values": values}
-            )
-            _check(answer)
-            return messages.listing_decoder.decode(answer.content)
+        loop = asyncio.get_running_loop()
+        ends_s = loop.time() + window_s
+        version = since_version
+        while (left_s := ends_s - loop.time()) > 0:
+            changes = await self.wait_for_changes(prefix, version, left_s)
+            for one in changes.objects:
+                yield one
+            if changes.version != version:
+                await asyncio.sleep(PAUSE_AFTER_CHANGE_S)
+            version = changes.version
 
     async def _write(
-        self, method: str, key: str, expected_version: int, value: bytes | None
+        self, method: str, target: str, data: bytes
     ) -> objects.WriteReply:
         try:
-            async with asyncio.timeout(self._timeout_s):
-                answer = await self._http.request(
-                    method,
-                    _make_path(key),
-                    content=value,
-                    headers=_make_condition(expected_version),
-                )
-            return _read_reply(answer)
-        except (httpx.HTTPError, TimeoutError, errors.PlatformError) as error:
-            return objects.AnswerLost(_describe(error))
-
-
-@contextlib.asynccontextmanager
-async def _reading(timeout_s: float) -> AsyncIterator[None]:
-    try:
-        async with asyncio.timeout(timeout_s):
-            yield
-    except (httpx.HTTPError, TimeoutError) as error:
-        raise errors.PlatformUnreachableError(_describe(error)) from error
-    except msgspec.MsgspecError as error:
-        raise errors.PlatformAnswerError(
-            f"the platform's answer can't be read: {error}"
-        ) from error
+            status, answered = await self._call(method, target, data=data)
+            return _read_reply(status, answered)
+        except errors.PlatformError as error:
+            return objects.AnswerLost(str(error))
+
+    async def _call(
+        self,
+        method: str,
+        target: str,
+        timeout_s: float | None = None,
+        data: bytes = b"",
+    ) -> tuple[int, bytes]:
+        """Returns the status and the body of the answer.
+
+        Raises:
+          PlatformUnreachableError: no whole answer came in time.
+        """
+        request = http.Request(
+            method, target, self._headers, call_body.BufferedBody(data)
+        )
+        self.calls += 1
+        try:
+            async with (
+                asyncio.timeout(timeout_s or self._timeout_s),
+                self._connections.send(self._address, request) as answer,
+            ):
+                return answer.status, await _read_whole(answer.body)
+        except (TimeoutError, transport_errors.TransportError) as error:
+            raise errors.PlatformUnreachableError(
+                f"no answer from the platform: {error or 'time-out'}"
+            ) from error
 
 
-def _describe(error: Exception) -> str:
-    return f"no answer from the platform: {error or type(error).__name__}"
+async def _read_whole(body: call_body.Body) -> bytes:
+    match body:
+        case call_body.BufferedBody(data):
+            return data
+        case call_body.StreamedBody(_, chunks):
+            return b"".join([chunk async for chunk in chunks])
 
 
-def _make_path(key: str) -> str:
-    return f"/objects/{parse.quote(key)}"
+def split_key(key: str) -> tuple[str, str]:
+    """Returns the kind and the name of a key."""
+    kind, _, rest = key.partition("/")
+    return kind, parse.quote(rest, safe="") or UNNAMED
 
 
-def _make_condition(expected_version: int) -> dict[str, str]:
-    if expected_version == objects.NOT_STORED:
-        return {"If-None-Match": "*"}
-    return {"If-Match": f'"{expected_version}"'}
+def _make_target(key: str) -> str:
+    kind, name = split_key(key)
+    return f"{OBJECTS_PATH}{kind}/{parse.quote(name, safe='~')}"
 
 
-def _check(answer: httpx.Response) -> None:
-    match answer.status_code:
-        case httpx.codes.OK:
+def make_key(kind: str, name: str) -> str:
+    """Returns the key of an object by its kind and name."""
+    return f"{kind}/{'' if name == UNNAMED else parse.unquote(name)}"
+
+
+def _read_object(
+    key: str, stored: messages.StoredObject
+) -> objects.PlatformObject:
+    version = stored.metadata.revision
+    if version is None:
+        raise errors.PlatformAnswerError("the platform sent no revision")
+    return objects.PlatformObject(key, version, bytes(stored.spec))
+
+
+def _read_named(
+    kind: str, stored: messages.StoredObject
+) -> objects.PlatformObject:
+    return _read_object(make_key(kind, stored.metadata.name), stored)
+
+
+def _read_event(kind: str, event: messages.EventBody) -> objects.PlatformObject:
+    one = _read_named(kind, event.object)
+    if event.deleted:
+        return dataclasses.replace(one, value=None)
+    return one
+
+
+def _decode(
+    decoder: "msgspec.json.Decoder[messages.BodyT]", data: bytes
+) -> messages.BodyT:
+    try:
+        return decoder.decode(data)
+    except msgspec.MsgspecError as error:
+        raise errors.PlatformAnswerError(
+            f"the platform's answer can't be read: {error}"
+        ) from error
+
+
+def _check(status: int) -> None:
+    match status:
+        case 200:
             return
-        case httpx.codes.UNAUTHORIZED | httpx.codes.FORBIDDEN:
+        case 401 | 403:
             raise errors.PlatformDeniedError(
                 "the platform refused the credential"
             )
-        case status:
+        case _:
             raise errors.PlatformAnswerError(
                 f"the platform answered with status {status}"
             )
 
 
-def _read_version(answer: httpx.Response) -> int:
-    tag = answer.headers.get("ETag", "").strip('"')
-    if not tag.isdecimal():
-        raise errors.PlatformAnswerError("the platform sent no version")
-    return int(tag)
-
-
-def _read_reply(answer: httpx.Response) -> objects.WriteReply:
-    match answer.status_code:
-        case httpx.codes.OK:
-            return objects.Stored(_read_version(answer))
-        case httpx.codes.PRECONDITION_FAILED:
-            return objects.Conflict(_read_version(answer))
-        case (
-            httpx.codes.BAD_REQUEST
-            | httpx.codes.UNAUTHORIZED
-            | httpx.codes.FORBIDDEN
-            | httpx.codes.REQUEST_ENTITY_TOO_LARGE
-        ):
-            return objects.Denied(_read_detail(answer))
-        case status:
-            return objects.AnswerLost(
-                f"the platform answered with status {status}"
-            )
+def _read_reply(status: int, data: bytes) -> objects.WriteReply:
+    if status in (_OK, _CREATED):
+        return objects.Stored(_read_revision(data))
+    if status == _CONFLICT:
+        return objects.Conflict(_read_revision(data))
+    if status == _NOT_FOUND:
+        return objects.Conflict(objects.NOT_STORED)
+    if status in _REFUSED:
+        return objects.Denied(
+            data.decode(errors="replace") or f"refused with status {status}"
+        )
+    return objects.AnswerLost(f"the platform answered with status {status}")
 
 
-def _read_detail(answer: httpx.Response) -> str:
-    try:
-        return msgspec.json.decode(
-            answer.content, type=messages.ErrorBody
-        ).detail
-    except msgspec.MsgspecError:
-        return f"the platform answered with status {answer.status_code}"
+def _read_revision(data: bytes) -> int:
+    """Returns the revision of the object in an answer; 0 without one."""
+    if not data:
+        return objects.NOT_STORED
+    stored = _decode(messages.object_decoder, data)
+    return stored.metadata.revision or objects.NOT_STORED
--- /dev/null
+++ b/kumquatridge/platform/configuration.py
@@ -0,0 +1,168 @@
+"""The configuration that the platform's operators write, decoded."""
+
+import math
+
+import msgspec
+
+from kumquatridge.calls import importance as call_importance
+from kumquatridge.platform import errors
+from kumquatridge.platform import objects
+from kumquatridge.settings import errors as settings_errors
+from kumquatridge.settings import route_watch
+from kumquatridge.settings import routes
+from kumquatridge.telemetry import events
+
+KEY = "config/main"
+MS_PER_S = 1000.0
+IDEMPOTENT = "idempotent"
+# Importance by rank, the highest first; lower ranks get the last one.
+_IMPORTANCE_BY_RANK = (
+    call_importance.Importance.CRITICAL,
+    call_importance.Importance.NORMAL,
+    call_importance.Importance.SHEDDABLE,
+    call_importance.Importance.BACKGROUND,
+)
+
+
+class _WeightedService(msgspec.Struct, rename="camel"):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    name: str
+    host: str
+    path_prefix: str
+    # Whether a request may be repeated, not a type of route.
+    route_type: str
+    timeout_s: float
+    # The time within which an answer earns its full credit.
+    target_latency_s: float = 0.0
+    # A rank: 0 is the highest.
+    priority: int = 0
+    # The number of workers that a request may be sent to, the first included.
+    max_attempts: int = 1
+    service: str | None = None
+    weighted_clusters: tuple[_WeightedService, ...] = ()
+
+
+class _Service(msgspec.Struct, rename="camel"):
+    name: str
+    health_path: str = "/healthz"
+    max_connections: int = 0
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 64 * 1024 * 1024
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+class _Configuration(msgspec.Struct, rename="camel"):
+    version: int
+    routes: tuple[_Route, ...]
+    services: tuple[_Service, ...] = ()
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+_decoder = msgspec.json.Decoder(_Configuration)
+
+
+def decode_configuration(data: bytes) -> routes.RouteTable:
+    """Returns the route table of a configuration.
+
+    Raises:
+      PlatformAnswerError: the bytes are no configuration.
+    """
+    try:
+        decoded = _decoder.decode(data)
+    except msgspec.MsgspecError as error:
+        raise errors.PlatformAnswerError(f"{KEY}: {error}") from error
+    limits = decoded.limits
+    return routes.RouteTable(
+        decoded.version,
+        tuple(_read_route(one) for one in decoded.routes),
+        tuple(
+            routes.ServiceProfile(
+                one.name, one.health_path, one.max_connections
+            )
+            for one in decoded.services
+        ),
+        routes.CallerLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_s * MS_PER_S,
+            limits.idle_timeout_s * MS_PER_S,
+        ),
+    )
+
+
+def _read_route(route: _Route) -> routes.Route:
+    if route.weighted_clusters:
+        shares = tuple(
+            routes.Share(one.service, one.weight)
+            for one in route.weighted_clusters
+        )
+    elif route.service is not None:
+        shares = (routes.Share(route.service, 1.0),)
+    else:
+        raise errors.PlatformAnswerError(
+            f"{KEY}: route {route.name!r} leads to no service"
+        )
+    timeout_ms = math.floor(route.timeout_s * MS_PER_S)
+    rank = min(max(0, route.priority), len(_IMPORTANCE_BY_RANK) - 1)
+    return routes.Route(
+        route.name,
+        route.host,
+        route.path_prefix,
+        shares,
+        _IMPORTANCE_BY_RANK[rank],
+        route.route_type == IDEMPOTENT,
+        timeout_ms,
+        math.floor(route.target_latency_s * MS_PER_S) or timeout_ms,
+        route.max_attempts,
+    )
+
+
+class ConfigurationRepository:
+    """Reads the route table from the platform."""
+
+    def __init__(self, api: objects.ObjectApi) -> None:
+        self._api = api
+
+    async def read(self) -> route_watch.ReadTable:
+        """Returns the newest table; see `route_watch.RouteRepository`."""
+        try:
+            listing = await self._api.list_objects(KEY)
+        except errors.PlatformError as error:
+            raise settings_errors.RepositoryError(str(error)) from error
+        return self._make(listing.objects, listing.version)
+
+    async def wait_for_change(
+        self, since_revision: int, window_ms: float
+    ) -> route_watch.ReadTable:
+        """Waits for a newer table; see `route_watch.RouteRepository`."""
+        try:
+            changes = await self._api.wait_for_changes(
+                KEY, since_revision, window_ms / MS_PER_S
+            )
+        except errors.PlatformHistoryLostError as error:
+            raise settings_errors.HistoryLostError(str(error)) from error
+        except errors.PlatformError as error:
+            raise settings_errors.RepositoryError(str(error)) from error
+        return self._make(changes.objects, changes.version)
+
+    def _make(
+        self, found: tuple[objects.PlatformObject, ...], revision: int
+    ) -> route_watch.ReadTable:
+        """Decodes the last object; a deleted one leaves the table as it is."""
+        matching = [one for one in found if one.key == KEY]
+        if not matching or matching[-1].value is None:
+            return route_watch.ReadTable(None, revision)
+        try:
+            table = decode_configuration(matching[-1].value)
+        except errors.PlatformAnswerError as error:
+            events.log(events.RoutesRejected(revision, str(error)))
+            return route_watch.ReadTable(None, revision)
+        return route_watch.ReadTable(table, revision)
--- a/kumquatridge/platform/contact_repository.py
+++ b/kumquatridge/platform/contact_repository.py
@@ -15,13 +15,21 @@
 class PlatformContacts:
     """The repository of contacts over the platform's API."""
 
-    def __init__(self, api: objects.ObjectApi) -> None:
+    def __init__(
+        self, api: objects.ObjectApi, *, shared_key: str | None = None
+    ) -> None:
+        """Keeps one object for each data centre, or one for all.
+
+        Where the members of several data centres know each other,
+        `shared_key` names the object that has the contacts of all of them.
+        """
         self._api = api
+        self._shared_key = shared_key
 
     async def read(self, data_centre: str) -> bootstrap.Contacts:
         """Returns the contacts; none with version 0 if never written."""
         with _translate_errors():
-            found = await self._api.get(PREFIX + data_centre)
+            found = await self._api.get(self._make_key(data_centre))
         if found is None:
             return bootstrap.Contacts((), bootstrap.NOT_STORED)
         return bootstrap.Contacts(_read_addresses(found), found.version)
@@ -31,7 +39,7 @@
     ) -> bool:
         """Replaces the contacts if the version is still that given."""
         reply = await self._api.put(
-            PREFIX + data_centre,
+            self._make_key(data_centre),
             msgspec.json.encode(contacts.addresses),
             contacts.version,
         )
@@ -45,6 +53,8 @@
 
     async def list_others(self, data_centre: str) -> tuple[str, ...]:
         """Returns contacts in all other data centres."""
+        if self._shared_key is not None:
+            return ()
         with _translate_errors():
             listing = await self._api.list_objects(PREFIX)
         return tuple(
@@ -54,6 +64,9 @@
             for address in _read_addresses(found)
         )
 
+    def _make_key(self, data_centre: str) -> str:
+        return PREFIX + (self._shared_key or data_centre)
+
 
 def _read_addresses(found: objects.PlatformObject) -> tuple[str, ...]:
     """Returns the addresses; an object that can't be read has none."""
--- a/kumquatridge/platform/errors.py
+++ b/kumquatridge/platform/errors.py
@@ -17,3 +17,15 @@
 
 class PlatformDeniedError(PlatformError):
     """The platform refused the caller's credential."""
+
+
+class PlatformHistoryLostError(PlatformError):
+    """The platform no longer knows the changes since a version."""
+
+
+class SettingsFileError(errors.KumquatridgeError):
+    """The settings file that the platform wrote can't be used."""
+
+
+class MalformedReportError(errors.KumquatridgeError):
+    """A worker's report on itself can't be read."""
--- a/kumquatridge/platform/messages.py
+++ b/kumquatridge/platform/messages.py
@@ -1,32 +1,54 @@
-"""Bodies of the platform's HTTP API."""
+"""Bodies of the platform's store."""
+
+from typing import TypeVar
 
 import msgspec
 
-JSON = "application/json"
-LINES = "application/x-ndjson"
 
+class Metadata(msgspec.Struct, rename="camel", frozen=True, omit_defaults=True):
+    """What the store keeps about an object.
 
-class ObjectLine(msgspec.Struct, frozen=True):
-    """An object in a listing or a watch; the value is in base64."""
+    `revision` is that of the object's last change.
+    """
 
-    key: str
-    version: int
-    value: bytes | None = None
+    name: str
+    revision: int | None = None
+    deleting: bool = False
 
 
-class ListingBody(msgspec.Struct, frozen=True):
-    """The answer to a listing."""
+class StoredObject(msgspec.Struct, frozen=True):
+    """An object; `spec` is the value as JSON."""
 
-    version: int
-    objects: tuple[ObjectLine, ...]
+    metadata: Metadata
+    spec: msgspec.Raw = msgspec.Raw(b"null")
 
 
-class ErrorBody(msgspec.Struct, frozen=True):
-    """Why a call was refused."""
+class ListingBody(msgspec.Struct, rename="camel", frozen=True):
+    """One page of a listing; `current_rev` is the store's own revision."""
 
-    detail: str
+    items: tuple[StoredObject, ...]
+    current_rev: int
+    more: bool = False
+
+
+class EventBody(msgspec.Struct, frozen=True):
+    """One change of an object."""
+
+    # The object as it is after the change, or as it was when deleted.
+    object: StoredObject
+    deleted: bool = False
+
+
+class WatchBody(msgspec.Struct, rename="camel", frozen=True):
+    """What changed; the next watch goes on from `current_rev`."""
+
+    events: tuple[EventBody, ...]
+    current_rev: int
 
 
-encoder = msgspec.json.Encoder()
 listing_decoder = msgspec.json.Decoder(ListingBody)
-line_decoder = msgspec.json.Decoder(ObjectLine)
+watch_decoder = msgspec.json.Decoder(WatchBody)
+object_decoder = msgspec.json.Decoder(StoredObject)
+encoder = msgspec.json.Encoder()
+
+BodyT = TypeVar("BodyT", ListingBody, WatchBody, StoredObject)
--- a/kumquatridge/platform/objects.py
+++ b/kumquatridge/platform/objects.py
@@ -1,4 +1,4 @@
-"""The platform's object API: versions, conditional updates and watches."""
+"""The platform's objects as the product uses them."""
 
 from collections.abc import AsyncIterator
 import dataclasses
@@ -10,10 +10,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlatformObject:
-    """An object; `value` is None for one that was deleted.
+    """An object; `value` is JSON, None for an object that was deleted.
 
-    The platform numbers all its writes; `version` is the number of the last
-    one of this object.
+    `key` is "kind/name". The platform numbers all its writes; `version` is
+    the number of the last one of this object.
     """
 
     key: str
@@ -37,6 +37,14 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes:
+    """Changes in their order, and the version to watch from next."""
+
+    objects: tuple[PlatformObject, ...]
+    version: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Stored:
     """The write took effect and made this version."""
@@ -71,7 +79,8 @@
 class ObjectApi(Protocol):
     """The calls that the platform takes; each has a deadline.
 
-    All but the writes raise PlatformError when they fail.
+    All but the writes raise PlatformError when they fail. Prefixes begin
+    with a whole kind, as in "kind/" or "kind/na".
     """
 
     async def get(self, key: str) -> PlatformObject | None:
@@ -91,14 +100,29 @@
         """Deletes an object if it has the version expected."""
         ...
 
-    async def list_objects(self, prefix: str) -> Listing:
-        """Returns all objects whose keys start with a prefix."""
+    async def list_objects(
+        self, prefix: str, *, allow_stale: bool = False
+    ) -> Listing:
+        """Returns all objects whose keys start with a prefix.
+
+        With `allow_stale` the call is cheaper and the objects may be seconds
+        old.
+        """
         ...
 
     async def list_versions(self, prefix: str) -> tuple[ObjectVersion, ...]:
         """Returns the same without values."""
         ...
 
+    async def wait_for_changes(
+        self, prefix: str, since_version: int, window_s: float
+    ) -> Changes:
+        """Returns the changes after a version, none when time is up.
+
+        Raises PlatformHistoryLostError when the version is too old.
+        """
+        ...
+
     def watch(
         self, prefix: str, since_version: int, window_s: float
     ) -> AsyncIterator[PlatformObject]:
--- /dev/null
+++ b/kumquatridge/platform/peers.py
@@ -0,0 +1,144 @@
+"""Calls between the daemons of the platform, over HTTP.
+
+The request is the caller's own, byte for byte; what the receiving daemon needs
+beyond it rides in one header.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+
+from returns import result
+
+from kumquatridge import clock
+from kumquatridge.callpath import links
+from kumquatridge.calls import body as call_body
+from kumquatridge.calls import call as calls
+from kumquatridge.calls import outcomes
+from kumquatridge.calls import refusals
+from kumquatridge.encoding import call_codec
+from kumquatridge.encoding import outcome_codec
+from kumquatridge.http import headers as own_headers
+from kumquatridge.membership import member as members
+from kumquatridge.platform import headers
+from kumquatridge.platform import worker_link
+from kumquatridge.transport import errors as transport_errors
+from kumquatridge.transport import listener
+from kumquatridge.transport import messages as http
+from kumquatridge.transport import pool
+
+STATUS_UNKNOWN = 502
+STATUS_NOT_RUN = 503
+STATUS_MALFORMED = 400
+# The receiving daemon's own time-out answers first; this is for its silence.
+ANSWER_GRACE_MS = 50.0
+
+
+class SitePeerLink:
+    """Carries calls to other daemons."""
+
+    def __init__(self, connections: pool.ConnectionPool) -> None:
+        self._connections = connections
+
+    @contextlib.asynccontextmanager
+    async def send(
+        self, call: calls.Call, member: members.Member
+    ) -> AsyncIterator[outcomes.Outcome]:
+        """Sends a call; see `callpath.links.PeerLink`."""
+        async with contextlib.AsyncExitStack() as stack:
+            yield await self._try(stack, call, member)
+
+    def send_home(
+        self, call: calls.Call, member: members.Member
+    ) -> contextlib.AbstractAsyncContextManager[outcomes.Outcome]:
+        """Sends a call; callers of the platform send no request keys."""
+        return self.send(call, member)
+
+    async def _try(
+        self,
+        stack: contextlib.AsyncExitStack,
+        call: calls.Call,
+        member: members.Member,
+    ) -> outcomes.Outcome:
+        mark = call_codec.encode_mark(call.policy, call.caller, call.chain)
+        request = http.Request(
+            call.method,
+            call.path,
+            (*call.headers, (own_headers.CHAIN, mark)),
+            call.body,
+        )
+        sent = self._connections.send(member.call_address, request)
+        allowed_ms = call.chain.get_remaining_ms() + ANSWER_GRACE_MS
+        try:
+            async with asyncio.timeout(allowed_ms / 1000.0):
+                answer = await stack.enter_async_context(sent)
+        except transport_errors.ConnectError:
+            return outcomes.NotRun(refusals.Unreachable(member.instance))
+        except transport_errors.TransportError as error:
+            return outcomes.Unknown(f"connection to a daemon: {error}")
+        except TimeoutError:
+            return outcomes.Unknown(worker_link.DEADLINE_DETAIL)
+        return outcome_codec.decode_outcome(
+            answer.status, answer.headers, answer.body
+        )
+
+
+class PeerEndpoint:
+    """Serves the calls of other daemons at the own worker."""
+
+    def __init__(self, path: links.Server, max_body_bytes: int) -> None:
+        self._path = path
+        self._max_body_bytes = max_body_bytes
+
+    async def handle(
+        self, request: http.Request, responder: listener.Responder
+    ) -> None:
+        """Answers one request."""
+        text = http.find_header(request.headers, own_headers.CHAIN) or ""
+        match call_codec.decode_mark(text):
+            case result.Success(mark):
+                call = self._make_call(request, mark)
+            case _:
+                await responder.send(
+                    http.Answer(STATUS_MALFORMED, (), call_body.EMPTY)
+                )
+                return
+        async with contextlib.AsyncExitStack() as stack:
+            outcome = await stack.enter_async_context(self._path.serve(call))
+            answer = make_answer(outcome)
+            match answer.body:
+                case call_body.BufferedBody():
+                    await stack.aclose()
+                case call_body.StreamedBody():
+                    pass
+            await responder.send(answer)
+
+    def _make_call(
+        self, request: http.Request, mark: call_codec.CallMark
+    ) -> calls.Call:
+        return calls.Call(
+            service=mark.service,
+            method=request.method,
+            path=request.target,
+            headers=headers.keep_for_worker(request.headers),
+            body=request.body,
+            caller=mark.caller,
+            request_key=None,
+            policy=call_codec.make_policy(mark, self._max_body_bytes),
+            chain=call_codec.make_chain(mark),
+            received_ms=clock.get_now_ms(),
+            request_id=http.find_header(request.headers, headers.REQUEST_ID)
+            or "",
+        )
+
+
+def make_answer(outcome: outcomes.Outcome) -> http.Answer:
+    """Returns the answer that tells a daemon what became of its call."""
+    marks = outcome_codec.encode_marks(outcome)
+    match outcome:
+        case outcomes.Completed(status, found, body):
+            return http.Answer(status, (*found, *marks), body)
+        case outcomes.NotRun():
+            return http.Answer(STATUS_NOT_RUN, marks, call_body.EMPTY)
+        case outcomes.Failed() | outcomes.Unknown():
+            return http.Answer(STATUS_UNKNOWN, marks, call_body.EMPTY)
--- /dev/null
+++ b/kumquatridge/platform/runtime.py
@@ -0,0 +1,339 @@
+"""Puts the daemon together on the platform, and runs it until SIGTERM."""
+
+import asyncio
+import contextlib
+import random
+import signal
+import time
+import types
+from typing import Self
+
+from kumquatridge.admission import guard as admission_guard
+from kumquatridge.callpath import inbound
+from kumquatridge.callpath import outbound
+from kumquatridge.callpath import routed_intake
+from kumquatridge.chain import ledger as chain_ledger
+from kumquatridge.chain import ratio as retry_ratio
+from kumquatridge.daemon import garbage
+from kumquatridge.membership import bootstrap
+from kumquatridge.membership import gossip as membership_gossip
+from kumquatridge.membership import member as members
+from kumquatridge.membership import member_source
+from kumquatridge.membership import recorder as membership_recorder
+from kumquatridge.membership import settings as gossip_settings
+from kumquatridge.membership import table
+from kumquatridge.membership import topics as gossip_topics
+from kumquatridge.peers import http_link
+from kumquatridge.peers import member_codec
+from kumquatridge.peers import topic_codec
+from kumquatridge.platform import announcements
+from kumquatridge.platform import callers
+from kumquatridge.platform import client
+from kumquatridge.platform import configuration
+from kumquatridge.platform import contact_repository
+from kumquatridge.platform import peers
+from kumquatridge.platform import readiness
+from kumquatridge.platform import settings_file
+from kumquatridge.platform import worker_link
+from kumquatridge.quarantine import register as crash_register
+from kumquatridge.routing import chooser as routing
+from kumquatridge.settings import route_store
+from kumquatridge.settings import route_watch
+from kumquatridge.settings import routes
+from kumquatridge.telemetry import decisions
+from kumquatridge.telemetry import events
+from kumquatridge.telemetry import metrics
+from kumquatridge.transport import listener
+from kumquatridge.transport import pool
+from kumquatridge.workers import own_worker
+from kumquatridge.workers import supervisor as worker_supervisor
+
+SEED_BITS = 64
+# First contact on the platform: the machines start within 0.3 s of each
+# other, and an outage of the store may not cost more than 2 s after its end.
+BOOTSTRAP = bootstrap.BootstrapSettings(
+    spread_ms=200, interval_ms=700, retry_max_ms=1400
+)
+# A daemon that is restarted while the store is away knows nobody; the others
+# find it again within this time.
+GOSSIP = gossip_settings.GossipSettings(dead_retry_ms=1500)
+# Requests go on arriving for about two seconds after readiness has failed;
+# the rest of the time before SIGKILL is for those in progress.
+CLOSE_IDLE_AFTER_MS = 2500.0
+KILL_MARGIN_MS = 300.0
+CHECK_S = 0.05
+CALL_TIMEOUT_MS = 1200
+# Hedges would spend the retries of the whole system on calls that are merely
+# late; a full or leaving instance costs a hop, not a retry.
+OUTBOUND = outbound.OutboundSettings(hedges=False, free_refusals=3)
+# Part of the permitted retries that daemons use, so that those which a repeat
+# causes further down, and requests counted late, still fit.
+RETRY_PART = 0.5
+# Daemons among which the permitted floor is shared; half of it is given out.
+RETRY_FLOOR_SHARES = 16
+
+
+class SiteDaemon:
+    """One daemon on the platform, serving while its context is open."""
+
+    def __init__(self, settings: settings_file.SiteSettings) -> None:
+        self._settings = settings
+        self._members = table.MemberTable(
+            _make_own_member(settings), settings.data_centres
+        )
+        self._guard = admission_guard.AdmissionGuard(slots=0)
+        self._ledger = chain_ledger.Ledger()
+        self._store = route_store.RouteStore()
+        self._recorder = metrics.MetricRecorder(decisions.DecisionLog())
+        self._worker = own_worker.OwnWorker(
+            settings.service, settings.worker_address
+        )
+        self._connections = pool.ConnectionPool()
+        self._supervisor = worker_supervisor.WorkerSupervisor(
+            self._worker,
+            self._members,
+            self._guard,
+            worker_link.SiteHealthCheck(self._connections, self._store),
+            self._announce,
+        )
+        self._gossip = membership_gossip.Gossip(
+            GOSSIP,
+            self._members,
+            http_link.HttpControlLink(
+                self._connections, membership_recorder.NoRecorder()
+            ),
+            membership_recorder.NoRecorder(),
+            random.getrandbits(SEED_BITS),
+        )
+        self._client = client.PlatformClient(
+            client.ClientSettings(
+                settings.store_address, call_timeout_ms=CALL_TIMEOUT_MS
+            )
+        )
+        self._listeners: list[listener.HttpListener] = []
+        self._is_stopping = False
+        self._stack = contextlib.AsyncExitStack()
+        self._enter = self._stack.enter_async_context
+
+    async def __aenter__(self) -> Self:
+        """Opens the connections and listeners.
+
+        Raises:
+          KumquatridgeError: an address can't be listened at.
+        """
+        try:
+            await self._open()
+        except BaseException:
+            await self._stack.aclose()
+            raise
+        return self
+
+    async def _open(self) -> None:
+        await self._enter(self._connections)
+        await self._enter(self._client)
+        await self._open_control()
+        await self._open_paths()
+        await self._enter(self._supervisor)
+        events.log(
+            events.DaemonStarted(
+                self._settings.instance,
+                self._settings.data_centre,
+                self._settings.caller_address,
+            )
+        )
+
+    async def _open_control(self) -> None:
+        settings = self._settings
+        self._gossip.add_topic(
+            topic_codec.EncodedTopic(
+                gossip_topics.MEMBERS,
+                member_source.MemberSource(
+                    self._members, self._gossip.learn_pulled
+                ),
+                member_codec.encode_member,
+                member_codec.decode_member,
+            )
+        )
+        self._gossip.add_topic(
+            topic_codec.make_topic(
+                gossip_topics.ROUTES, self._store, routes.RouteTable
+            )
+        )
+        self._store.subscribe(self._take_routes)
+        endpoint = http_link.ControlEndpoint(self._gossip)
+        await self._listen(settings.control_address, endpoint.handle)
+        await self._listen(
+            settings.readiness_address,
+            readiness.ReadinessEndpoint(self._is_ready).handle,
+        )
+        await self._enter(self._gossip)
+        await self._enter(self._make_bootstrap())
+        await self._enter(
+            route_watch.RouteWatch(
+                route_watch.RouteWatchSettings(),
+                configuration.ConfigurationRepository(self._client),
+                self._store,
+                random.getrandbits(SEED_BITS),
+            )
+        )
+
+    def _make_bootstrap(self) -> bootstrap.Bootstrap:
+        return bootstrap.Bootstrap(
+            BOOTSTRAP,
+            self._members,
+            contact_repository.PlatformContacts(
+                self._client, shared_key=self._settings.region
+            ),
+            membership_recorder.NoRecorder(),
+            random.getrandbits(SEED_BITS),
+            meet=self._gossip.meet,
+            join_remote=lambda addresses: None,
+        )
+
+    async def _open_paths(self) -> None:
+        settings = self._settings
+        crashes = crash_register.CrashRegister(
+            crash_register.QuarantineSettings(), settings.instance, lambda: None
+        )
+        own = inbound.InboundPath(
+            self._members,
+            self._guard,
+            self._ledger,
+            worker_link.SiteWorkerLink(
+                self._connections, self._worker, self._supervisor.lose
+            ),
+            self._recorder,
+            crashes=crashes,
+        )
+        path = outbound.OutboundPath(
+            self._members,
+            routing.InstanceChooser(self._members, random.getrandbits(64)),
+            own,
+            peers.SitePeerLink(self._connections),
+            self._recorder,
+            ratios=retry_ratio.RetryRatios(_make_ratio(settings)),
+            settings=OUTBOUND,
+        )
+        caller_endpoint = callers.CallerEndpoint(
+            routed_intake.RoutedIntake(self._store, self._ledger),
+            path,
+            self._recorder,
+            lambda: self._worker.service,
+        )
+        limits = routes.CallerLimits()
+        peer_endpoint = peers.PeerEndpoint(own, limits.max_body_bytes)
+        announced = announcements.AnnouncementEndpoint(self._supervisor)
+        await self._listen(settings.call_address, peer_endpoint.handle)
+        await self._listen(settings.announcement_address, announced.handle)
+        self._callers = await self._listen(
+            settings.caller_address, caller_endpoint.handle
+        )
+
+    async def _listen(
+        self, address: str, handler: listener.Handler
+    ) -> listener.HttpListener:
+        opened = await self._enter(listener.HttpListener(address, handler))
+        self._listeners.append(opened)
+        return opened
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        """Closes listeners and connections."""
+        await self._stack.aclose()
+        events.log(
+            events.DaemonStopped(
+                self._settings.instance, self._guard.in_progress
+            )
+        )
+
+    def reload(self, settings: settings_file.SiteSettings) -> None:
+        """Takes what may change while the daemon runs."""
+        self._settings = settings
+        self._supervisor.set_place(settings.service, settings.worker_address)
+
+    def _is_ready(self) -> bool:
+        return self._store.index is not None and not self._is_stopping
+
+    def _announce(self) -> None:
+        self._gossip.announce_now()
+
+    def _take_routes(self, index: routes.RouteIndex) -> None:
+        limits = index.table.limits
+        for one in self._listeners:
+            one.set_limits(
+                listener.ListenerSettings(
+                    limits.max_header_bytes,
+                    limits.max_body_bytes,
+                    limits.header_timeout_ms,
+                    limits.idle_ms,
+                )
+            )
+        self._gossip.announce_now()
+
+    async def drain(self) -> None:
+        """Stops taking part, and waits for requests in progress.
+
+        Listeners stay open: callers learn of the stop from readiness, and
+        until then every request is served.
+        """
+        events.log(
+            events.DrainStarted(
+                self._settings.instance, self._guard.in_progress
+            )
+        )
+        self._is_stopping = True
+        self._supervisor.leave()
+        for one in self._listeners:
+            one.is_draining = True
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        last_s = started_s + (self._settings.grace_ms - KILL_MARGIN_MS) / 1000.0
+        await asyncio.sleep(CLOSE_IDLE_AFTER_MS / 1000.0)
+        while loop.time() < last_s:
+            self._callers.close_idle()
+            if self._guard.in_progress == 0 and self._callers.is_idle:
+                return
+            await asyncio.sleep(CHECK_S)
+
+
+def _make_ratio(
+    settings: settings_file.SiteSettings,
+) -> retry_ratio.RatioSettings:
+    floor = settings.retry_floor * RETRY_PART / RETRY_FLOOR_SHARES
+    return retry_ratio.RatioSettings(
+        settings.retry_ratio * RETRY_PART,
+        int(settings.retry_window_ms),
+        max(1, int(floor)),
+    )
+
+
+def _make_own_member(
+    settings: settings_file.SiteSettings,
+) -> members.Member:
+    return members.Member(
+        instance=settings.instance,
+        incarnation=time.time_ns() // 1_000_000,
+        data_centre=settings.data_centre,
+        call_address=settings.call_address,
+        control_address=settings.control_address,
+        announcement=None,
+    )
+
+
+async def run(file: settings_file.SettingsSource) -> None:
+    """Runs a daemon until SIGTERM or SIGINT, then drains it."""
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    async with SiteDaemon(file.settings) as daemon:
+        garbage.exclude_startup_objects()
+        watch = settings_file.SettingsWatch(file, daemon.reload)
+        loop.add_signal_handler(signal.SIGHUP, watch.check_now)
+        async with watch:
+            await stopping.wait()
+            await daemon.drain()
--- /dev/null
+++ b/kumquatridge/platform/worker_link.py
@@ -0,0 +1,180 @@
+"""The leg from a daemon to the worker beside it, on the platform."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+import contextlib
+import math
+
+from kumquatridge.calls import body as call_body
+from kumquatridge.calls import call as calls
+from kumquatridge.calls import outcomes
+from kumquatridge.calls import refusals
+from kumquatridge.platform import headers
+from kumquatridge.settings import route_store
+from kumquatridge.transport import errors as transport_errors
+from kumquatridge.transport import messages as http
+from kumquatridge.transport import pool
+from kumquatridge.workers import own_worker
+from kumquatridge.workers import supervisor as worker_supervisor
+
+STATUS_OK = 200
+STATUS_MISDIRECTED = 421
+DEFAULT_HEALTH_PATH = "/healthz"
+HEALTH_TIMEOUT_S = 1.0
+# A kept connection may be closed by the worker just as a call is sent. Calls
+# that can't be repeated use only connections that were used this recently.
+FRESH_IDLE_MS = 300.0
+# When a worker that was full may have room again; a queue of its own length
+# takes a few service times to empty.
+FULL_RETRY_MS = 200
+DEADLINE_DETAIL = "no answer before the deadline"
+
+LoseWorker = Callable[[str, str], None]
+
+
+class SiteWorkerLink:
+    """Carries calls to the own worker."""
+
+    def __init__(
+        self,
+        connections: pool.ConnectionPool,
+        worker: own_worker.OwnWorker,
+        lose_worker: LoseWorker,
+    ) -> None:
+        self._connections = connections
+        self._worker = worker
+        self._lose_worker = lose_worker
+
+    @contextlib.asynccontextmanager
+    async def send(
+        self, call: calls.Call, address: str, token: str
+    ) -> AsyncIterator[outcomes.Outcome]:
+        """Sends a call; see `callpath.links.WorkerLink`."""
+        del token  # Workers name their calls after the request's own id.
+        identity = self._worker.get_serving()
+        if identity is None:
+            yield outcomes.NotRun(refusals.Draining(call.service))
+            return
+        async with contextlib.AsyncExitStack() as stack:
+            yield await self._try(stack, call, address, identity.worker)
+
+    async def _try(
+        self,
+        stack: contextlib.AsyncExitStack,
+        call: calls.Call,
+        address: str,
+        worker: str,
+    ) -> outcomes.Outcome:
+        request = _make_request(call, worker)
+        sent = self._connections.send(
+            address,
+            request,
+            accepts=lambda found: _answers(found, call.request_id),
+            idle_ms=None if call.policy.idempotent else FRESH_IDLE_MS,
+        )
+        try:
+            async with asyncio.timeout(call.chain.get_remaining_ms() / 1000.0):
+                answer = await stack.enter_async_context(sent)
+        except transport_errors.ConnectError as error:
+            self._lose_worker(worker, str(error))
+            return outcomes.NotRun(refusals.Unreachable(worker))
+        except transport_errors.ConnectionBrokenError as error:
+            lost = not await self._accepts_connections(address)
+            if lost:
+                self._lose_worker(worker, "crashed")
+            return outcomes.Unknown(
+                f"connection to the worker: {error}", worker_lost=lost
+            )
+        except transport_errors.TransportError as error:
+            return outcomes.Unknown(f"the worker's answer: {error}")
+        except TimeoutError:
+            return outcomes.Unknown(DEADLINE_DETAIL)
+        return self._judge(answer, worker)
+
+    def _judge(self, answer: http.Answer, worker: str) -> outcomes.Outcome:
+        if answer.status == STATUS_MISDIRECTED:
+            self._lose_worker(worker, "another worker has the address")
+            return outcomes.NotRun(refusals.Unreachable(worker))
+        if http.find_header(answer.headers, headers.NOT_RUN) is not None:
+            return outcomes.NotRun(
+                refusals.WorkerRefused(answer.status, FULL_RETRY_MS)
+            )
+        return outcomes.Completed(
+            answer.status,
+            headers.keep_for_caller(answer.headers),
+            answer.body,
+        )
+
+    async def _accepts_connections(self, address: str) -> bool:
+        """Tells whether the worker still listens; False when it crashed."""
+        request = http.Request("GET", "/", (), call_body.EMPTY)
+        try:
+            async with (
+                asyncio.timeout(HEALTH_TIMEOUT_S),
+                self._connections.send(address, request, idle_ms=0.0),
+            ):
+                return True
+        except transport_errors.ConnectError:
+            return False
+        except (TimeoutError, transport_errors.TransportError):
+            return True
+
+
+def _make_request(call: calls.Call, worker: str) -> http.Request:
+    remaining_ms = max(1, math.floor(call.chain.get_remaining_ms()))
+    sent = (
+        *call.headers,
+        ("Deadline-Ms", str(remaining_ms)),
+        ("Expected-Instance", worker),
+        ("Caller-Service", call.caller),
+    )
+    return http.Request(call.method, call.path, sent, call.body)
+
+
+def _answers(found: outcomes.Headers, request_id: str) -> bool:
+    """Tells whether an answer's id is that of the request, or missing."""
+    answered = http.find_header(found, headers.REQUEST_ID)
+    return answered is None or answered == request_id
+
+
+class SiteHealthCheck:
+    """Asks the own worker for its health."""
+
+    def __init__(
+        self, connections: pool.ConnectionPool, store: route_store.RouteStore
+    ) -> None:
+        self._connections = connections
+        self._store = store
+
+    async def check(
+        self, service: str, address: str
+    ) -> worker_supervisor.Health:
+        """Returns what the worker at an address said."""
+        index = self._store.index
+        profile = None if index is None else index.find_service(service)
+        if profile is None:
+            return worker_supervisor.Unhealthy("health path not known yet")
+        request = http.Request(
+            "GET", profile.health_path, (("Host", address),), call_body.EMPTY
+        )
+        try:
+            async with (
+                asyncio.timeout(HEALTH_TIMEOUT_S),
+                self._connections.send(address, request) as answer,
+            ):
+                return _read_health(answer)
+        except (TimeoutError, transport_errors.TransportError) as error:
+            return worker_supervisor.Unhealthy(str(error) or "no answer")
+
+
+def _read_health(answer: http.Answer) -> worker_supervisor.Health:
+    worker = http.find_header(answer.headers, headers.ANSWERING_WORKER)
+    if answer.status != STATUS_OK or worker is None:
+        return worker_supervisor.Unhealthy(f"status {answer.status}")
+    load = http.find_header(answer.headers, headers.LOAD) or ""
+    # Running, waiting, slots, and how long work takes now in per cent.
+    figures = [figure.strip() for figure in load.split(",")]
+    slots = figures[2] if len(figures) > 2 else ""
+    return worker_supervisor.Healthy(
+        worker, int(slots) if slots.isdecimal() else 0
+    )
--- a/kumquatridge/settings/errors.py
+++ b/kumquatridge/settings/errors.py
@@ -37,3 +37,7 @@
 
 class RepositoryError(SettingsError):
     """The place where settings are kept did not answer."""
+
+
+class HistoryLostError(RepositoryError):
+    """Changes since a revision are no longer known; read everything anew."""
--- a/kumquatridge/standins/platform.py
+++ b/kumquatridge/standins/platform.py
@@ -1,29 +1,36 @@
 """The platform's stand-in over HTTP, runnable by itself.
 
-`GET /meter` and `PUT /faults` belong to the stand-in; they are not counted
-and no fault touches them.
+It speaks the protocol that the platform publishes. `GET /meter` and
+`PUT /faults` belong to the stand-in; they are not counted and no fault
+touches them.
 """
 
 import argparse
 import asyncio
-from collections.abc import Awaitable, Callable
 import dataclasses
 import signal
 import types
 from typing import Self
 from urllib import parse
 
-from aiohttp import web
 import msgspec
 
-from kumquatridge.http import server
+from kumquatridge.calls import body as call_body
+from kumquatridge.platform import client
 from kumquatridge.platform import errors
 from kumquatridge.platform import messages
 from kumquatridge.platform import objects
 from kumquatridge.standins import platform_store
+from kumquatridge.transport import listener
+from kumquatridge.transport import messages as http
 
-_OBJECTS = "/v1/objects/"
-_Route = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+PAGE_ITEMS = 500
+TOKEN_PREFIX = "Bearer "
+JSON = (("Content-Type", "application/json"),)
+
+
+class _DropError(Exception):
+    """The connection ends without an answer."""
 
 
 class PlatformServer:
@@ -33,17 +40,11 @@
         self, address: str, store: platform_store.PlatformStore
     ) -> None:
         self._store = store
-        self._server = server.HttpServer(address, self._handle)
-        self._routes: dict[tuple[str, str], _Route] = {
-            ("GET", "/v1/objects"): self._list,
-            ("GET", "/v1/watch"): self._watch,
-            ("GET", "/meter"): self._get_meter,
-            ("PUT", "/faults"): self._set_faults,
-        }
+        self._listener = listener.HttpListener(address, self._handle)
 
     async def __aenter__(self) -> Self:
         """Starts to listen."""
-        await self._server.__aenter__()
+        await self._listener.__aenter__()
         return self
 
     async def __aexit__(
@@ -53,128 +54,167 @@
         traceback: types.TracebackType | None,
     ) -> None:
         """Stops listening."""
-        await self._server.__aexit__(error_type, error, traceback)
+        await self._listener.__aexit__(error_type, error, traceback)
 
-    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        route = self._routes.get((request.method, request.path))
+    async def _handle(
+        self, request: http.Request, responder: listener.Responder
+    ) -> None:
         try:
-            if route is not None:
-                return await route(request)
-            if request.path.startswith(_OBJECTS):
-                return await self._handle_object(request)
-        except errors.PlatformUnreachableError:
-            return _drop_connection(request)
+            answer = await self._answer(request)
+        except (_DropError, errors.PlatformUnreachableError):
+            responder.drop()
+            return
+        except errors.PlatformHistoryLostError:
+            answer = _make_answer(410, b"")
         except (ValueError, KeyError, msgspec.MsgspecError) as error:
-            return _refuse(400, f"malformed request: {error!r}")
-        return _refuse(404, "no such path")
-
-    async def _handle_object(
-        self, request: web.BaseRequest
-    ) -> web.StreamResponse:
-        key = parse.unquote(request.rel_url.raw_path.removeprefix(_OBJECTS))
-        if request.method == "GET":
-            return await self._get(request, key)
-        value = None
-        if request.method == "PUT":
-            value = await request.read()
-        reply = await self._store.write(
-            _read_token(request), key, value, _read_condition(request)
+            answer = _refuse(400, f"malformed request: {error!r}")
+        await responder.send(answer)
+
+    async def _answer(self, request: http.Request) -> http.Answer:
+        path, _, query = request.target.partition("?")
+        match request.method, path:
+            case "GET", "/meter":
+                meter = dataclasses.asdict(self._store.meter)
+                return _make_answer(200, messages.encoder.encode(meter))
+            case "PUT", "/faults":
+                faults = msgspec.json.decode(
+                    await _read_data(request),
+                    type=platform_store.PlatformFaults,
+                )
+                self._store.set_faults(faults)
+                return _make_answer(200, b"")
+        if not path.startswith(client.OBJECTS_PATH):
+            return _refuse(404, "no such path")
+        if self._store.faults.busy:
+            return _refuse(429, "too many calls")
+        kind, _, name = path.removeprefix(client.OBJECTS_PATH).partition("/")
+        words = dict(parse.parse_qsl(query))
+        return await self._answer_kind(
+            request, kind, parse.unquote(name), words
         )
-        match reply:
-            case objects.Stored(version):
-                return web.Response(headers=_tag(version))
-            case objects.Conflict(version):
-                return web.Response(status=412, headers=_tag(version))
-            case objects.Denied(reason):
-                return _refuse(403, reason)
-            case objects.AnswerLost():
-                return _drop_connection(request)
 
-    async def _get(
-        self, request: web.BaseRequest, key: str
-    ) -> web.StreamResponse:
+    async def _answer_kind(
+        self,
+        request: http.Request,
+        kind: str,
+        name: str,
+        words: dict[str, str],
+    ) -> http.Answer:
+        match request.method:
+            case "GET" if name:
+                return await self._get(request, client.make_key(kind, name))
+            case "GET" if "watch" in words:
+                return await self._watch(request, kind, words)
+            case "GET":
+                return await self._list(request, kind, words)
+            case "POST" | "PUT":
+                sent = messages.object_decoder.decode(await _read_data(request))
+                key = client.make_key(kind, sent.metadata.name)
+                expected = sent.metadata.revision or objects.NOT_STORED
+                value = bytes(sent.spec)
+                return await self._write(request, key, value, expected)
+            case "DELETE":
+                key = client.make_key(kind, name)
+                expected = int(words["revision"])
+                return await self._write(request, key, None, expected)
+            case _:
+                return _refuse(404, "no such call")
+
+    async def _get(self, request: http.Request, key: str) -> http.Answer:
         found = await self._connect(request).get(key)
         if found is None:
             return _refuse(404, "no such object")
-        return web.Response(body=found.value, headers=_tag(found.version))
-
-    async def _list(self, request: web.BaseRequest) -> web.StreamResponse:
-        listing = await self._connect(request).list_objects(
-            request.query["prefix"]
+        return _make_answer(200, messages.encoder.encode(_make_object(found)))
+
+    async def _list(
+        self, request: http.Request, kind: str, words: dict[str, str]
+    ) -> http.Answer:
+        listing = await self._connect(request).list_objects(f"{kind}/")
+        items = sorted(
+            (_make_object(one) for one in listing.objects),
+            key=lambda one: one.metadata.name,
         )
-        with_values = request.query.get("values") == "true"
+        after = words.get("after", "")
+        left = [one for one in items if one.metadata.name > after]
         body = messages.ListingBody(
-            listing.version,
-            tuple(_make_line(one, with_values) for one in listing.objects),
-        )
-        return web.Response(
-            body=messages.encoder.encode(body), content_type=messages.JSON
+            tuple(left[:PAGE_ITEMS]), listing.version, len(left) > PAGE_ITEMS
         )
+        return _make_answer(200, messages.encoder.encode(body))
 
-    async def _watch(self, request: web.BaseRequest) -> web.StreamResponse:
-        changes = self._connect(request).watch(
-            request.query["prefix"],
-            int(request.query["since"]),
-            int(request.query["window_ms"]) / 1000.0,
+    async def _watch(
+        self, request: http.Request, kind: str, words: dict[str, str]
+    ) -> http.Answer:
+        changes = await self._connect(request).wait_for_changes(
+            f"{kind}/", int(words["watch"]), int(words["waitMs"]) / 1000.0
         )
-        response = web.StreamResponse()
-        response.content_type = messages.LINES
-        await response.prepare(request)
-        async for one in changes:
-            line = messages.encoder.encode(_make_line(one, True))
-            await response.write(line + b"\n")
-        await response.write_eof()
-        return response
-
-    async def _get_meter(self, request: web.BaseRequest) -> web.StreamResponse:
-        return web.json_response(dataclasses.asdict(self._store.meter))
-
-    async def _set_faults(self, request: web.BaseRequest) -> web.StreamResponse:
-        self._store.set_faults(
-            msgspec.json.decode(
-                await request.read(), type=platform_store.PlatformFaults
-            )
+        body = messages.WatchBody(
+            tuple(
+                messages.EventBody(_make_object(one), one.value is None)
+                for one in changes.objects
+            ),
+            changes.version,
         )
-        return web.Response()
+        return _make_answer(200, messages.encoder.encode(body))
+
+    async def _write(
+        self,
+        request: http.Request,
+        key: str,
+        value: bytes | None,
+        expected_version: int,
+    ) -> http.Answer:
+        reply = await self._store.write(
+            _read_token(request), key, value, expected_version
+        )
+        match reply:
+            case objects.Stored(version):
+                stored = objects.PlatformObject(key, version, value)
+                body = messages.encoder.encode(_make_object(stored))
+                return _make_answer(200, body)
+            case objects.Conflict(objects.NOT_STORED):
+                return _refuse(404, "no such object")
+            case objects.Conflict():
+                known = self._store.find(key)
+                body = messages.encoder.encode(_make_object(known))
+                return _make_answer(409, body)
+            case objects.Denied(reason):
+                return _refuse(403, reason)
+            case objects.AnswerLost():
+                raise _DropError
 
     def _connect(
-        self, request: web.BaseRequest
+        self, request: http.Request
     ) -> platform_store.PlatformConnection:
         return self._store.connect(_read_token(request))
 
 
-def _make_line(
-    one: objects.PlatformObject, with_value: bool
-) -> messages.ObjectLine:
-    return messages.ObjectLine(
-        one.key, one.version, one.value if with_value else None
+def _make_object(one: objects.PlatformObject) -> messages.StoredObject:
+    _, name = client.split_key(one.key)
+    spec = b"null" if one.value is None else one.value
+    return messages.StoredObject(
+        messages.Metadata(name, one.version), msgspec.Raw(spec)
     )
 
 
-def _tag(version: int) -> dict[str, str]:
-    return {"ETag": f'"{version}"'}
-
-
-def _read_token(request: web.BaseRequest) -> str | None:
-    header = request.headers.get("Authorization", "")
-    return header.removeprefix("Bearer ") or None
+async def _read_data(request: http.Request) -> bytes:
+    match request.body:
+        case call_body.BufferedBody(data):
+            return data
+        case call_body.StreamedBody(_, chunks):
+            return b"".join([chunk async for chunk in chunks])
 
 
-def _read_condition(request: web.BaseRequest) -> int:
-    if request.headers.get("If-None-Match") == "*":
-        return objects.NOT_STORED
-    return int(request.headers["If-Match"].strip('"'))
+def _read_token(request: http.Request) -> str | None:
+    header = http.find_header(request.headers, "authorization") or ""
+    return header.removeprefix(TOKEN_PREFIX) or None
 
 
-def _refuse(status: int, detail: str) -> web.Response:
-    body = messages.encoder.encode(messages.ErrorBody(detail))
-    return web.Response(status=status, body=body, content_type=messages.JSON)
+def _make_answer(status: int, data: bytes) -> http.Answer:
+    return http.Answer(status, JSON, call_body.BufferedBody(data))
 
 
-def _drop_connection(request: web.BaseRequest) -> web.Response:
-    if request.transport is not None:
-        request.transport.abort()
-    return web.Response()
+def _refuse(status: int, detail: str) -> http.Answer:
+    return _make_answer(status, detail.encode())
 
 
 async def _serve(address: str) -> None:
--- a/kumquatridge/standins/platform_store.py
+++ b/kumquatridge/standins/platform_store.py
@@ -13,10 +13,10 @@
 class PlatformFaults:
     """What is wrong with the platform at the moment.
 
-    `down` answers nothing; `stale_reads` answers reads and new watches as of
-    the moment when the fault began; `lose_answers` drops the answers to that
-    many writes after they took effect; `silent_watches` tells open and new
-    watches nothing.
+    `down` answers nothing; `busy` refuses every call over HTTP; `stale_reads`
+    answers reads and new watches as of the moment when the fault began;
+    `lose_answers` drops the answers to that many writes after they took
+    effect; `silent_watches` tells open and new watches nothing.
     """
 
     delay_ms: float = 0.0
@@ -24,6 +24,7 @@
     stale_reads: bool = False
     lose_answers: int = 0
     silent_watches: bool = False
+    busy: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,6 +55,7 @@
         self._log: list[objects.PlatformObject] = []
         self._changed = asyncio.Event()
         self._faults = NO_FAULTS
+        self._history_start = 0
         self.meter = Meter()
 
     @property
@@ -68,6 +70,31 @@
         self._faults = faults
         self._wake_watches()
 
+    def find(self, key: str) -> objects.PlatformObject:
+        """Returns an object that exists, without counting a read."""
+        return self._objects[key]
+
+    def forget_history(self) -> None:
+        """Drops all changes so far; watches from before them fail."""
+        self._history_start = len(self._log)
+        self._wake_watches()
+
+    async def wait_for_changes(
+        self, prefix: str, since_version: int, window_s: float
+    ) -> objects.Changes:
+        """Returns the first changes after a version, or none in time."""
+        found: list[objects.PlatformObject] = []
+        async for one in self.watch(prefix, since_version, window_s):
+            found = [
+                one,
+                *self._find_changes(prefix, one.version),
+            ]
+            break
+        version = max(since_version, len(self._log))
+        if self._faults.silent_watches or self._faults.stale_reads:
+            version = since_version
+        return objects.Changes(tuple(found), version)
+
     def connect(self, token: str | None = None) -> "PlatformConnection":
         """Returns the API as one caller sees it."""
         return PlatformConnection(self, token)
@@ -120,6 +147,8 @@
         with self._count_watch():
             while True:
                 changed = self._changed
+                if seen < self._history_start:
+                    raise errors.PlatformHistoryLostError(str(seen))
                 for one in self._find_changes(prefix, seen):
                     seen = one.version
                     yield one
@@ -222,7 +251,9 @@
         """Deletes an object if it has the version expected."""
         return await self._write(key, None, expected_version)
 
-    async def list_objects(self, prefix: str) -> objects.Listing:
+    async def list_objects(
+        self, prefix: str, *, allow_stale: bool = False
+    ) -> objects.Listing:
         """Returns all objects whose keys start with a prefix."""
         self._check_cut()
         known = await self._store.read()
@@ -242,6 +273,15 @@
             for one in listing.objects
         )
 
+    async def wait_for_changes(
+        self, prefix: str, since_version: int, window_s: float
+    ) -> objects.Changes:
+        """Returns the changes after a version, none when time is up."""
+        self._check_cut()
+        return await self._store.wait_for_changes(
+            prefix, since_version, window_s
+        )
+
     async def watch(
         self, prefix: str, since_version: int, window_s: float
     ) -> AsyncIterator[objects.PlatformObject]:
--- a/kumquatridge/telemetry/events.py
+++ b/kumquatridge/telemetry/events.py
@@ -210,6 +210,91 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoutesApplied:
+    """A newer route table is in force; `source` is platform or peer."""
+
+    number: ClassVar[int] = 3012
+    version: int
+    before: int
+    source: str
+    routes: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoutesRejected:
+    """A route table that can't be read was not taken."""
+
+    number: ClassVar[int] = 3013
+    revision: int
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlatformReturned:
+    """The platform answers again; `version` is what was in force."""
+
+    number: ClassVar[int] = 3014
+    purpose: str
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerCut:
+    """An answer was cut off after its head was sent."""
+
+    number: ClassVar[int] = 4001
+    target: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestFailed:
+    """A request ended by an error of the daemon's own."""
+
+    number: ClassVar[int] = 4002
+    target: str
+    error: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerReportIgnored:
+    """A worker's report on itself names no worker to use."""
+
+    number: ClassVar[int] = 1104
+    worker: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerStateChanged:
+    """What is believed of the own worker changed."""
+
+    number: ClassVar[int] = 1105
+    worker: str
+    state: str
+    reason: str
+    sequence: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettingsFileRead:
+    """The settings file was read anew."""
+
+    number: ClassVar[int] = 1005
+    instance: str
+    service: str
+    trigger: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettingsFileRejected:
+    """The settings file can't be used; the last good one stays."""
+
+    number: ClassVar[int] = 1006
+    reason: str
+
+
 def log(event: Event) -> None:
     """Writes an event to the log."""
     fields = {
--- /dev/null
+++ b/kumquatridge/transport/connection.py
@@ -0,0 +1,289 @@
+"""One connection to a server, which answers one request at a time."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+from typing import cast
+
+import httptools
+
+from kumquatridge import clock
+from kumquatridge.calls import body as call_body
+from kumquatridge.calls import outcomes
+from kumquatridge.transport import errors
+from kumquatridge.transport import inbox
+from kumquatridge.transport import messages
+
+FIRST_FINAL_STATUS = 200
+BODILESS_STATUSES = frozenset((204, 304))
+# Answers to earlier requests that may precede the awaited one; a server that
+# sends more is not trusted with the connection.
+MAX_STRAY_ANSWERS = 4
+
+Accepts = Callable[[outcomes.Headers], bool]
+
+
+def accept_any(headers: outcomes.Headers) -> bool:
+    """Takes every answer as the one to the request in progress."""
+    del headers
+    return True
+
+
+class _Arriving:
+    """The answer that is being read."""
+
+    def __init__(self, flow: inbox.Flow) -> None:
+        self.status = 0
+        self.headers: list[tuple[str, str]] = []
+        self.body = inbox.BodyInbox(flow)
+        self.is_head_complete = False
+        self.is_stray = False
+        self.ends_with_connection = False
+
+
+class Connection(asyncio.Protocol):
+    """Sends requests one after the other and reads their answers.
+
+    An answer that arrives when none is awaited, or that belongs to another
+    request, makes the connection unfit for further use.
+    """
+
+    def __init__(self) -> None:
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._answer: _Arriving | None = None
+        self._accepts: Accepts = accept_any
+        self._awaited: asyncio.Future[None] | None = None
+        self._fault: errors.TransportError | None = None
+        self._strays = 0
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._sending: asyncio.Task[None] | None = None
+        self._keeps_alive = True
+        self.idle_since_ms = 0.0
+        self.exchanges = 0
+
+    @property
+    def is_reusable(self) -> bool:
+        """Tells whether another request may be sent."""
+        return (
+            self._fault is None
+            and self._keeps_alive
+            and self._awaited is None
+            and self._has_ended
+            and (self._sending is None or self._sending.done())
+        )
+
+    @property
+    def _has_ended(self) -> bool:
+        """Tells whether no answer is outstanding, given up ones included."""
+        if self._answer is None:
+            return self.exchanges == 0
+        return not self._answer.is_stray and self._answer.body.is_complete
+
+    async def send(
+        self, request: messages.Request, accepts: Accepts
+    ) -> messages.Answer:
+        """Sends a request and waits for its answer.
+
+        Raises:
+          TransportError: no answer came.
+        """
+        self.exchanges += 1
+        self._answer = None
+        self._accepts = accepts
+        self._strays = 0
+        self._awaited = asyncio.get_running_loop().create_future()
+        self._write(request)
+        try:
+            await self._awaited
+        finally:
+            self._awaited = None
+        arrived = cast(_Arriving, self._answer)
+        headers = tuple(arrived.headers)
+        length = messages.find_header(headers, "content-length")
+        body = arrived.body.hand_over(int(length) if length else None)
+        return messages.Answer(arrived.status, headers, body)
+
+    def _write(self, request: messages.Request) -> None:
+        transport = self._transport
+        if self._fault is not None or transport is None:
+            raise self._fault or errors.ConnectError("not connected")
+        head = messages.encode_request_head(request)
+        match request.body:
+            case call_body.BufferedBody(data):
+                transport.write(head + data)
+            case call_body.StreamedBody():
+                transport.write(head)
+                self._sending = asyncio.create_task(
+                    self._write_stream(request.body)
+                )
+
+    async def _write_stream(self, body: call_body.StreamedBody) -> None:
+        transport = cast(asyncio.Transport, self._transport)
+        chunked = messages.is_chunked(body)
+        try:
+            async for chunk in body.chunks:
+                await self._writable.wait()
+                transport.write(
+                    messages.encode_chunk(chunk) if chunked else chunk
+                )
+        except errors.TransportError as error:
+            self.fail(errors.ConnectionBrokenError(f"body: {error}"))
+            return
+        if chunked:
+            transport.write(messages.LAST_CHUNK)
+
+    def fail(self, fault: errors.TransportError) -> None:
+        """Gives the connection up."""
+        if self._fault is None:
+            self._fault = fault
+        if self._sending is not None:
+            self._sending.cancel()
+        if self._transport is not None:
+            self._transport.abort()
+        if self._answer is not None:
+            self._answer.body.fail(
+                errors.BrokenBodyError(str(fault) or "cut off")
+            )
+        if self._awaited is not None and not self._awaited.done():
+            self._awaited.set_exception(fault)
+
+    def close(self) -> None:
+        """Closes the connection, which cancels what is in progress."""
+        self.fail(errors.ConnectionBrokenError("closed"))
+
+    # What asyncio calls.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes the open transport."""
+        self._transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Parses bytes; those that nobody waits for spoil the connection."""
+        if self._awaited is None and self._has_ended:
+            self.fail(errors.MalformedAnswerError("bytes after the answer"))
+            return
+        try:
+            self._parser.feed_data(data)
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+            UnicodeDecodeError,
+        ) as error:
+            self._take_parse_error(error)
+
+    def _take_parse_error(self, error: Exception) -> None:
+        answer = self._answer
+        if answer is not None and answer.body.is_complete:
+            self._keeps_alive = False
+            return
+        self.fail(errors.MalformedAnswerError(str(error)))
+
+    def eof_received(self) -> bool:
+        """Ends an answer that has no other end."""
+        answer = self._answer
+        if (
+            answer is not None
+            and answer.is_head_complete
+            and answer.ends_with_connection
+            and not answer.body.is_complete
+        ):
+            self._keeps_alive = False
+            self._finish(answer)
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fails what is in progress."""
+        reason = "reset" if exc is not None else "closed by the server"
+        self._writable.set()
+        self.fail(errors.ConnectionBrokenError(reason))
+
+    def pause_writing(self) -> None:
+        """Holds up a streamed body."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Lets a streamed body go on."""
+        self._writable.set()
+
+    # What the parser calls.
+
+    def on_message_begin(self) -> None:
+        """Starts an answer; one after the awaited one spoils the connection."""
+        if self._answer is not None and not self._answer.is_stray:
+            self._keeps_alive = False
+            raise errors.MalformedAnswerError("a second answer")
+        transport = cast(asyncio.Transport, self._transport)
+        self._answer = _Arriving(transport)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes a header."""
+        answer = cast(_Arriving, self._answer)
+        answer.headers.append((name.decode("latin-1"), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        """Judges whether this is the awaited answer."""
+        answer = cast(_Arriving, self._answer)
+        answer.status = self._parser.get_status_code()
+        headers = tuple(answer.headers)
+        answer.is_head_complete = True
+        if answer.status < FIRST_FINAL_STATUS:
+            answer.is_stray = True
+            return
+        if not self._accepts(headers):
+            answer.is_stray = True
+            self._strays += 1
+            self._keeps_alive = False
+            if self._strays > MAX_STRAY_ANSWERS:
+                raise errors.MalformedAnswerError("answers to other requests")
+            return
+        coding = messages.find_header(headers, "transfer-encoding")
+        length = messages.find_header(headers, "content-length")
+        answer.ends_with_connection = (
+            coding is None
+            and length is None
+            and answer.status not in BODILESS_STATUSES
+        )
+
+    def on_body(self, data: bytes) -> None:
+        """Takes a part of the body."""
+        answer = cast(_Arriving, self._answer)
+        if answer.is_stray:
+            return
+        answer.body.add(data)
+        if answer.body.is_ready:
+            self._wake()
+
+    def on_message_complete(self) -> None:
+        """Takes the end of an answer."""
+        answer = cast(_Arriving, self._answer)
+        if answer.is_stray:
+            return
+        self._keeps_alive = self._keeps_alive and (
+            self._parser.should_keep_alive()
+        )
+        self._finish(answer)
+
+    def _finish(self, answer: _Arriving) -> None:
+        answer.body.complete()
+        self.idle_since_ms = clock.get_now_ms()
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._awaited is not None and not self._awaited.done():
+            self._awaited.set_result(None)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Endpoint:
+    """Where to connect to."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, address: str) -> "Endpoint":
+        """Returns the endpoint of "host:port"."""
+        host, port = address.rsplit(":", 1)
+        return cls(host, int(port))
--- /dev/null
+++ b/kumquatridge/transport/messages.py
@@ -0,0 +1,96 @@
+"""Requests and answers as they travel on connections."""
+
+import dataclasses
+
+from kumquatridge.calls import body as call_body
+from kumquatridge.calls import outcomes
+
+_REASONS = {
+    200: "OK",
+    201: "Created",
+    204: "No Content",
+    400: "Bad Request",
+    404: "Not Found",
+    408: "Request Timeout",
+    413: "Content Too Large",
+    421: "Misdirected Request",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A request; `target` is the path with its query, exactly as sent."""
+
+    method: str
+    target: str
+    headers: outcomes.Headers
+    body: call_body.Body
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """An answer whose status and headers are here."""
+
+    status: int
+    headers: outcomes.Headers
+    body: call_body.Body
+
+
+def find_header(headers: outcomes.Headers, name: str) -> str | None:
+    """Returns the first value of a header; `name` is in lower case."""
+    for one, value in headers:
+        if one.lower() == name:
+            return value
+    return None
+
+
+def encode_request_head(request: Request) -> bytes:
+    """Returns the request line and headers, with the body's framing."""
+    lines = [f"{request.method} {request.target} HTTP/1.1"]
+    lines.extend(f"{name}: {value}" for name, value in request.headers)
+    match request.body:
+        case call_body.BufferedBody(b"") if request.method in ("GET", "HEAD"):
+            pass
+        case _:
+            lines.append(_make_framing(request.body))
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
+def encode_answer_head(answer: Answer, *, closes: bool) -> bytes:
+    """Returns the status line and headers, with the body's framing.
+
+    `closes` tells that the connection ends after this answer.
+    """
+    reason = _REASONS.get(answer.status, "Unknown")
+    lines = [f"HTTP/1.1 {answer.status} {reason}"]
+    lines.extend(f"{name}: {value}" for name, value in answer.headers)
+    if closes:
+        lines.append("Connection: close")
+    lines.append(_make_framing(answer.body))
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
+def is_chunked(body: call_body.Body) -> bool:
+    """Tells whether a body of unknown length is sent in chunks."""
+    return call_body.get_length_bytes(body) is None
+
+
+def encode_chunk(data: bytes) -> bytes:
+    """Returns one chunk of a chunked body."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def _make_framing(body: call_body.Body) -> str:
+    length_bytes = call_body.get_length_bytes(body)
+    if length_bytes is None:
+        return "Transfer-Encoding: chunked"
+    return f"Content-Length: {length_bytes}"
--- /dev/null
+++ b/kumquatridge/transport/pool.py
@@ -0,0 +1,147 @@
+"""Kept connections to servers."""
+
+import asyncio
+import collections
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+import socket
+import types
+from typing import Self
+
+from kumquatridge import clock
+from kumquatridge.transport import connection
+from kumquatridge.transport import errors
+from kumquatridge.transport import messages
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolSettings:
+    """Bounds of connections.
+
+    `connect_timeout_ms` covers a handshake across a region with one lost
+    packet. `idle_ms` is below the shortest idle time-out in use (several
+    seconds). After `unacknowledged_ms` without an acknowledgement the kernel
+    gives a connection up, so that a silent one doesn't outlast the calls.
+    `max_idle` bounds the descriptors held for one server.
+    """
+
+    connect_timeout_ms: float = 500.0
+    idle_ms: float = 3000.0
+    unacknowledged_ms: int = 3000
+    max_idle: int = 64
+
+
+class ConnectionPool:
+    """Connections by address while its context is open."""
+
+    def __init__(self, settings: PoolSettings | None = None) -> None:
+        self._settings = settings or PoolSettings()
+        self._idle: dict[str, collections.deque[connection.Connection]] = (
+            collections.defaultdict(collections.deque)
+        )
+        self._idle_limits_ms: dict[str, float] = {}
+        self.opened = 0
+
+    async def __aenter__(self) -> Self:
+        """Opens nothing yet: connections are opened on use."""
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        """Closes the idle connections."""
+        for address in tuple(self._idle):
+            self.forget(address)
+
+    def forget(self, address: str) -> None:
+        """Closes the idle connections to an address."""
+        for kept in self._idle.pop(address, ()):
+            kept.close()
+
+    @contextlib.asynccontextmanager
+    async def send(
+        self,
+        address: str,
+        request: messages.Request,
+        *,
+        accepts: connection.Accepts = connection.accept_any,
+        idle_ms: float | None = None,
+    ) -> AsyncIterator[messages.Answer]:
+        """Sends a request; the answer's body is readable while it is open.
+
+        A kept connection is used unless it has been idle for `idle_ms`.
+        Leaving before the body was read closes the connection.
+
+        Raises:
+          ConnectError: no byte was sent.
+          TransportError: the request may have arrived.
+        """
+        used = self._take_idle(address, idle_ms) or await self._open(address)
+        try:
+            answer = await used.send(request, accepts)
+            self._learn_idle_limit(address, answer)
+            yield answer
+        finally:
+            self._put_back(address, used)
+
+    def _take_idle(
+        self, address: str, idle_ms: float | None
+    ) -> connection.Connection | None:
+        kept = self._idle.get(address)
+        limit_ms = min(
+            self._settings.idle_ms,
+            self._idle_limits_ms.get(address, self._settings.idle_ms),
+        )
+        if idle_ms is not None:
+            limit_ms = min(limit_ms, idle_ms)
+        while kept:
+            one = kept.pop()
+            idled_ms = clock.get_now_ms() - one.idle_since_ms
+            if one.is_reusable and idled_ms < limit_ms:
+                return one
+            one.close()
+        return None
+
+    def _learn_idle_limit(self, address: str, answer: messages.Answer) -> None:
+        """Takes the announced time-out of idle connections, halved."""
+        told = messages.find_header(answer.headers, "keep-alive")
+        if told is None:
+            return
+        for part in told.split(","):
+            name, _, seconds = part.strip().partition("=")
+            if name.lower() == "timeout" and seconds.isdecimal():
+                self._idle_limits_ms[address] = int(seconds) * 1000.0 / 2
+
+    def _put_back(self, address: str, used: connection.Connection) -> None:
+        kept = self._idle[address]
+        if not used.is_reusable or len(kept) >= self._settings.max_idle:
+            used.close()
+            return
+        kept.append(used)
+
+    async def _open(self, address: str) -> connection.Connection:
+        endpoint = connection.Endpoint.parse(address)
+        loop = asyncio.get_running_loop()
+        self.opened += 1
+        try:
+            async with asyncio.timeout(
+                self._settings.connect_timeout_ms / 1000.0
+            ):
+                transport, opened = await loop.create_connection(
+                    connection.Connection, endpoint.host, endpoint.port
+                )
+        except (OSError, TimeoutError) as error:
+            raise errors.ConnectError(
+                f"{address}: {error or 'no connection in time'}"
+            ) from error
+        raw = transport.get_extra_info("socket")
+        raw.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            self._settings.unacknowledged_ms,
+        )
+        return opened
--- a/tests/callpath/graph.py
+++ b/tests/callpath/graph.py
@@ -100,7 +100,7 @@
             self.inbound,
             PeerFake(world),
             world.recorder,
-            ratio=make_ratio(),
+            ratios=make_ratios(),
         )
 
     @contextlib.asynccontextmanager
@@ -297,6 +297,6 @@
     return routing.InstanceChooser(members_table, seed)
 
 
-def make_ratio() -> retry_ratio.RetryRatio:
-    """Returns a ratio that allows every retry."""
-    return retry_ratio.RetryRatio(retry_ratio.RatioSettings(floor=10**6))
+def make_ratios() -> retry_ratio.RetryRatios:
+    """Returns ratios that allow every retry."""
+    return retry_ratio.RetryRatios(retry_ratio.RatioSettings(floor=10**6))
--- a/tests/callpath/test_outbound.py
+++ b/tests/callpath/test_outbound.py
@@ -104,7 +104,7 @@
         script,
         script,
         world.recorder,
-        ratio=graphs.make_ratio(),
+        ratios=graphs.make_ratios(),
     )
     request = dataclasses.replace(graphs.make_child_request("x"), token=None)
     request = dataclasses.replace(request, service="s0")
--- a/tests/membership/data_centres.py
+++ b/tests/membership/data_centres.py
@@ -203,7 +203,7 @@
             self.inbound,
             CallLink(self._world, self.name),
             graph.CountingRecorder(),
-            ratio=retry_ratio.RetryRatio(retry_ratio.RatioSettings()),
+            ratios=retry_ratio.RetryRatios(retry_ratio.RatioSettings()),
         )
 
     def _make_owners(
--- a/tests/platform/test_client.py
+++ b/tests/platform/test_client.py
@@ -17,6 +17,11 @@
 TIMEOUT_MS = 300
 
 
+def make_value(size_bytes: int) -> bytes:
+    """Returns a JSON string of that many bytes, quotes included."""
+    return b'"%b"' % (b"x" * (size_bytes - 2))
+
+
 @contextlib.asynccontextmanager
 async def connect(
     store: platform_store.PlatformStore, token: str | None = None
@@ -34,22 +39,22 @@
 @pytest.mark.parametrize(
     ("key", "value", "expected_version", "reply"),
     [
-        pytest.param("a/new", b"x", 0, objects.Stored(2), id="made"),
-        pytest.param("a/ä ?", b"x", 0, objects.Stored(2), id="odd key"),
-        pytest.param("a/b", b"x", 1, objects.Stored(2), id="replaced"),
-        pytest.param("a/b", b"x", 0, objects.Conflict(1), id="is there"),
-        pytest.param("a/b", b"x", 7, objects.Conflict(1), id="other version"),
-        pytest.param("a/new", b"x", 7, objects.Conflict(0), id="not there"),
+        pytest.param("a/new", b'"x"', 0, objects.Stored(2), id="made"),
+        pytest.param("a/ä ?", b'"x"', 0, objects.Stored(2), id="odd key"),
+        pytest.param("a/b", b'"x"', 1, objects.Stored(2), id="replaced"),
+        pytest.param("a/b", b'"x"', 0, objects.Conflict(1), id="is there"),
+        pytest.param("a/b", b'"x"', 7, objects.Conflict(1), id="other version"),
+        pytest.param("a/new", b'"x"', 7, objects.Conflict(0), id="not there"),
         pytest.param(
             "b/c",
-            b"x",
+            b'"x"',
             0,
             objects.Denied("this credential may write only below a/"),
             id="not the writer's",
         ),
         pytest.param(
             "a/big",
-            b"x" * objects.MAX_VALUE_BYTES,
+            make_value(objects.MAX_VALUE_BYTES),
             0,
             objects.Stored(2),
             id="a megabyte",
@@ -60,7 +65,7 @@
     key: str, value: bytes, expected_version: int, reply: objects.WriteReply
 ) -> None:
     store = platform_store.PlatformStore({"token": "a/"})
-    await store.connect("token").put("a/b", b"old", 0)
+    await store.connect("token").put("a/b", b'"old"', 0)
     async with connect(store, "token") as client:
         assert await client.put(key, value, expected_version) == reply
         match reply:
@@ -68,13 +73,14 @@
                 expected = objects.PlatformObject(key, version, value)
                 assert await client.get(key) == expected
             case _:
-                listing = await client.list_objects("")
-                assert [one.value for one in listing.objects] == [b"old"]
+                listing = await client.list_objects("a/")
+                assert [one.value for one in listing.objects] == [b'"old"']
+                assert not (await client.list_objects("b/")).objects
 
 
 async def test_value_above_a_megabyte_is_denied() -> None:
     async with connect(platform_store.PlatformStore()) as client:
-        value = b"x" * (objects.MAX_VALUE_BYTES + 1)
+        value = make_value(objects.MAX_VALUE_BYTES + 1)
         reply = await client.put("a", value, 0)
         assert type(reply) is objects.Denied
         assert await client.get("a") is None
@@ -168,3 +174,38 @@
         store.set_faults(faults)
         with pytest.raises(errors.PlatformUnreachableError):
             await read(client)
+
+
+async def test_long_listing_comes_in_pages() -> None:
+    store = platform_store.PlatformStore()
+    names = [
+        f"n{number:04}" for number in range(platform_standin.PAGE_ITEMS + 3)
+    ]
+    for name in names:
+        await store.connect().put(f"a/{name}", b"1", 0)
+    async with connect(store) as client:
+        listing = await client.list_objects("a/")
+        assert [one.key for one in listing.objects] == [
+            f"a/{name}" for name in names
+        ]
+
+
+async def test_watch_from_a_forgotten_version_says_so() -> None:
+    store = platform_store.PlatformStore()
+    async with connect(store) as client:
+        await client.put("a/1", b"1", 0)
+        store.forget_history()
+        with pytest.raises(errors.PlatformHistoryLostError):
+            await client.wait_for_changes("a/", 0, 1.0)
+
+
+async def test_refused_call_changes_nothing() -> None:
+    store = platform_store.PlatformStore()
+    async with connect(store) as client:
+        store.set_faults(Faults(busy=True))
+        reply = await client.put("a/1", b"1", 0)
+        assert type(reply) is objects.AnswerLost
+        with pytest.raises(errors.PlatformAnswerError):
+            await client.get("a/1")
+        store.set_faults(platform_store.NO_FAULTS)
+        assert await client.get("a/1") is None
--- a/tests/routing/fleet.py
+++ b/tests/routing/fleet.py
@@ -137,7 +137,7 @@
             own,
             link,
             self.recorder,
-            ratio=retry_ratio.RetryRatio(retry_ratio.RatioSettings()),
+            ratios=retry_ratio.RetryRatios(retry_ratio.RatioSettings()),
         )
 
     async def send(self, call: calls.Call) -> outcomes.Outcome:
