Turn roots away for what their whole tree loads; spread their return

The narrow service now tells a level by which every daemon turns roots away before anything is sent. Names of headers are in lower case once read; the exporter of metrics is loaded at the first scrape.

--- a/kumquatridge/callpath/inbound.py
+++ b/kumquatridge/callpath/inbound.py
@@ -6,6 +6,7 @@
 import dataclasses
 
 from kumquatridge import clock
+from kumquatridge.admission import gates
 from kumquatridge.admission import guard as admission_guard
 from kumquatridge.admission import verdicts
 from kumquatridge.callpath import links
@@ -35,6 +36,7 @@
         recorder: telemetry.Recorder,
         *,
         crashes: crash_register.CrashRegister,
+        gate: gates.GateControl | None = None,
     ) -> None:
         self._members = members
         self._guard = guard
@@ -42,6 +44,7 @@
         self._worker = worker
         self._recorder = recorder
         self._crashes = crashes
+        self._gate = gate or gates.GateControl(gates.GateSettings())
         self._isolation = suspect_isolation.Isolation()
 
     @contextlib.asynccontextmanager
@@ -97,13 +100,16 @@
 
     @contextlib.asynccontextmanager
     async def _admit(self, call: calls.Call) -> AsyncIterator[outcomes.Outcome]:
+        self._gate.record_arrival(call, clock.get_now_ms())
         async with self._guard.admit(call) as verdict:
             match verdict:
                 case verdicts.Refused(refusal):
+                    self._gate.record_refusal()
                     yield self._refuse(call, refusal)
                 case verdicts.Admitted() as admitted:
                     async with self._run(call, admitted) as outcome:
                         yield outcome
+        self._gate.record_queue(self._guard.queued, clock.get_now_ms())
 
     def _check(self, call: calls.Call) -> refusals.Refusal | None:
         announcement = self._members.own.announcement
--- a/kumquatridge/callpath/outbound.py
+++ b/kumquatridge/callpath/outbound.py
@@ -4,6 +4,8 @@
 import contextlib
 import dataclasses
 
+from kumquatridge import clock
+from kumquatridge.admission import gates
 from kumquatridge.callpath import hedging
 from kumquatridge.callpath import links
 from kumquatridge.callpath import retries
@@ -19,6 +21,8 @@
 from kumquatridge.routing import chooser as routing
 from kumquatridge.telemetry import recorder as telemetry
 
+# How long a gate that closes stays closed at least, rounded up.
+GATE_RETRY_MS = 1000
 HEDGE_REASON = "hedge"
 ALLOWANCE_SPENT = "allowance_spent"
 RATIO_EXCEEDED = "ratio_exceeded"
@@ -50,6 +54,7 @@
         *,
         ratios: retry_ratio.RetryRatios,
         settings: OutboundSettings | None = None,
+        board: gates.GateBoard | None = None,
     ) -> None:
         self._members = members_table
         self._chooser = chooser
@@ -58,6 +63,7 @@
         self._recorder = recorder
         self._ratios = ratios
         self._settings = settings or OutboundSettings()
+        self._board = board or gates.GateBoard(gates.GateSettings())
 
     @contextlib.asynccontextmanager
     async def dispatch(
@@ -67,6 +73,14 @@
 
         Instances in `excluded` have refused the call already.
         """
+        closed = self._board.find_closed(
+            call, self._members.count_instances, clock.get_now_ms()
+        )
+        if closed is not None:
+            told = refusals.GateClosed(closed, GATE_RETRY_MS)
+            self._recorder.record_refusal(call, told)
+            yield outcomes.NotRun(told, call.chain.retries)
+            return
         account = chain_account.RetryAccount(call.chain.retries)
         ratio = self._ratios.get(call.service)
         ratio.record_first_try()
@@ -93,12 +107,12 @@
                     call, outcome, tried, account, is_free
                 )
                 if choice is None:
-                    told = _hide_refusal(outcome) if may_have_run else outcome
+                    answer = _hide_refusal(outcome) if may_have_run else outcome
                     yield dataclasses.replace(
-                        told, unspent_retries=account.settle(), report=None
+                        answer, unspent_retries=account.settle(), report=None
                     )
             may_have_run = may_have_run or not _is_refusal(outcome)
-            if not _is_daemons(outcome):
+            if choice is not None and not _is_daemons(outcome):
                 call = _mark_repeat(call)
 
     def _choose_next(
--- a/kumquatridge/callpath/routed_intake.py
+++ b/kumquatridge/callpath/routed_intake.py
@@ -62,8 +62,9 @@
         found = index.find(request.host, request.target)
         if found is None:
             return refusals.NoRoute(request.host)
-        policy = self._splits.choose(found).policy
         parent = self._find_parent(request.request_id)
+        destination = self._splits.choose(found)
+        policy = destination.policy if parent is None else destination.nested
         return calls.Call(
             service=policy.service,
             method=request.method,
@@ -102,6 +103,7 @@
             expires_at_ms=expires_at_ms,
             retries=policy.retry_allowance,
             depth=0,
+            root_route=route.name,
         )
     return context.ChainContext(
         root_id=parent.chain.root_id,
@@ -113,4 +115,5 @@
         waited_ms=parent.waited_ms,
         is_contended=parent.is_contended,
         is_repeat=parent.chain.is_repeat,
+        root_route=parent.chain.root_route,
     )
--- a/kumquatridge/calls/refusals.py
+++ b/kumquatridge/calls/refusals.py
@@ -173,6 +173,15 @@
     retry_after_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class GateClosed:
+    """A service that the root's calls lead to admits only others for now."""
+
+    code: ClassVar[str] = "gate_closed"
+    service: str
+    retry_after_ms: int
+
+
 Refusal = (
     Overloaded
     | QueueTimeout
@@ -193,6 +202,7 @@
     | NotReady
     | NoRoute
     | WorkerRefused
+    | GateClosed
 )
 
 
@@ -207,6 +217,7 @@
             | KeyMemoryFull(retry_after_ms=wait_ms)
             | NotReady(retry_after_ms=wait_ms)
             | WorkerRefused(retry_after_ms=wait_ms)
+            | GateClosed(retry_after_ms=wait_ms)
         ):
             return wait_ms
         case _:
--- a/kumquatridge/chain/context.py
+++ b/kumquatridge/chain/context.py
@@ -21,6 +21,7 @@
     for theirs, on the way down to this call. `is_contended` tells whether
     others are refused for want of a slot that a call above holds, and
     `is_repeat` whether this call or one above it was sent before.
+    `root_route` names the route of the root.
     """
 
     root_id: str
@@ -32,6 +33,7 @@
     waited_ms: float = 0.0
     is_contended: bool = False
     is_repeat: bool = False
+    root_route: str = ""
 
     def get_remaining_ms(self) -> float:
         """Returns the time left before the deadline, negative when passed."""
--- a/kumquatridge/daemon/runtime.py
+++ b/kumquatridge/daemon/runtime.py
@@ -44,6 +44,7 @@
 from kumquatridge.platform import contact_repository
 from kumquatridge.quarantine import register as crash_register
 from kumquatridge.routing import chooser as routing
+from kumquatridge.telemetry import counts
 from kumquatridge.telemetry import decisions
 from kumquatridge.telemetry import events
 from kumquatridge.telemetry import metrics
@@ -68,7 +69,7 @@
         self._ledger = chain_ledger.Ledger()
         self._plane = settings_plane.SettingsPlane(settings, self._members)
         self._decisions = decisions.DecisionLog()
-        self._recorder = metrics.MetricRecorder(self._decisions)
+        self._recorder = counts.MetricRecorder(self._decisions)
         self._intake = call_intake.Intake(
             self._plane.store.policies, self._ledger, self._recorder
         )
--- a/kumquatridge/encoding/call_codec.py
+++ b/kumquatridge/encoding/call_codec.py
@@ -26,6 +26,7 @@
     waited_ms: float
     is_contended: bool
     is_repeat: bool
+    root_route: str
 
 
 _encoder = msgspec.json.Encoder()
@@ -53,6 +54,7 @@
         round(chain.waited_ms, 1),
         chain.is_contended,
         chain.is_repeat,
+        chain.root_route,
     )
     return _encoder.encode(mark).decode()
 
@@ -77,6 +79,7 @@
         waited_ms=mark.waited_ms,
         is_contended=mark.is_contended,
         is_repeat=mark.is_repeat,
+        root_route=mark.root_route,
     )
 
 
--- a/kumquatridge/encoding/outcome_codec.py
+++ b/kumquatridge/encoding/outcome_codec.py
@@ -57,11 +57,15 @@
 def decode_outcome(
     status: int, pairs: outcomes.Headers, body: call_body.Body
 ) -> outcomes.Outcome:
-    """Returns the outcome that a daemon marked on its answer."""
+    """Returns the outcome that a daemon marked on its answer.
+
+    Names of headers are in lower case. Marks stay among the headers of a
+    completed call; front ends leave them out.
+    """
     marks = {
-        lower: value
+        name: value
         for name, value in pairs
-        if (lower := name.lower()).startswith(headers.OWN_PREFIX)
+        if name.startswith(headers.OWN_PREFIX)
     }
     unspent_retries = _read_count(marks.get(headers.UNSPENT_RETRIES, "0"))
     report = report_codec.decode_report(marks.get(headers.REPORT, ""))
@@ -69,7 +73,7 @@
         case headers.OUTCOME_COMPLETED:
             return outcomes.Completed(
                 status,
-                headers.keep_end_to_end(pairs),
+                pairs,
                 body,
                 unspent_retries,
                 report,
--- a/kumquatridge/http/answers.py
+++ b/kumquatridge/http/answers.py
@@ -33,6 +33,8 @@
             return 503
         case refusals.NotReady() | refusals.WorkerRefused():
             return 503
+        case refusals.GateClosed():
+            return 503
         case refusals.NoRoute():
             return 404
         case refusals.DeadlineExceeded():
--- a/kumquatridge/http/headers.py
+++ b/kumquatridge/http/headers.py
@@ -19,6 +19,7 @@
 ROOT_ID = "kumquatridge-root-id"
 REPORT = "kumquatridge-report"
 CHAIN = "kumquatridge-chain"
+GATES = "kumquatridge-gates"
 WORKER_SHED = "kumquatridge-worker-shed"
 CHILD_FAILED = "kumquatridge-child-failed"
 WORKER_LOST = "kumquatridge-worker-lost"
@@ -35,7 +36,7 @@
 OUTCOME_FAILED = "failed"
 OUTCOME_UNKNOWN = "unknown"
 
-_HOP_BY_HOP = frozenset(
+HOP_BY_HOP = frozenset(
     (
         "connection",
         "keep-alive",
@@ -59,6 +60,6 @@
     return tuple(
         (name, value)
         for name, value in pairs
-        if (lower := name.lower()) not in _HOP_BY_HOP
+        if (lower := name.lower()) not in HOP_BY_HOP
         and not lower.startswith(OWN_PREFIX)
     )
--- a/kumquatridge/http/peer_client.py
+++ b/kumquatridge/http/peer_client.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 import contextlib
+import dataclasses
 import math
 
 import aiohttp
@@ -64,11 +65,7 @@
         ) as reply:
             match reply:
                 case client.Answer():
-                    yield outcome_codec.decode_outcome(
-                        reply.response.status,
-                        tuple(reply.response.headers.items()),
-                        reply.body,
-                    )
+                    yield _read_outcome(reply)
                 case outcomes.NotRun(refusal):
                     yield outcomes.NotRun(refusal, call.chain.retries)
                 case outcomes.Unknown(detail):
@@ -79,3 +76,18 @@
             (headers.CHAIN, chain_codec.encode_chain(call.chain)),
             (headers.CALLER, call.caller),
         )
+
+
+def _read_outcome(answer: client.Answer) -> outcomes.Outcome:
+    pairs = answer.response.headers.items()
+    outcome = outcome_codec.decode_outcome(
+        answer.response.status,
+        tuple((name.lower(), value) for name, value in pairs),
+        answer.body,
+    )
+    match outcome:
+        case outcomes.Completed(headers=found):
+            kept = headers.keep_end_to_end(found)
+            return dataclasses.replace(outcome, headers=kept)
+        case _:
+            return outcome
--- a/kumquatridge/membership/table.py
+++ b/kumquatridge/membership/table.py
@@ -74,6 +74,10 @@
             return found
         return self.remote.get_instances(service)
 
+    def count_instances(self, service: str) -> int:
+        """Returns how many instances of a service may take calls."""
+        return len(self.get_instances(service)) + len(self.get_remote(service))
+
     def set_own(self, own: members.Member) -> None:
         """Replaces this daemon's own member."""
         self._own = own
--- a/kumquatridge/operators/explanations.py
+++ b/kumquatridge/operators/explanations.py
@@ -93,6 +93,11 @@
             return detail
         case refusals.NotReady():
             return "the daemon has just started and knows no routes yet"
+        case refusals.GateClosed(service, retry_after_ms):
+            return (
+                f"its calls lead to {service}, which is overloaded; "
+                f"retry after {retry_after_ms} ms"
+            )
         case refusals.NoRoute(host):
             return f"no route leads from its path at {host!r} to a service"
         case refusals.WorkerRefused(status, _):
--- a/kumquatridge/platform/callers.py
+++ b/kumquatridge/platform/callers.py
@@ -2,7 +2,10 @@
 
 from collections.abc import Callable
 import contextlib
+import random
 
+from kumquatridge import clock
+from kumquatridge.admission import returns
 from kumquatridge.callpath import links
 from kumquatridge.callpath import routed_intake
 from kumquatridge.calls import body as call_body
@@ -40,24 +43,32 @@
         self._path = path
         self._recorder = recorder
         self._get_service = get_service
+        self._random = random.Random()
 
     async def handle(
         self, request: http.Request, responder: listener.Responder
     ) -> None:
         """Answers one request."""
-        match self._intake.make_call(self._read(request)):
+        asked = self._read(request)
+        match self._intake.make_call(asked):
             case calls.Call() as call:
-                await self._dispatch(call, responder)
+                await self._dispatch(call, asked.remaining_ms, responder)
             case refusal:
                 self._recorder.record_rejection(refusal)
-                await responder.send(_make_refusal(refusal))
+                retry_ms = refusals.get_retry_after_ms(refusal)
+                await responder.send(
+                    _make_refusal(refusal, asked.request_id, retry_ms)
+                )
 
     async def _dispatch(
-        self, call: calls.Call, responder: listener.Responder
+        self,
+        call: calls.Call,
+        remaining_ms: float | None,
+        responder: listener.Responder,
     ) -> None:
         async with contextlib.AsyncExitStack() as stack:
             outcome = await stack.enter_async_context(self._path.dispatch(call))
-            answer = make_answer(call, outcome)
+            answer = self._make_answer(call, outcome, remaining_ms)
             match answer.body:
                 case call_body.BufferedBody():
                     await stack.aclose()
@@ -65,6 +76,42 @@
                     pass
             await responder.send(answer)
 
+    def _make_answer(
+        self,
+        call: calls.Call,
+        outcome: outcomes.Outcome,
+        remaining_ms: float | None,
+    ) -> http.Answer:
+        """Returns the answer that says what became of a call."""
+        match outcome:
+            case outcomes.Completed(status, found, body):
+                if status in _PROMISES:
+                    return _make_own(call, STATUS_FAILED)
+                kept = headers.keep_for_caller(found)
+                return http.Answer(status, kept, body)
+            case outcomes.NotRun(refusal):
+                retry_ms = self._choose_return(call, refusal, remaining_ms)
+                return _make_refusal(refusal, call.request_id, retry_ms)
+            case outcomes.Unknown(worker_link.DEADLINE_DETAIL):
+                return _make_own(call, STATUS_TIMED_OUT)
+            case outcomes.Failed() | outcomes.Unknown():
+                if call.chain.get_remaining_ms() <= 0:
+                    return _make_own(call, STATUS_TIMED_OUT)
+                return _make_own(call, STATUS_FAILED)
+
+    def _choose_return(
+        self,
+        call: calls.Call,
+        refusal: refusals.Refusal,
+        remaining_ms: float | None,
+    ) -> int | None:
+        if remaining_ms is None:
+            return refusals.get_retry_after_ms(refusal)
+        held_ms = clock.get_now_ms() - call.received_ms
+        return returns.choose_return_ms(
+            call.chain.importance, remaining_ms - held_ms, self._random
+        )
+
     def _read(self, request: http.Request) -> routed_intake.RoutedRequest:
         found = request.headers
         return routed_intake.RoutedRequest(
@@ -81,32 +128,14 @@
         )
 
 
-def make_answer(call: calls.Call, outcome: outcomes.Outcome) -> http.Answer:
-    """Returns the answer by which a caller learns what became of its call."""
-    match outcome:
-        case outcomes.Completed(status, found, body):
-            if status in _PROMISES:
-                return _make_own(call, STATUS_FAILED)
-            return http.Answer(status, headers.keep_for_caller(found), body)
-        case outcomes.NotRun(refusal):
-            return _make_refusal(refusal, call.request_id)
-        case outcomes.Unknown(worker_link.DEADLINE_DETAIL):
-            return _make_own(call, STATUS_TIMED_OUT)
-        case outcomes.Failed() | outcomes.Unknown():
-            if call.chain.get_remaining_ms() <= 0:
-                return _make_own(call, STATUS_TIMED_OUT)
-            return _make_own(call, STATUS_FAILED)
-
-
 def _make_own(call: calls.Call, status: int) -> http.Answer:
     return http.Answer(status, _echo(call.request_id), call_body.EMPTY)
 
 
 def _make_refusal(
-    refusal: refusals.Refusal, request_id: str = ""
+    refusal: refusals.Refusal, request_id: str, retry_after_ms: int | None
 ) -> http.Answer:
     marks = _echo(request_id)
-    retry_after_ms = refusals.get_retry_after_ms(refusal)
     if retry_after_ms is not None:
         seconds = f"{retry_after_ms / MS_PER_S:.3f}"
         marks = (*marks, ("Retry-After", seconds))
--- a/kumquatridge/platform/headers.py
+++ b/kumquatridge/platform/headers.py
@@ -1,7 +1,5 @@
 """The headers that callers and workers of the platform use."""
 
-from collections.abc import Iterable
-
 from kumquatridge.calls import outcomes
 from kumquatridge.http import headers
 from kumquatridge.transport import messages
@@ -26,31 +24,30 @@
 
 
 def keep_for_worker(pairs: outcomes.Headers) -> outcomes.Headers:
-    """Returns the headers of a request that travel on, with the host."""
-    kept = [
-        (name, value)
-        for name, value in _keep_end_to_end(pairs)
-        if name.lower() not in _SET_HERE
-    ]
-    host = messages.find_header(pairs, HOST)
-    if host is not None:
-        kept.insert(0, ("Host", host))
-    return tuple(kept)
+    """Returns the headers of a request that travel on, the host among them."""
+    return _keep(pairs, _DROPPED_TO_WORKER)
 
 
 def keep_for_caller(pairs: outcomes.Headers) -> outcomes.Headers:
     """Returns the headers of a worker's answer that travel on."""
-    return tuple(
-        (name, value)
-        for name, value in _keep_end_to_end(pairs)
-        if name.lower() not in _OF_THE_LEG
-    )
+    return _keep(pairs, _DROPPED_TO_CALLER)
+
 
+_DROPPED_TO_WORKER = (headers.HOP_BY_HOP - {HOST}) | _SET_HERE
+_DROPPED_TO_CALLER = headers.HOP_BY_HOP | _OF_THE_LEG
 
-def _keep_end_to_end(pairs: outcomes.Headers) -> Iterable[tuple[str, str]]:
+
+def _keep(pairs: outcomes.Headers, dropped: frozenset[str]) -> outcomes.Headers:
+    """Leaves out the headers of one leg; names are in lower case."""
     named = messages.find_header(pairs, CONNECTION)
-    kept = headers.keep_end_to_end(pairs)
-    if named is None:
-        return kept
-    dropped = {one.strip().lower() for one in named.split(",")}
-    return (one for one in kept if one[0].lower() not in dropped)
+    if named is not None:
+        listed = {one.strip().lower() for one in named.split(",")}
+        dropped = dropped | listed
+    return tuple(
+        [
+            pair
+            for pair in pairs
+            if pair[0] not in dropped
+            and not pair[0].startswith(headers.OWN_PREFIX)
+        ]
+    )
--- a/kumquatridge/platform/peers.py
+++ b/kumquatridge/platform/peers.py
@@ -5,18 +5,20 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 import contextlib
 
 from returns import result
 
 from kumquatridge import clock
+from kumquatridge.admission import gates
 from kumquatridge.callpath import links
 from kumquatridge.calls import body as call_body
 from kumquatridge.calls import call as calls
 from kumquatridge.calls import outcomes
 from kumquatridge.calls import refusals
 from kumquatridge.encoding import call_codec
+from kumquatridge.encoding import gate_codec
 from kumquatridge.encoding import outcome_codec
 from kumquatridge.http import headers as own_headers
 from kumquatridge.membership import member as members
@@ -37,8 +39,11 @@
 class SitePeerLink:
     """Carries calls to other daemons."""
 
-    def __init__(self, connections: pool.ConnectionPool) -> None:
+    def __init__(
+        self, connections: pool.ConnectionPool, board: gates.GateBoard
+    ) -> None:
         self._connections = connections
+        self._board = board
 
     @contextlib.asynccontextmanager
     async def send(
@@ -78,17 +83,30 @@
             return outcomes.Unknown(f"connection to a daemon: {error}")
         except TimeoutError:
             return outcomes.Unknown(worker_link.DEADLINE_DETAIL)
+        self._take_gates(answer.headers)
         return outcome_codec.decode_outcome(
             answer.status, answer.headers, answer.body
         )
 
+    def _take_gates(self, found: outcomes.Headers) -> None:
+        text = http.find_header(found, own_headers.GATES)
+        if text is not None:
+            for gate in gate_codec.decode_gates(text, clock.get_now_ms()):
+                self._board.put(gate)
+
 
 class PeerEndpoint:
     """Serves the calls of other daemons at the own worker."""
 
-    def __init__(self, path: links.Server, max_body_bytes: int) -> None:
+    def __init__(
+        self,
+        path: links.Server,
+        max_body_bytes: int,
+        get_gates: Callable[[float], tuple[gates.Gate, ...]],
+    ) -> None:
         self._path = path
         self._max_body_bytes = max_body_bytes
+        self._get_gates = get_gates
 
     async def handle(
         self, request: http.Request, responder: listener.Responder
@@ -105,7 +123,7 @@
                 return
         async with contextlib.AsyncExitStack() as stack:
             outcome = await stack.enter_async_context(self._path.serve(call))
-            answer = make_answer(outcome)
+            answer = make_answer(outcome, self._make_gate_mark())
             match answer.body:
                 case call_body.BufferedBody():
                     await stack.aclose()
@@ -113,6 +131,13 @@
                     pass
             await responder.send(answer)
 
+    def _make_gate_mark(self) -> outcomes.Headers:
+        now_ms = clock.get_now_ms()
+        known = self._get_gates(now_ms)
+        if not known:
+            return ()
+        return ((own_headers.GATES, gate_codec.encode_gates(known, now_ms)),)
+
     def _make_call(
         self, request: http.Request, mark: call_codec.CallMark
     ) -> calls.Call:
@@ -132,9 +157,11 @@
         )
 
 
-def make_answer(outcome: outcomes.Outcome) -> http.Answer:
+def make_answer(
+    outcome: outcomes.Outcome, more: outcomes.Headers = ()
+) -> http.Answer:
     """Returns the answer that tells a daemon what became of its call."""
-    marks = outcome_codec.encode_marks(outcome)
+    marks = (*outcome_codec.encode_marks(outcome), *more)
     match outcome:
         case outcomes.Completed(status, found, body):
             return http.Answer(status, (*found, *marks), body)
--- a/kumquatridge/platform/runtime.py
+++ b/kumquatridge/platform/runtime.py
@@ -8,6 +8,7 @@
 import types
 from typing import Self
 
+from kumquatridge.admission import gates
 from kumquatridge.admission import guard as admission_guard
 from kumquatridge.callpath import inbound
 from kumquatridge.callpath import outbound
@@ -40,9 +41,9 @@
 from kumquatridge.settings import route_store
 from kumquatridge.settings import route_watch
 from kumquatridge.settings import routes
+from kumquatridge.telemetry import counts
 from kumquatridge.telemetry import decisions
 from kumquatridge.telemetry import events
-from kumquatridge.telemetry import metrics
 from kumquatridge.transport import listener
 from kumquatridge.transport import pool
 from kumquatridge.workers import own_worker
@@ -82,9 +83,11 @@
             _make_own_member(settings), settings.data_centres
         )
         self._guard = admission_guard.AdmissionGuard(slots=0)
+        self._gate = gates.GateControl(gates.GateSettings())
+        self._board = gates.GateBoard(gates.GateSettings())
         self._ledger = chain_ledger.Ledger()
         self._store = route_store.RouteStore()
-        self._recorder = metrics.MetricRecorder(decisions.DecisionLog())
+        self._recorder = counts.MetricRecorder(decisions.DecisionLog())
         self._worker = own_worker.OwnWorker(
             settings.service, settings.worker_address
         )
@@ -204,15 +207,17 @@
             ),
             self._recorder,
             crashes=crashes,
+            gate=self._gate,
         )
         path = outbound.OutboundPath(
             self._members,
             routing.InstanceChooser(self._members, random.getrandbits(64)),
             own,
-            peers.SitePeerLink(self._connections),
+            peers.SitePeerLink(self._connections, self._board),
             self._recorder,
             ratios=retry_ratio.RetryRatios(_make_ratio(settings)),
             settings=OUTBOUND,
+            board=self._board,
         )
         caller_endpoint = callers.CallerEndpoint(
             routed_intake.RoutedIntake(self._store, self._ledger),
@@ -221,7 +226,9 @@
             lambda: self._worker.service,
         )
         limits = routes.CallerLimits()
-        peer_endpoint = peers.PeerEndpoint(own, limits.max_body_bytes)
+        peer_endpoint = peers.PeerEndpoint(
+            own, limits.max_body_bytes, self._get_gates
+        )
         announced = announcements.AnnouncementEndpoint(self._supervisor)
         await self._listen(settings.call_address, peer_endpoint.handle)
         await self._listen(settings.announcement_address, announced.handle)
@@ -255,6 +262,32 @@
         self._settings = settings
         self._supervisor.set_place(settings.service, settings.worker_address)
 
+    def count_instances(self) -> int:
+        """Returns how many instances may take calls, 0 without routes."""
+        if self._store.index is None:
+            return 0
+        return sum(
+            one.announcement is not None and not members.is_out(one)
+            for one in self._members
+        )
+
+    def _get_gates(self, now_ms: float) -> tuple[gates.Gate, ...]:
+        """Returns the gates that are worth telling, the own one included."""
+        self._put_own_gate(now_ms)
+        return self._board.get_fresh(now_ms)
+
+    def _put_own_gate(self, now_ms: float) -> None:
+        if self._gate.level > gates.OPEN:
+            self._board.put(
+                gates.Gate(
+                    self._worker.service,
+                    self._settings.instance,
+                    self._gate.level,
+                    self._gate.get_routes(now_ms),
+                    now_ms,
+                )
+            )
+
     def _is_ready(self) -> bool:
         return self._store.index is not None and not self._is_stopping
 
--- a/kumquatridge/settings/routes.py
+++ b/kumquatridge/settings/routes.py
@@ -16,6 +16,8 @@
 # Part of the latency objective that a call may wait for a slot: what is left
 # must suffice for the work itself and for one more try elsewhere.
 QUEUE_WAIT_RATIO = 0.5
+# The same for calls that a worker makes: the whole root is lost with them.
+NESTED_WAIT_RATIO = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,10 +79,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Destination:
-    """One service that a route leads to, with the policy of calls there."""
+    """One service that a route leads to, with the policies of calls there.
+
+    Calls that a worker makes have a policy of their own: more is lost with
+    them than with a root, so that they may wait for a slot for longer.
+    """
 
     weight: float
     policy: settings_policy.RoutePolicy
+    nested: settings_policy.RoutePolicy
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -139,14 +146,18 @@
     return CompiledRoute(
         route,
         tuple(
-            Destination(share.weight, _make_policy(route, share, limits))
+            Destination(
+                share.weight,
+                _make_policy(route, share, limits, QUEUE_WAIT_RATIO),
+                _make_policy(route, share, limits, NESTED_WAIT_RATIO),
+            )
             for share in route.shares
         ),
     )
 
 
 def _make_policy(
-    route: Route, share: Share, limits: CallerLimits
+    route: Route, share: Share, limits: CallerLimits, wait_ratio: float
 ) -> settings_policy.RoutePolicy:
     return settings_policy.RoutePolicy(
         service=share.service,
@@ -157,5 +168,5 @@
         retry_allowance=max(0, route.max_attempts - 1),
         long_running=False,
         max_body_bytes=limits.max_body_bytes,
-        queue_wait_ms=int(route.objective_ms * QUEUE_WAIT_RATIO),
+        queue_wait_ms=int(route.objective_ms * wait_ratio),
     )
--- a/kumquatridge/transport/connection.py
+++ b/kumquatridge/transport/connection.py
@@ -220,7 +220,9 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Takes a header."""
         answer = cast(_Arriving, self._answer)
-        answer.headers.append((name.decode("latin-1"), value.decode("latin-1")))
+        answer.headers.append(
+            (name.lower().decode("latin-1"), value.decode("latin-1"))
+        )
 
     def on_headers_complete(self) -> None:
         """Judges whether this is the awaited answer."""
--- a/kumquatridge/transport/listener.py
+++ b/kumquatridge/transport/listener.py
@@ -245,6 +245,8 @@
         self.writable.set()
 
     def _fail(self, status: int) -> None:
+        if self._fault_status is not None:
+            return
         self._fault_status = status
         if self._arriving is not None:
             self._arriving.body.fail(errors.BrokenBodyError("malformed body"))
@@ -267,7 +269,7 @@
         """Takes a header."""
         arriving = cast(_Arriving, self._arriving)
         arriving.headers.append(
-            (name.decode("latin-1"), value.decode("latin-1"))
+            (name.lower().decode("latin-1"), value.decode("latin-1"))
         )
         self._count_header(len(name) + len(value) + len(": \r\n"))
 
--- a/kumquatridge/transport/messages.py
+++ b/kumquatridge/transport/messages.py
@@ -25,7 +25,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
-    """A request; `target` is the path with its query, exactly as sent."""
+    """A request; `target` is the path with its query, exactly as sent.
+
+    Names of headers that arrived are in lower case.
+    """
 
     method: str
     target: str
@@ -35,7 +38,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
-    """An answer whose status and headers are here."""
+    """An answer whose status and headers are here.
+
+    Names of headers that arrived are in lower case.
+    """
 
     status: int
     headers: outcomes.Headers
@@ -43,9 +49,9 @@
 
 
 def find_header(headers: outcomes.Headers, name: str) -> str | None:
-    """Returns the first value of a header; `name` is in lower case."""
+    """Returns the first value of a header that arrived, by its lower case."""
     for one, value in headers:
-        if one.lower() == name:
+        if one == name:
             return value
     return None
 
--- a/tests/operators/test_fleet_status.py
+++ b/tests/operators/test_fleet_status.py
@@ -13,6 +13,7 @@
 from kumquatridge.operators import fleet_status
 from kumquatridge.settings import instances
 from kumquatridge.settings import platform_reach
+from kumquatridge.telemetry import counts
 from kumquatridge.telemetry import decisions
 from kumquatridge.telemetry import metrics
 from tests.settings import fixtures
@@ -126,7 +127,7 @@
 async def test_gauges() -> None:
     known = make_table()
     versions = instances.InstanceTable("n1", fixtures.make_store())
-    recorder = metrics.MetricRecorder(decisions.DecisionLog())
+    recorder = counts.MetricRecorder(decisions.DecisionLog())
     with metrics.MetricExporter(recorder) as exporter:
         daemon_gauges.add_gauges(
             exporter, guard.AdmissionGuard(slots=1), known, versions
--- /dev/null
+++ b/tests/transport/scripted.py
@@ -0,0 +1,105 @@
+"""A server that answers with exact bytes, and what it has read."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+import socket
+import struct
+
+from tests import processes
+
+READ_BYTES = 65536
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+@dataclasses.dataclass(frozen=True)
+class Send:
+    """Writes bytes."""
+
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Read:
+    """Reads until a request's head, or as many bytes of it, are here."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Close:
+    """Ends the connection in order."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Reset:
+    """Ends the connection with a reset."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Pause:
+    """Waits."""
+
+    ms: float = 30.0
+
+
+Step = Send | Read | Close | Reset | Pause
+
+
+class ScriptedServer:
+    """Runs the same steps on each connection."""
+
+    def __init__(self, steps: tuple[Step, ...]) -> None:
+        self._steps = steps
+        self.connections = 0
+        self.received: list[bytes] = []
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Runs the steps, then waits for the client to leave."""
+        self.connections += 1
+        try:
+            for step in self._steps:
+                await self._do(step, reader, writer)
+            while data := await reader.read(READ_BYTES):
+                self.received.append(data)
+        except OSError:
+            pass
+        finally:
+            writer.close()
+
+    async def _do(
+        self,
+        step: Step,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        match step:
+            case Send(data):
+                writer.write(data)
+                await writer.drain()
+            case Read():
+                self.received.append(await reader.read(READ_BYTES))
+            case Close():
+                writer.close()
+            case Reset():
+                raw = writer.get_extra_info("socket")
+                raw.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+                )
+                writer.close()
+            case Pause(ms):
+                await asyncio.sleep(ms / 1000.0)
+
+
+@contextlib.asynccontextmanager
+async def run_scripted(
+    *steps: Step,
+) -> AsyncIterator[tuple[ScriptedServer, str]]:
+    """Runs a scripted server; yields it and its address."""
+    scripted = ScriptedServer(steps)
+    address = processes.get_free_address()
+    host, port = address.rsplit(":", 1)
+    server = await asyncio.start_server(scripted.serve, host, int(port))
+    async with server:
+        yield scripted, address
--- /dev/null
+++ b/tests/transport/test_listener.py
@@ -0,0 +1,172 @@
+"""What the listener reads from callers, and how it ends connections."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+
+import pytest
+
+from kumquatridge.calls import body as call_body
+from kumquatridge.transport import listener
+from kumquatridge.transport import messages
+from tests import processes
+
+GET = b"GET /a?b HTTP/1.1\r\nHost: h\r\n\r\n"
+POST = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
+CHUNKED = (
+    b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n"
+)
+SMUGGLED = (
+    b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /evil HTTP/1.1\r\n\r\n"
+)
+
+
+class Handler:
+    """Answers with the body that came, or waits to be cancelled."""
+
+    def __init__(self) -> None:
+        self.seen: list[messages.Request] = []
+        self.cancelled = 0
+        self.waits = False
+
+    async def handle(
+        self, request: messages.Request, responder: listener.Responder
+    ) -> None:
+        """Answers one request."""
+        self.seen.append(request)
+        if self.waits:
+            try:
+                await asyncio.sleep(5.0)
+            except asyncio.CancelledError:
+                self.cancelled += 1
+                raise
+        await responder.send(messages.Answer(200, (), request.body))
+
+
+@contextlib.asynccontextmanager
+async def run_listener(
+    handler: Handler, **settings: float
+) -> AsyncIterator[
+    tuple[listener.HttpListener, asyncio.StreamReader, asyncio.StreamWriter]
+]:
+    """Runs a listener and opens a connection to it."""
+    address = processes.get_free_address()
+    host, port = address.rsplit(":", 1)
+    bounds = listener.ListenerSettings(**settings)  # type: ignore[arg-type]
+    async with listener.HttpListener(address, handler.handle, bounds) as opened:
+        reader, writer = await asyncio.open_connection(host, int(port))
+        try:
+            yield opened, reader, writer
+        finally:
+            writer.close()
+
+
+@pytest.mark.parametrize(
+    ("sent", "target", "body"),
+    [
+        pytest.param(GET, "/a?b", b"", id="no body"),
+        pytest.param(POST, "/a", b"body", id="with length"),
+        pytest.param(CHUNKED, "/a", b"body", id="in chunks"),
+    ],
+)
+async def test_request_is_read_as_sent(
+    sent: bytes, target: str, body: bytes
+) -> None:
+    handler = Handler()
+    async with run_listener(handler) as (_, reader, writer):
+        for _ in range(2):
+            writer.write(sent)
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 200 OK\r\n")
+            assert await reader.readexactly(len(body)) == body
+    assert [one.target for one in handler.seen] == [target, target]
+
+
+async def test_requests_sent_ahead_are_answered_in_order() -> None:
+    handler = Handler()
+    async with run_listener(handler) as (_, reader, writer):
+        writer.write(POST.replace(b"body", b"one!") + POST)
+        await reader.readuntil(b"\r\n\r\n")
+        assert await reader.readexactly(4) == b"one!"
+        await reader.readuntil(b"\r\n\r\n")
+        assert await reader.readexactly(4) == b"body"
+
+
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        pytest.param(b"junk\r\n\r\n", b"400", id="no request"),
+        pytest.param(SMUGGLED, b"400", id="length and chunks"),
+        pytest.param(
+            b"GET / HTTP/1.1\r\nX: " + b"x" * 20_000 + b"\r\n\r\n",
+            b"431",
+            id="headers too large",
+        ),
+        pytest.param(
+            POST.replace(b": 4", b": 99999999999"), b"413", id="body too large"
+        ),
+    ],
+)
+async def test_what_cannot_be_taken_is_rejected(
+    sent: bytes, status: bytes
+) -> None:
+    handler = Handler()
+    async with run_listener(handler) as (_, reader, writer):
+        writer.write(sent)
+        answer = await reader.read()
+    assert answer.split()[1] == status
+    assert not handler.seen
+
+
+async def test_client_that_leaves_cancels_its_request() -> None:
+    handler = Handler()
+    handler.waits = True
+    async with run_listener(handler) as (_, _, writer):
+        writer.write(GET)
+        await asyncio.sleep(0.05)
+        writer.close()
+        await asyncio.sleep(0.05)
+        assert handler.cancelled == 1
+
+
+async def test_draining_listener_answers_and_then_closes() -> None:
+    handler = Handler()
+    async with run_listener(handler) as (opened, reader, writer):
+        opened.is_draining = True
+        writer.write(POST)
+        answer = await reader.read()
+    assert b"Connection: close" in answer
+    assert answer.endswith(b"body")
+
+
+@pytest.mark.parametrize(
+    ("settings", "sent"),
+    [
+        pytest.param({"idle_ms": 100.0}, b"", id="idle"),
+        pytest.param({"header_timeout_ms": 100.0}, GET[:10], id="slow head"),
+    ],
+)
+async def test_connection_without_requests_ends(
+    settings: dict[str, float], sent: bytes
+) -> None:
+    async with run_listener(Handler(), **settings) as (_, reader, writer):
+        writer.write(sent)
+        async with asyncio.timeout(4.0):
+            await reader.read()
+
+
+async def test_long_body_is_streamed() -> None:
+    size_bytes = 2_000_000
+    handler = Handler()
+    head = f"POST / HTTP/1.1\r\nContent-Length: {size_bytes}\r\n\r\n".encode()
+    async with run_listener(handler) as (_, reader, writer):
+        writer.write(head + b"x" * size_bytes)
+        await reader.readuntil(b"\r\n\r\n")
+        assert await reader.readexactly(size_bytes) == b"x" * size_bytes
+    match handler.seen[0].body:
+        case call_body.StreamedBody(length_bytes, _):
+            assert length_bytes == size_bytes
+        case _:
+            pytest.fail("held in memory whole")
--- /dev/null
+++ b/tests/workers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of kumquatridge.workers."""
