--- a/kumquatridge/platform/runtime.py
+++ b/kumquatridge/platform/runtime.py
@@ -326,8 +326,9 @@
     async def drain(self) -> None:
         """Stops taking part, and waits for requests in progress.
 
-        Listeners stay open: callers learn of the stop from readiness, and
-        until then every request is served.
+        The own worker gets nothing new, since its calls would find nobody
+        here. Listeners stay open: callers learn of the stop from readiness,
+        and until then every request is served, by other instances.
         """
         events.log(
             events.DrainStarted(
@@ -336,6 +337,7 @@
         )
         self._is_stopping = True
         self._supervisor.leave()
+        self._guard.drain()
         for one in self._listeners:
             one.is_draining = True
         loop = asyncio.get_running_loop()
@@ -344,7 +346,7 @@
         await asyncio.sleep(CLOSE_IDLE_AFTER_MS / 1000.0)
         while loop.time() < last_s:
             self._callers.close_idle()
-            if self._guard.in_progress == 0 and self._callers.is_idle:
+            if all(one.is_idle for one in self._listeners):
                 return
             await asyncio.sleep(CHECK_S)
 
--- a/kumquatridge/telemetry/catalogue.py
+++ b/kumquatridge/telemetry/catalogue.py
@@ -53,6 +53,11 @@
         rows.append(
             f"| {gauge.name} | {_describe_gauge(gauge)} | {gauge.description} |"
         )
+    for histogram in gauges.HISTOGRAMS:
+        rows.append(
+            f"| {histogram.name} | histogram by {', '.join(histogram.labels)}"
+            f" | {histogram.description} |"
+        )
     return "\n".join(rows) + "\n"
 
 
--- a/kumquatridge/telemetry/gauges.py
+++ b/kumquatridge/telemetry/gauges.py
@@ -133,12 +133,29 @@
     ("data_centre",),
 )
 
+ENDINGS = CounterSpec(
+    "kumquatridge_answers",
+    ("status", "service"),
+    "Answers to requests of the own machine.",
+)
+GATE_LEVEL = GaugeSpec(
+    "kumquatridge_gate_level",
+    "Importance up to which roots are turned away; the fraction is a part.",
+)
+LATENCY_MS = HistogramSpec(
+    "kumquatridge_latency_ms",
+    ("service",),
+    "Times from a request's arrival to its answer.",
+    (5, 10, 25, 50, 100, 250, 500, 1000, 2500, 5000),
+)
+
 COUNTERS = (
     REFUSALS,
     RETRIES,
     RETRIES_DENIED,
     REJECTIONS,
     CUT_ANSWERS,
+    ENDINGS,
     SETTINGS_REJECTIONS,
     PLATFORM_FAILURES,
     MISSED_CHANGES,
@@ -159,20 +176,7 @@
     SETTINGS_ORIGIN,
     PLATFORM_CUT_OFF_S,
     DATA_CENTRE_CUT_OFF_S,
+    GATE_LEVEL,
 )
 
-ENDINGS = CounterSpec(
-    "kumquatridge_answers",
-    ("status", "service"),
-    "Answers to requests of the own machine.",
-)
-GATE_LEVEL = GaugeSpec(
-    "kumquatridge_gate_level",
-    "Importance up to which roots are turned away; the fraction is a part.",
-)
-LATENCY_MS = HistogramSpec(
-    "kumquatridge_latency_ms",
-    ("service",),
-    "Times from a request's arrival to its answer.",
-    (5, 10, 25, 50, 100, 250, 500, 1000, 2500, 5000),
-)
+HISTOGRAMS = (LATENCY_MS,)
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,205 @@
+"""What comes from outside is decoded, or refused with a reason."""
+
+import json
+import pathlib
+from typing import Any
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from kumquatridge.calls import importance as call_importance
+from kumquatridge.platform import announcements
+from kumquatridge.platform import configuration
+from kumquatridge.platform import errors
+from kumquatridge.platform import settings_file
+
+SETTINGS = """
+[localNode]
+nodeName = "m-1"
+ip = "127.0.0.1"
+zone = "north"
+region = "land"
+upstream = "127.0.0.1:81"
+service = "shop"
+unheardOf = 3
+[network]
+internalPorts = [7620, 7635]
+seeds = []
+[network.listenAddrs]
+inbound = "127.0.0.1:82"
+outbound = "127.0.0.1:83"
+readiness = "127.0.0.1:84"
+admin = "127.0.0.1:85"
+[network.zones]
+north = "land"
+south = "land"
+far = "overseas"
+[platform]
+heartbeatS = 1.5
+[platform.platform]
+address = "127.0.0.1:86"
+[terms.bounds]
+graceS = 6
+retryBudgetRatio = 0.2
+retryWindowS = 10
+retrySlack = 49
+"""
+ROUTE = {
+    "name": "r",
+    "host": "h",
+    "pathPrefix": "/a/",
+    "routeType": "non_idempotent",
+    "timeoutS": 0.8,
+    "targetLatencyS": 1.5,
+    "priority": 0,
+    "service": "shop",
+    "maxAttempts": 2,
+}
+REPORT = {
+    "address": "127.0.0.1:81",
+    "born": 5,
+    "info": {"service": "shop", "maxConcurrency": 9},
+    "status": {"state": "ready", "sequence": 4, "warmupLeftS": 1.5},
+}
+JSON_VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers(-(2**70), 2**70)
+    | strategies.floats()
+    | strategies.text(max_size=5),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(
+            strategies.text(max_size=5), inner, max_size=3
+        )
+    ),
+    max_leaves=6,
+)
+
+
+def write(folder: pathlib.Path, text: str) -> pathlib.Path:
+    file = folder / "settings.toml"
+    file.write_text(text)
+    return file
+
+
+def test_settings_are_read(tmp_path: pathlib.Path) -> None:
+    found = settings_file.read_settings(write(tmp_path, SETTINGS), 99)
+    assert found.instance == "m-1"
+    assert found.data_centres == {"north", "south"}
+    assert found.control_address == "127.0.0.1:7620"
+    assert found.metrics_address == "127.0.0.1:99"
+    assert found.grace_ms == 6000.0
+    assert (found.retry_ratio, found.retry_floor) == (0.2, 49)
+
+
+@pytest.mark.parametrize(
+    ("text", "named"),
+    [
+        pytest.param("[", "settings.toml", id="no TOML"),
+        pytest.param(
+            SETTINGS.replace('zone = "north"', "zone = 3"),
+            "localNode.zone",
+            id="another type",
+        ),
+        pytest.param(
+            SETTINGS.replace('zone = "north"', ""), "zone", id="missing"
+        ),
+        pytest.param(
+            SETTINGS.replace("127.0.0.1:86", "store"),
+            "store_address",
+            id="no address",
+        ),
+    ],
+)
+def test_bad_settings_name_the_field(
+    tmp_path: pathlib.Path, text: str, named: str
+) -> None:
+    with pytest.raises(errors.SettingsFileError, match=named):
+        settings_file.read_settings(write(tmp_path, text), 99)
+
+
+def test_bad_settings_leave_the_last_in_force(tmp_path: pathlib.Path) -> None:
+    file = write(tmp_path, SETTINGS)
+    source = settings_file.SettingsSource(file, 99)
+    write(tmp_path, "[")
+    with pytest.raises(errors.SettingsFileError):
+        source.read_again()
+    assert source.settings.service == "shop"
+    write(tmp_path, SETTINGS.replace('"shop"', '"stock"'))
+    assert source.read_again()
+    assert source.settings.service == "stock"
+
+
+def encode(*routes: dict[str, Any]) -> bytes:
+    return json.dumps({"version": 3, "routes": routes}).encode()
+
+
+@pytest.mark.parametrize(
+    ("change", "field", "expected"),
+    [
+        ({}, "timeout_ms", 800),
+        ({}, "objective_ms", 1500),
+        ({}, "idempotent", False),
+        ({"routeType": "idempotent"}, "idempotent", True),
+        ({"routeType": "upload"}, "idempotent", False),
+        ({}, "importance", call_importance.Importance.CRITICAL),
+        ({"priority": 2}, "importance", call_importance.Importance.SHEDDABLE),
+        ({"priority": 9}, "importance", call_importance.Importance.BACKGROUND),
+        ({"targetLatencyS": 0}, "objective_ms", 800),
+    ],
+)
+def test_route_is_translated(
+    change: dict[str, Any], field: str, expected: object
+) -> None:
+    table = configuration.decode_configuration(encode(ROUTE | change))
+    assert getattr(table.routes[0], field) == expected
+
+
+def test_route_without_a_service_is_refused() -> None:
+    route = {key: value for key, value in ROUTE.items() if key != "service"}
+    with pytest.raises(errors.PlatformAnswerError, match="no service"):
+        configuration.decode_configuration(encode(route))
+
+
+def test_report_is_translated() -> None:
+    found = announcements.decode_report("w", json.dumps(REPORT).encode())
+    assert found.identity.slots == 9
+    assert found.identity.warm_up_ms == 1500
+    assert (found.identity.born_ms, found.sequence) == (5, 4)
+    assert not found.is_leaving
+
+
+@pytest.mark.parametrize(
+    ("decode", "error"),
+    [
+        pytest.param(
+            lambda data: announcements.decode_report("w", data),
+            errors.MalformedReportError,
+            id="report",
+        ),
+        pytest.param(
+            configuration.decode_configuration,
+            errors.PlatformAnswerError,
+            id="configuration",
+        ),
+    ],
+)
+@hypothesis.given(
+    data=strategies.binary(max_size=40)
+    | JSON_VALUES.map(lambda value: json.dumps(value).encode())
+    | strategies.dictionaries(
+        strategies.sampled_from(
+            ["address", "info", "status", "born", "version", "routes"]
+        ),
+        JSON_VALUES,
+    ).map(lambda value: json.dumps(value).encode())
+)
+def test_decoders_refuse_with_their_own_error(
+    decode: Any, error: type[Exception], data: bytes
+) -> None:
+    try:
+        decode(data)
+    except error:
+        pass
--- /dev/null
+++ b/tests/settings/test_routes.py
@@ -0,0 +1,124 @@
+"""Routes by host and path, and how the requests of a split are shared."""
+
+import collections
+import dataclasses
+
+import pytest
+
+from kumquatridge.calls import importance as call_importance
+from kumquatridge.routing import splits
+from kumquatridge.settings import route_store
+from kumquatridge.settings import routes
+
+HOST = "shop.example"
+
+
+def make_route(
+    name: str, prefix: str, *shares: tuple[str, float], host: str = HOST
+) -> routes.Route:
+    return routes.Route(
+        name,
+        host,
+        prefix,
+        tuple(routes.Share(service, weight) for service, weight in shares),
+        call_importance.Importance.NORMAL,
+        idempotent=True,
+        timeout_ms=1000,
+        objective_ms=500,
+        max_attempts=2,
+    )
+
+
+TABLE = routes.RouteTable(
+    7,
+    (
+        make_route("root", "/", ("a", 1)),
+        make_route("shop", "/shop/", ("b", 1)),
+        make_route("deep", "/shop/eu/", ("c", 1)),
+        make_route("other", "/shop/", ("d", 1), host="other.example"),
+    ),
+    (routes.ServiceProfile("a", "/health", 10),),
+)
+
+
+@pytest.mark.parametrize(
+    ("host", "target", "name"),
+    [
+        (HOST, "/", "root"),
+        (HOST, "/shop", "root"),
+        (HOST, "/shop/", "shop"),
+        (HOST, "/shop/x/y", "shop"),
+        (HOST, "/shop/eu", "shop"),
+        (HOST, "/shop/eu/x", "deep"),
+        (HOST, "/shop/eux/", "shop"),
+        (HOST, "/x?y=/shop/eu/", "root"),
+        (HOST, "/shop/eu/?a", "deep"),
+        (HOST, "/%73hop/", "root"),
+        (HOST, "//shop/", "root"),
+        (HOST.upper(), "/shop/", "shop"),
+        (f"{HOST}:8080", "/shop/", "shop"),
+        ("other.example", "/shop/x", "other"),
+        ("other.example", "/x", None),
+        ("", "/", None),
+        (HOST, "*", None),
+    ],
+)
+def test_longest_prefix_of_the_host_is_found(
+    host: str, target: str, name: str | None
+) -> None:
+    found = routes.RouteIndex(TABLE).find(host, target)
+    assert (found.route.name if found else None) == name
+
+
+@pytest.mark.parametrize(
+    ("weights", "count", "expected"),
+    [
+        pytest.param((1.0, 1.0), 10, (5, 5), id="halves"),
+        pytest.param((70.0, 30.0), 100, (70, 30), id="unequal"),
+        pytest.param((0.0, 5.0), 10, (0, 10), id="one of nothing"),
+        pytest.param((1.0, 1.0, 2.0), 8, (2, 2, 4), id="three"),
+    ],
+)
+def test_requests_are_shared_by_weight(
+    weights: tuple[float, ...], count: int, expected: tuple[int, ...]
+) -> None:
+    services = [f"s{number}" for number in range(len(weights))]
+    route = make_route("split", "/", *zip(services, weights, strict=True))
+    index = routes.RouteIndex(routes.RouteTable(1, (route,), ()))
+    found = index.find(HOST, "/")
+    assert found is not None
+    chooser = splits.SplitChooser()
+    counts = collections.Counter(
+        chooser.choose(found).policy.service for _ in range(count)
+    )
+    assert tuple(counts[service] for service in services) == expected
+
+
+@pytest.mark.parametrize(
+    ("versions", "in_force"),
+    [
+        pytest.param((3, 9), 9, id="newer"),
+        pytest.param((9, 3), 9, id="older comes late"),
+        pytest.param((9, 9), 9, id="repeated"),
+    ],
+)
+def test_version_in_force_never_falls(
+    versions: tuple[int, ...], in_force: int
+) -> None:
+    store = route_store.RouteStore()
+    told: list[int] = []
+    store.subscribe(lambda index: told.append(index.table.version))
+    for version in versions:
+        store.apply(dataclasses.replace(TABLE, version=version), "test")
+    assert store.version == in_force
+    assert told == sorted(set(told))
+
+
+def test_peers_learn_the_table_by_gossip() -> None:
+    here, there = route_store.RouteStore(), route_store.RouteStore()
+    assert there.export(["routes"]) == ()
+    here.apply(TABLE, "test")
+    assert here.get_versions() == {"routes": 7}
+    there.merge(here.export(["routes"]))
+    assert there.index is not None
+    assert there.index.table == TABLE
