--- a/kumquatridge/calls/body.py
+++ b/kumquatridge/calls/body.py
@@ -53,6 +53,15 @@
             return length_bytes
 
 
+def is_buffered(body: Body) -> bool:
+    """Tells whether a body is held whole."""
+    match body:
+        case BufferedBody():
+            return True
+        case StreamedBody():
+            return False
+
+
 def is_resendable(body: Body) -> bool:
     """Tells whether the body can still be sent whole after an attempt."""
     match body:
--- a/kumquatridge/platform/callers.py
+++ b/kumquatridge/platform/callers.py
@@ -1,7 +1,6 @@
 """The front end for callers on the own machine: requests in, answers out."""
 
 from collections.abc import Callable
-import contextlib
 import random
 
 from kumquatridge import clock
@@ -66,17 +65,14 @@
         remaining_ms: float | None,
         responder: listener.Responder,
     ) -> None:
-        async with contextlib.AsyncExitStack() as stack:
-            outcome = await stack.enter_async_context(self._path.dispatch(call))
+        async with self._path.dispatch(call) as outcome:
             self._intake.settle(call, outcome)
             answer = self._make_answer(call, outcome, remaining_ms)
             detail = _describe(outcome)
             self._recorder.record_end(call, answer.status, detail)
-            match answer.body:
-                case call_body.BufferedBody():
-                    await stack.aclose()
-                case call_body.StreamedBody():
-                    pass
+            if not call_body.is_buffered(answer.body):
+                await responder.send(answer)
+        if call_body.is_buffered(answer.body):
             await responder.send(answer)
 
     def _make_answer(
--- a/kumquatridge/platform/peers.py
+++ b/kumquatridge/platform/peers.py
@@ -5,8 +5,9 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 import contextlib
+import types
 
 from returns import result
 
@@ -45,13 +46,9 @@
         self._connections = connections
         self._board = board
 
-    @contextlib.asynccontextmanager
-    async def send(
-        self, call: calls.Call, member: members.Member
-    ) -> AsyncIterator[outcomes.Outcome]:
+    def send(self, call: calls.Call, member: members.Member) -> "_Attempt":
         """Sends a call; see `callpath.links.PeerLink`."""
-        async with contextlib.AsyncExitStack() as stack:
-            yield await self._try(stack, call, member)
+        return _Attempt(self, call, member)
 
     def send_home(
         self, call: calls.Call, member: members.Member
@@ -59,12 +56,8 @@
         """Sends a call; callers of the platform send no request keys."""
         return self.send(call, member)
 
-    async def _try(
-        self,
-        stack: contextlib.AsyncExitStack,
-        call: calls.Call,
-        member: members.Member,
-    ) -> outcomes.Outcome:
+    def open(self, call: calls.Call, member: members.Member) -> pool.Exchange:
+        """Returns the exchange of a call for its answer."""
         mark = call_codec.encode_mark(call.policy, call.caller, call.chain)
         request = http.Request(
             call.method,
@@ -72,17 +65,10 @@
             (*call.headers, (own_headers.CHAIN, mark)),
             call.body,
         )
-        sent = self._connections.send(member.call_address, request)
-        allowed_ms = call.chain.get_remaining_ms() + ANSWER_GRACE_MS
-        try:
-            async with asyncio.timeout(allowed_ms / 1000.0):
-                answer = await stack.enter_async_context(sent)
-        except transport_errors.ConnectError:
-            return outcomes.NotRun(refusals.Unreachable(member.instance))
-        except transport_errors.TransportError as error:
-            return outcomes.Unknown(f"connection to a daemon: {error}")
-        except TimeoutError:
-            return outcomes.Unknown(worker_link.DEADLINE_DETAIL)
+        return self._connections.send(member.call_address, request)
+
+    def read(self, answer: http.Answer) -> outcomes.Outcome:
+        """Returns the outcome that another daemon's answer tells."""
         self._take_gates(answer.headers)
         return outcome_codec.decode_outcome(
             answer.status, answer.headers, answer.body
@@ -95,6 +81,44 @@
                 self._board.put(gate)
 
 
+class _Attempt:
+    """A call at another daemon, cancelled when it is left early."""
+
+    def __init__(
+        self, link: SitePeerLink, call: calls.Call, member: members.Member
+    ) -> None:
+        self._link = link
+        self._call = call
+        self._member = member
+        self._exchange: pool.Exchange | None = None
+
+    async def __aenter__(self) -> outcomes.Outcome:
+        """Sends the call and returns what became of it."""
+        exchange = self._link.open(self._call, self._member)
+        allowed_ms = self._call.chain.get_remaining_ms() + ANSWER_GRACE_MS
+        try:
+            async with asyncio.timeout(allowed_ms / 1000.0):
+                answer = await exchange.__aenter__()
+        except transport_errors.ConnectError:
+            return outcomes.NotRun(refusals.Unreachable(self._member.instance))
+        except transport_errors.TransportError as error:
+            return outcomes.Unknown(f"connection to a daemon: {error}")
+        except TimeoutError:
+            return outcomes.Unknown(worker_link.DEADLINE_DETAIL)
+        self._exchange = exchange
+        return self._link.read(answer)
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        """Gives the connection back."""
+        if self._exchange is not None:
+            self._exchange.close()
+
+
 class PeerEndpoint:
     """Serves the calls of other daemons at the own worker."""
 
@@ -121,14 +145,11 @@
                     http.Answer(STATUS_MALFORMED, (), call_body.EMPTY)
                 )
                 return
-        async with contextlib.AsyncExitStack() as stack:
-            outcome = await stack.enter_async_context(self._path.serve(call))
+        async with self._path.serve(call) as outcome:
             answer = make_answer(outcome, self._make_gate_mark())
-            match answer.body:
-                case call_body.BufferedBody():
-                    await stack.aclose()
-                case call_body.StreamedBody():
-                    pass
+            if not call_body.is_buffered(answer.body):
+                await responder.send(answer)
+        if call_body.is_buffered(answer.body):
             await responder.send(answer)
 
     def _make_gate_mark(self) -> outcomes.Headers:
--- a/kumquatridge/platform/worker_link.py
+++ b/kumquatridge/platform/worker_link.py
@@ -1,9 +1,9 @@
 """The leg from a daemon to the worker beside it, on the platform."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
-import contextlib
+from collections.abc import Callable
 import math
+import types
 
 from kumquatridge.calls import body as call_body
 from kumquatridge.calls import call as calls
@@ -45,53 +45,48 @@
         self._worker = worker
         self._lose_worker = lose_worker
 
-    @contextlib.asynccontextmanager
-    async def send(
-        self, call: calls.Call, address: str, token: str
-    ) -> AsyncIterator[outcomes.Outcome]:
+    def send(self, call: calls.Call, address: str, token: str) -> "_Attempt":
         """Sends a call; see `callpath.links.WorkerLink`."""
         del token  # Workers name their calls after the request's own id.
-        identity = self._worker.get_serving()
-        if identity is None:
-            yield outcomes.NotRun(refusals.Draining(call.service))
-            return
-        async with contextlib.AsyncExitStack() as stack:
-            yield await self._try(stack, call, address, identity.worker)
+        return _Attempt(self, call, address)
 
-    async def _try(
-        self,
-        stack: contextlib.AsyncExitStack,
-        call: calls.Call,
-        address: str,
-        worker: str,
-    ) -> outcomes.Outcome:
-        request = _make_request(call, worker)
-        sent = self._connections.send(
+    def get_serving(self) -> own_worker.WorkerIdentity | None:
+        """Returns the worker that takes calls, if any."""
+        return self._worker.get_serving()
+
+    def open(
+        self, call: calls.Call, address: str, worker: str
+    ) -> pool.Exchange:
+        """Returns the exchange of a call for its answer."""
+        return self._connections.send(
             address,
-            request,
+            _make_request(call, worker),
             accepts=lambda found: _answers(found, call.request_id),
             idle_ms=None if call.policy.idempotent else FRESH_IDLE_MS,
         )
-        try:
-            async with asyncio.timeout(call.chain.get_remaining_ms() / 1000.0):
-                answer = await stack.enter_async_context(sent)
-        except transport_errors.ConnectError as error:
-            self._lose_worker(worker, str(error))
-            return outcomes.NotRun(refusals.Unreachable(worker))
-        except transport_errors.ConnectionBrokenError as error:
-            lost = not await self._accepts_connections(address)
-            if lost:
-                self._lose_worker(worker, "crashed")
-            return outcomes.Unknown(
-                f"connection to the worker: {error}", worker_lost=lost
-            )
-        except transport_errors.TransportError as error:
-            return outcomes.Unknown(f"the worker's answer: {error}")
-        except TimeoutError:
-            return outcomes.Unknown(DEADLINE_DETAIL)
-        return self._judge(answer, worker)
 
-    def _judge(self, answer: http.Answer, worker: str) -> outcomes.Outcome:
+    async def judge_error(
+        self, error: Exception, address: str, worker: str
+    ) -> outcomes.Outcome:
+        """Returns what is known of a call that got no answer."""
+        match error:
+            case transport_errors.ConnectError():
+                self._lose_worker(worker, str(error))
+                return outcomes.NotRun(refusals.Unreachable(worker))
+            case transport_errors.ConnectionBrokenError():
+                lost = not await self._accepts_connections(address)
+                if lost:
+                    self._lose_worker(worker, "crashed")
+                return outcomes.Unknown(
+                    f"connection to the worker: {error}", worker_lost=lost
+                )
+            case transport_errors.TransportError():
+                return outcomes.Unknown(f"the worker's answer: {error}")
+            case _:
+                return outcomes.Unknown(DEADLINE_DETAIL)
+
+    def judge(self, answer: http.Answer, worker: str) -> outcomes.Outcome:
+        """Returns what a whole answer of the worker means."""
         if answer.status == STATUS_MISDIRECTED:
             self._lose_worker(worker, "another worker has the address")
             return outcomes.NotRun(refusals.Unreachable(worker))
@@ -120,6 +115,45 @@
             return True
 
 
+class _Attempt:
+    """A call at the own worker, cancelled when it is left early."""
+
+    def __init__(
+        self, link: SiteWorkerLink, call: calls.Call, address: str
+    ) -> None:
+        self._link = link
+        self._call = call
+        self._address = address
+        self._exchange: pool.Exchange | None = None
+
+    async def __aenter__(self) -> outcomes.Outcome:
+        """Sends the call and returns what became of it."""
+        call = self._call
+        identity = self._link.get_serving()
+        if identity is None:
+            return outcomes.NotRun(refusals.Draining(call.service))
+        exchange = self._link.open(call, self._address, identity.worker)
+        try:
+            async with asyncio.timeout(call.chain.get_remaining_ms() / 1000.0):
+                answer = await exchange.__aenter__()
+        except (TimeoutError, transport_errors.TransportError) as error:
+            return await self._link.judge_error(
+                error, self._address, identity.worker
+            )
+        self._exchange = exchange
+        return self._link.judge(answer, identity.worker)
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        """Gives the connection back."""
+        if self._exchange is not None:
+            self._exchange.close()
+
+
 def _make_request(call: calls.Call, worker: str) -> http.Request:
     remaining_ms = max(1, math.floor(call.chain.get_remaining_ms()))
     sent = (
--- a/kumquatridge/transport/pool.py
+++ b/kumquatridge/transport/pool.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import collections
-from collections.abc import AsyncIterator
-import contextlib
 import dataclasses
 import socket
 import types
@@ -62,31 +60,44 @@
         for kept in self._idle.pop(address, ()):
             kept.close()
 
-    @contextlib.asynccontextmanager
-    async def send(
+    def send(
         self,
         address: str,
         request: messages.Request,
         *,
         accepts: connection.Accepts = connection.accept_any,
         idle_ms: float | None = None,
-    ) -> AsyncIterator[messages.Answer]:
-        """Sends a request; the answer's body is readable while it is open.
+    ) -> "Exchange":
+        """Returns the exchange of a request for its answer, to be entered.
 
         A kept connection is used unless it has been idle for `idle_ms`.
-        Leaving before the body was read closes the connection.
+        """
+        return Exchange(self, address, request, accepts, idle_ms)
+
+    async def lend(
+        self, address: str, idle_ms: float | None
+    ) -> connection.Connection:
+        """Returns a connection that nobody else uses.
 
         Raises:
-          ConnectError: no byte was sent.
-          TransportError: the request may have arrived.
+          ConnectError: none could be opened.
         """
-        used = self._take_idle(address, idle_ms) or await self._open(address)
-        try:
-            answer = await used.send(request, accepts)
+        return self._take_idle(address, idle_ms) or await self._open(address)
+
+    def take_back(
+        self,
+        address: str,
+        used: connection.Connection,
+        answer: messages.Answer | None,
+    ) -> None:
+        """Keeps a connection for the next request, or closes it."""
+        if answer is not None:
             self._learn_idle_limit(address, answer)
-            yield answer
-        finally:
-            self._put_back(address, used)
+        kept = self._idle[address]
+        if not used.is_reusable or len(kept) >= self._settings.max_idle:
+            used.close()
+            return
+        kept.append(used)
 
     def _take_idle(
         self, address: str, idle_ms: float | None
@@ -116,13 +127,6 @@
             if name.lower() == "timeout" and seconds.isdecimal():
                 self._idle_limits_ms[address] = int(seconds) * 1000.0 / 2
 
-    def _put_back(self, address: str, used: connection.Connection) -> None:
-        kept = self._idle[address]
-        if not used.is_reusable or len(kept) >= self._settings.max_idle:
-            used.close()
-            return
-        kept.append(used)
-
     async def _open(self, address: str) -> connection.Connection:
         endpoint = connection.Endpoint.parse(address)
         loop = asyncio.get_running_loop()
@@ -145,3 +149,57 @@
             self._settings.unacknowledged_ms,
         )
         return opened
+
+
+class Exchange:
+    """One request and its answer, which is readable while this is open.
+
+    Entering sends the request and waits for the answer. Leaving before the
+    answer's body was read closes the connection, which cancels the request.
+    """
+
+    def __init__(
+        self,
+        connections: ConnectionPool,
+        address: str,
+        request: messages.Request,
+        accepts: connection.Accepts,
+        idle_ms: float | None,
+    ) -> None:
+        self._connections = connections
+        self._address = address
+        self._request = request
+        self._accepts = accepts
+        self._idle_ms = idle_ms
+        self._used: connection.Connection | None = None
+        self._answer: messages.Answer | None = None
+
+    async def __aenter__(self) -> messages.Answer:
+        """Sends the request and waits for the answer.
+
+        Raises:
+          ConnectError: no byte was sent.
+          TransportError: the request may have arrived.
+        """
+        self._used = await self._connections.lend(self._address, self._idle_ms)
+        try:
+            self._answer = await self._used.send(self._request, self._accepts)
+        except BaseException:
+            self.close()
+            raise
+        return self._answer
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        """Gives the connection back."""
+        self.close()
+
+    def close(self) -> None:
+        """Gives the connection back, once."""
+        used, self._used = self._used, None
+        if used is not None:
+            self._connections.take_back(self._address, used, self._answer)
