--- a/kumquatridge/admission/guard.py
+++ b/kumquatridge/admission/guard.py
@@ -22,6 +22,9 @@
 from kumquatridge.calls import reports
 
 IDLE_RATIO = 0.75
+# A wait is expected from the median of all calls, which a mix of routes makes
+# inexact; only one well beyond the bound is refused beforehand.
+HOPELESS_RATIO = 1.25
 FIRST_ERROR_STATUS = 500
 
 
@@ -223,6 +226,8 @@
             rank, self._control.get_order(rank), kind, loop.create_future()
         )
         wait_ms = self._waits.get_wait_ms(call, kind)
+        if self._is_hopeless(kind, wait_ms):
+            return self._make_queue_refusal(call, now_ms)
         self._queue.push(waiting)
         try:
             async with asyncio.timeout(wait_ms / 1000.0):
@@ -243,6 +248,20 @@
             return verdicts.Refused(refusal)
         return self._make_admitted(clock.get_now_ms() - now_ms)
 
+    def _is_hopeless(self, kind: shares.Kind, wait_ms: float) -> bool:
+        """Tells whether a call would wait in vain behind those before it.
+
+        Load pattern: a burst at a worker with few slots. A caller that is
+        refused at once can still come back in time.
+        """
+        if not self._settings.refuses_hopeless or kind.importance is (
+            shares.CRITICAL
+        ):
+            return False
+        ahead = self._queue.count_ahead(kind)
+        expected_ms = ahead * self._times.median_ms / max(1, self.limit)
+        return expected_ms > wait_ms * HOPELESS_RATIO
+
     def _make_admitted(self, queued_ms: float) -> verdicts.Admitted:
         return verdicts.Admitted(queued_ms, self._control.is_closed)
 
--- a/kumquatridge/admission/queue.py
+++ b/kumquatridge/admission/queue.py
@@ -44,6 +44,14 @@
         """Returns how many calls wait."""
         return self._live
 
+    def count_ahead(self, kind: shares.Kind) -> int:
+        """Returns how many calls of the same or more importance wait."""
+        return sum(
+            len(heap)
+            for other, heap in self._heaps.items()
+            if other.importance >= kind.importance
+        )
+
     def push(self, waiting: Waiting) -> None:
         """Adds a call."""
         self._sequence += 1
--- a/kumquatridge/callpath/inbound.py
+++ b/kumquatridge/callpath/inbound.py
@@ -47,22 +47,20 @@
         self._gate = gate or gates.GateControl(gates.GateSettings())
         self._isolation = suspect_isolation.Isolation()
 
-    @contextlib.asynccontextmanager
-    async def serve(self, call: calls.Call) -> AsyncIterator[outcomes.Outcome]:
+    def serve(
+        self, call: calls.Call
+    ) -> contextlib.AbstractAsyncContextManager[outcomes.Outcome]:
         """Runs a call at the own worker, or refuses it."""
         refusal = self._check(call)
         if refusal is not None:
-            yield self._refuse(call, refusal)
-            return
+            return contextlib.nullcontext(self._refuse(call, refusal))
         match self._crashes.judge(call):
             case crash_register.Clear():
-                async with self._admit(call) as outcome:
-                    yield outcome
+                return self._admit(call)
             case crash_register.Refuse(refusal):
-                yield self._refuse(call, refusal)
+                return contextlib.nullcontext(self._refuse(call, refusal))
             case crash_register.Suspect() as suspect:
-                async with self._run_apart(call, suspect) as outcome:
-                    yield outcome
+                return self._run_apart(call, suspect)
 
     @contextlib.asynccontextmanager
     async def _run_apart(
@@ -109,7 +107,6 @@
                 case verdicts.Admitted() as admitted:
                     async with self._run(call, admitted) as outcome:
                         yield outcome
-        self._record_load()
 
     def _record_load(self) -> None:
         guard = self._guard
@@ -166,10 +163,12 @@
         match outcome:
             case outcomes.Completed(status):
                 is_shed = status in SHED_STATUSES
-                return dataclasses.replace(
-                    outcome,
-                    unspent_retries=record.retries.settle(),
-                    report=report,
+                return outcomes.Completed(
+                    status,
+                    outcome.headers,
+                    outcome.body,
+                    record.retries.settle(),
+                    report,
                     shed=is_shed and not record.child_was_refused,
                     child_failed=record.child_failed,
                 )
--- a/kumquatridge/platform/runtime.py
+++ b/kumquatridge/platform/runtime.py
@@ -11,6 +11,7 @@
 
 from kumquatridge.admission import gates
 from kumquatridge.admission import guard as admission_guard
+from kumquatridge.admission import settings as admission_settings
 from kumquatridge.callpath import inbound
 from kumquatridge.callpath import outbound
 from kumquatridge.callpath import routed_intake
@@ -71,6 +72,9 @@
 # Hedges would spend the retries of the whole system on calls that are merely
 # late; a full or leaving instance costs a hop, not a retry.
 OUTBOUND = outbound.OutboundSettings(hedges=False, free_refusals=3, lends=False)
+# Callers come back by themselves, so that an early refusal is worth more to
+# them than a late one.
+ADMISSION = admission_settings.AdmissionSettings(refuses_hopeless=True)
 # Part of the permitted retries that daemons use, so that those which a repeat
 # causes further down, and requests counted late, still fit.
 RETRY_PART = 0.5
@@ -86,7 +90,7 @@
         self._members = table.MemberTable(
             _make_own_member(settings), settings.data_centres
         )
-        self._guard = admission_guard.AdmissionGuard(slots=0)
+        self._guard = admission_guard.AdmissionGuard(0, ADMISSION)
         self._gate = gates.GateControl(gates.GateSettings())
         self._board = gates.GateBoard(gates.GateSettings())
         self._ledger = chain_ledger.Ledger()
--- a/kumquatridge/transport/connection.py
+++ b/kumquatridge/transport/connection.py
@@ -34,7 +34,8 @@
 
     def __init__(self, flow: inbox.Flow) -> None:
         self.status = 0
-        self.headers: list[tuple[str, str]] = []
+        self.raw_headers: list[tuple[bytes, bytes]] = []
+        self.headers: outcomes.Headers = ()
         self.body = inbox.BodyInbox(flow)
         self.is_head_complete = False
         self.is_stray = False
@@ -100,7 +101,7 @@
         finally:
             self._awaited = None
         arrived = cast(_Arriving, self._answer)
-        headers = tuple(arrived.headers)
+        headers = arrived.headers
         length = messages.find_header(headers, "content-length")
         body = arrived.body.hand_over(int(length) if length else None)
         return messages.Answer(arrived.status, headers, body)
@@ -219,16 +220,16 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Takes a header."""
-        answer = cast(_Arriving, self._answer)
-        answer.headers.append(
-            (name.lower().decode("latin-1"), value.decode("latin-1"))
-        )
+        answer = self._answer
+        assert answer is not None
+        answer.raw_headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Judges whether this is the awaited answer."""
         answer = cast(_Arriving, self._answer)
         answer.status = self._parser.get_status_code()
-        headers = tuple(answer.headers)
+        headers = messages.decode_headers(answer.raw_headers)
+        answer.headers = headers
         answer.is_head_complete = True
         if answer.status < FIRST_FINAL_STATUS:
             answer.is_stray = True
--- a/kumquatridge/transport/listener.py
+++ b/kumquatridge/transport/listener.py
@@ -13,6 +13,7 @@
 from kumquatridge import background
 from kumquatridge import clock
 from kumquatridge.calls import body as call_body
+from kumquatridge.calls import outcomes
 from kumquatridge.telemetry import events
 from kumquatridge.transport import errors
 from kumquatridge.transport import inbox
@@ -23,6 +24,8 @@
 # Requests that a client may send ahead of their answers.
 MAX_PIPELINED = 16
 BACKLOG = 1024
+# A colon, a space and the end of the line.
+SEPARATOR_BYTES = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -102,7 +105,8 @@
 
     def __init__(self, flow: inbox.Flow) -> None:
         self.target = b""
-        self.headers: list[tuple[str, str]] = []
+        self.raw_headers: list[tuple[bytes, bytes]] = []
+        self.headers: outcomes.Headers = ()
         self.header_bytes = 0
         self.method = ""
         self.keeps_alive = True
@@ -182,7 +186,7 @@
         request = messages.Request(
             arrived.method,
             arrived.target.decode("latin-1"),
-            tuple(arrived.headers),
+            arrived.headers,
             arrived.body.hand_over(arrived.length_bytes),
         )
         keeps_alive = arrived.keeps_alive and arrived.body.is_complete
@@ -263,19 +267,14 @@
         """Takes a part of the target."""
         arriving = cast(_Arriving, self._arriving)
         arriving.target += url
-        self._count_header(len(url))
+        arriving.header_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Takes a header."""
-        arriving = cast(_Arriving, self._arriving)
-        arriving.headers.append(
-            (name.lower().decode("latin-1"), value.decode("latin-1"))
-        )
-        self._count_header(len(name) + len(value) + len(": \r\n"))
-
-    def _count_header(self, size_bytes: int) -> None:
-        arriving = cast(_Arriving, self._arriving)
-        arriving.header_bytes += size_bytes
+        """Takes a header; the size of all is bounded as they come."""
+        arriving = self._arriving
+        assert arriving is not None
+        arriving.raw_headers.append((name, value))
+        arriving.header_bytes += len(name) + len(value) + SEPARATOR_BYTES
         if arriving.header_bytes > self._listener.settings.max_header_bytes:
             self._fail(431)
             raise errors.TransportError("headers too large")
@@ -285,7 +284,8 @@
         arriving = cast(_Arriving, self._arriving)
         arriving.method = self._parser.get_method().decode("latin-1")
         arriving.keeps_alive = self._parser.should_keep_alive()
-        headers = tuple(arriving.headers)
+        headers = messages.decode_headers(arriving.raw_headers)
+        arriving.headers = headers
         length = messages.find_header(headers, "content-length")
         if length is not None:
             arriving.length_bytes = int(length)
--- a/kumquatridge/transport/messages.py
+++ b/kumquatridge/transport/messages.py
@@ -48,6 +48,16 @@
     body: call_body.Body
 
 
+def decode_headers(raw: list[tuple[bytes, bytes]]) -> outcomes.Headers:
+    """Returns headers as text, with their names in lower case."""
+    return tuple(
+        [
+            (name.lower().decode("latin-1"), value.decode("latin-1"))
+            for name, value in raw
+        ]
+    )
+
+
 def find_header(headers: outcomes.Headers, name: str) -> str | None:
     """Returns the first value of a header that arrived, by its lower case."""
     for one, value in headers:
--- a/tests/admission/test_guard.py
+++ b/tests/admission/test_guard.py
@@ -7,6 +7,7 @@
 import pytest
 
 from kumquatridge.admission import guard as admission_guard
+from kumquatridge.admission import settings as admission_settings
 from kumquatridge.admission import verdicts
 from kumquatridge.calls import body as call_body
 from kumquatridge.calls import call as calls
@@ -237,3 +238,39 @@
     guard.drain()
     verdict = await hold(guard, calls_factory.make_call(), [])
     assert verdict == verdicts.Refused(refusals.Draining("planning"))
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(
+    ("importance", "refuses", "is_refused"),
+    [
+        pytest.param(IMPORTANCE.NORMAL, True, True, id="refused at once"),
+        pytest.param(IMPORTANCE.NORMAL, False, False, id="waits in vain"),
+        pytest.param(IMPORTANCE.CRITICAL, True, False, id="goes before others"),
+    ],
+)
+async def test_call_that_would_wait_in_vain(
+    importance: call_importance.Importance, refuses: bool, is_refused: bool
+) -> None:
+    guard = admission_guard.AdmissionGuard(
+        1, admission_settings.AdmissionSettings(refuses_hopeless=refuses)
+    )
+    policy = dataclasses.replace(calls_factory.POLICY, queue_wait_ms=100)
+    call = calls_factory.make_call(importance=importance, policy=policy)
+    for _ in range(200):
+        guard.record_answer(call, 50.0, calls_factory.ANSWER)
+
+    async def occupy() -> None:
+        async with guard.admit(call):
+            await asyncio.sleep(5.0)
+
+    waiting = [asyncio.create_task(occupy()) for _ in range(5)]
+    await asyncio.sleep(0.01)
+    loop = asyncio.get_running_loop()
+    started_s = loop.time()
+    async with guard.admit(call) as verdict:
+        assert type(verdict) is verdicts.Refused
+    waited_ms = (loop.time() - started_s) * 1000.0
+    assert (waited_ms < 20.0) is is_refused
+    for task in waiting:
+        task.cancel()
