Tell all daemons of requests that crash workers

Each daemon counted crashes for itself, so that a request that crashes workers reached as many more as there are daemons (12 sends at 3 daemons: more than 4 arrivals without the gossip, at most 4 with it). A lost connection is taken for a crash when the worker's port refuses another one; asking for '/' counted as a request without an id.

--- a/kumquatridge/platform/runtime.py
+++ b/kumquatridge/platform/runtime.py
@@ -39,6 +39,7 @@
 from kumquatridge.platform import readiness
 from kumquatridge.platform import settings_file
 from kumquatridge.platform import worker_link
+from kumquatridge.quarantine import crash_source
 from kumquatridge.quarantine import register as crash_register
 from kumquatridge.routing import chooser as routing
 from kumquatridge.settings import route_store
@@ -123,6 +124,11 @@
                 settings.store_address, call_timeout_ms=CALL_TIMEOUT_MS
             )
         )
+        self._crashes = crash_register.CrashRegister(
+            crash_register.QuarantineSettings(),
+            settings.instance,
+            self._announce,
+        )
         self._listeners: list[listener.HttpListener] = []
         self._is_stopping = False
         self._stack = contextlib.AsyncExitStack()
@@ -172,6 +178,13 @@
                 gossip_topics.ROUTES, self._store, routes.RouteTable
             )
         )
+        self._gossip.add_topic(
+            topic_codec.make_topic(
+                gossip_topics.CRASHES,
+                crash_source.CrashSource(self._crashes),
+                crash_register.CrashEntry,
+            )
+        )
         self._store.subscribe(self._take_routes)
         scraped = metrics_endpoint.MetricsEndpoint(
             lambda: metrics_endpoint.load_exporter(
@@ -215,9 +228,6 @@
 
     async def _open_paths(self) -> None:
         settings = self._settings
-        crashes = crash_register.CrashRegister(
-            crash_register.QuarantineSettings(), settings.instance, lambda: None
-        )
         own = inbound.InboundPath(
             self._members,
             self._guard,
@@ -226,7 +236,7 @@
                 self._connections, self._worker, self._supervisor.lose
             ),
             self._recorder,
-            crashes=crashes,
+            crashes=self._crashes,
             gate=self._gate,
         )
         path = outbound.OutboundPath(
--- a/kumquatridge/platform/worker_link.py
+++ b/kumquatridge/platform/worker_link.py
@@ -102,17 +102,12 @@
 
     async def _accepts_connections(self, address: str) -> bool:
         """Tells whether the worker still listens; False when it crashed."""
-        request = http.Request("GET", "/", (), call_body.EMPTY)
         try:
-            async with (
-                asyncio.timeout(HEALTH_TIMEOUT_S),
-                self._connections.send(address, request, idle_ms=0.0),
-            ):
-                return True
+            opened = await self._connections.lend(address, idle_ms=0.0)
         except transport_errors.ConnectError:
             return False
-        except (TimeoutError, transport_errors.TransportError):
-            return True
+        opened.close()
+        return True
 
 
 class _Attempt:
--- a/kumquatridge/quarantine/register.py
+++ b/kumquatridge/quarantine/register.py
@@ -101,6 +101,7 @@
         self._known: dict[str, _Known] = {}
         self._boot = secrets.token_hex(BOOT_BYTES)
         self._crash_number = 0
+        self.revision = 0
         self._crash_started_ms = float("-inf")
 
     @property
@@ -181,6 +182,7 @@
         if known is None:
             self._make_room()
             self._known[fingerprint] = update
+            self.revision += 1
             return True
         merged = _Known(
             known.crashes | update.crashes,
@@ -188,10 +190,12 @@
             max(known.last_ms, update.last_ms),
         )
         self._known[fingerprint] = merged
-        return (merged.crashes, merged.cleared) != (
+        changed = (merged.crashes, merged.cleared) != (
             known.crashes,
             known.cleared,
         )
+        self.revision += changed
+        return changed
 
     def _get_wait_ms(self, known: _Known) -> float:
         settings = self._settings
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -34,6 +34,7 @@
     status: int = 200
     not_run: bool = False
     drops: bool = False
+    crashes: bool = False
     calls: tuple[str, ...] = ()
 
 
@@ -52,12 +53,25 @@
         self.cancelled = 0
         self.is_healthy = True
         self.caller_address = ""
+        self._listener: listener.HttpListener | None = None
         self._connections = pool.ConnectionPool()
 
     def get_header(self, name: str, index: int = -1) -> str | None:
         """Returns a header of a request that arrived."""
         return http.find_header(self.seen[index].headers, name)
 
+    async def revive(self) -> None:
+        """Starts to listen, unless it does."""
+        if self._listener is None:
+            self._listener = listener.HttpListener(self.address, self.handle)
+            await self._listener.__aenter__()
+
+    async def stop(self) -> None:
+        """Ends all connections and listens no more, as after a crash."""
+        stopped, self._listener = self._listener, None
+        if stopped is not None:
+            await stopped.__aexit__(None, None, None)
+
     async def handle(
         self, request: http.Request, responder: listener.Responder
     ) -> None:
@@ -97,6 +111,9 @@
             raise
         finally:
             self.running -= 1
+        if behaviour.crashes and request.target.endswith("/poison"):
+            await self.stop()
+            return
         if behaviour.drops:
             responder.drop()
             return
@@ -309,9 +326,8 @@
         await stack.enter_async_context(site.callers)
         for number, worker in enumerate(workers):
             worker.caller_address = site.settings[number].caller_address
-            await stack.enter_async_context(
-                listener.HttpListener(worker.address, worker.handle)
-            )
+            await worker.revive()
+            stack.push_async_callback(worker.stop)
             await site.start_daemon(number)
         if is_published:
             await site.wait_until_known()
--- a/tests/platform/test_site.py
+++ b/tests/platform/test_site.py
@@ -281,3 +281,29 @@
         assert await site.send_report(0, "shop-0", data) == 400
         answer = await site.send(sites.make_request("/shop/x"))
         assert answer.status == 200
+
+
+async def test_request_that_crashes_workers_is_stopped_everywhere() -> None:
+    shops = make_shops(3)
+    async with sites.open_site(*shops, routes=ROUTES) as site:
+        for one in shops:
+            one.behaviour = sites.Behaviour(crashes=True)
+        statuses = []
+        for number in range(12):
+            request = sites.make_request(
+                "/buy/poison",
+                method="POST",
+                request_id=f"r{number}",
+                body=BODY,
+            )
+            statuses.append((await site.send(request, number % 3)).status)
+            await asyncio.sleep(0.4)
+            for shop in shops:
+                await shop.revive()
+            await sites.wait_until(
+                lambda: all(one.count_instances() == 3 for one in site.daemons)
+            )
+        assert count_seen(shops) <= 4
+        assert statuses[-1] == 503
+        good = await site.send(sites.make_request("/shop/other"))
+        assert good.status == 200
