--- a/kumquatridge/admission/gates.py
+++ b/kumquatridge/admission/gates.py
@@ -21,6 +21,7 @@
 import dataclasses
 import math
 
+from kumquatridge import clock
 from kumquatridge.admission import levels
 from kumquatridge.calls import call as calls
 from kumquatridge.calls import importance as call_importance
@@ -226,7 +227,6 @@
         self,
         call: calls.Call,
         count_instances: Callable[[str], int],
-        now_ms: float,
     ) -> str | None:
         """Returns the service whose gate turns a root away, if any.
 
@@ -237,7 +237,7 @@
             return None
         score = get_score(call.chain.importance, call.chain.root_id)
         sums: dict[str, float] = {}
-        for gate in self.get_fresh(now_ms):
+        for gate in self.get_fresh(clock.get_now_ms()):
             if gate.service == call.service or call.policy.route in gate.routes:
                 sums[gate.service] = sums.get(gate.service, 0.0) + gate.level
         for service, total in sums.items():
--- a/kumquatridge/callpath/outbound.py
+++ b/kumquatridge/callpath/outbound.py
@@ -4,7 +4,6 @@
 import contextlib
 import dataclasses
 
-from kumquatridge import clock
 from kumquatridge.admission import gates
 from kumquatridge.callpath import hedging
 from kumquatridge.callpath import links
@@ -75,9 +74,7 @@
 
         Instances in `excluded` have refused the call already.
         """
-        closed = self._board.find_closed(
-            call, self._members.count_instances, clock.get_now_ms()
-        )
+        closed = self._board.find_closed(call, self._members.count_instances)
         if closed is not None:
             told = refusals.GateClosed(closed, GATE_RETRY_MS)
             self._recorder.record_refusal(call, told)
--- a/kumquatridge/platform/runtime.py
+++ b/kumquatridge/platform/runtime.py
@@ -391,17 +391,16 @@
 
 async def run(file: settings_file.SettingsSource) -> None:
     """Runs a daemon until SIGTERM or SIGINT, then drains it."""
-    stopping = asyncio.Event()
+    stopping, asked = asyncio.Event(), asyncio.Event()
     loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGHUP, asked.set)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     async with (
         log_sink.LogSink(sys.stdout.buffer),
         SiteDaemon(file.settings) as daemon,
+        settings_file.SettingsWatch(file, daemon.reload, asked),
     ):
         garbage.exclude_startup_objects()
-        watch = settings_file.SettingsWatch(file, daemon.reload)
-        loop.add_signal_handler(signal.SIGHUP, watch.check_now)
-        async with watch:
-            await stopping.wait()
-            await daemon.drain()
+        await stopping.wait()
+        await daemon.drain()
--- a/kumquatridge/platform/settings_file.py
+++ b/kumquatridge/platform/settings_file.py
@@ -205,22 +205,22 @@
 
 
 class SettingsWatch(background.BackgroundOwner):
-    """Reads the file again on request and at intervals while it is open."""
+    """Reads the file again on request and at intervals while it is open.
+
+    `asked` is set when the file is to be read at once, as after SIGHUP.
+    """
 
     def __init__(
         self,
         source: SettingsSource,
         on_change: Callable[[SiteSettings], None],
+        asked: asyncio.Event,
     ) -> None:
         self._source = source
         self._on_change = on_change
-        self._asked = asyncio.Event()
+        self._asked = asked
         self._fault = ""
 
-    def check_now(self) -> None:
-        """Reads the file at once, as after SIGHUP."""
-        self._asked.set()
-
     async def _run(self) -> None:
         while True:
             trigger = "interval"
--- a/kumquatridge/telemetry/log_sink.py
+++ b/kumquatridge/telemetry/log_sink.py
@@ -12,7 +12,7 @@
 # Lines that wait to be written. At the rates allowed for requests this is
 # some seconds; what does not fit is dropped and counted.
 MAX_WAITING = 5000
-FLUSH_INTERVAL_S = 0.2
+FLUSH_INTERVAL_S = 0.5
 
 
 class LogSink:
--- a/tests/admission/test_gates.py
+++ b/tests/admission/test_gates.py
@@ -5,12 +5,14 @@
 that waits for longer than it may.
 """
 
+import asyncio
 import collections
 import dataclasses
 import random
 
 import pytest
 
+from kumquatridge import clock
 from kumquatridge.admission import gates
 from kumquatridge.calls import call as calls
 from kumquatridge.calls import importance as call_importance
@@ -83,7 +85,7 @@
         second = now_ms // 1000
         self.asked[second, root.importance] += 1
         call = make_call(root, depth=0)
-        closed = self.board.find_closed(call, lambda _: 1, now_ms)
+        closed = self.board.find_closed(call, lambda _: 1)
         if closed is None or not self.is_gated:
             self.coming.append((now_ms + LEAD_MS, root))
 
@@ -102,10 +104,10 @@
         present = gates.Load(len(self.busy), len(self.queue), SLOTS)
         self.control.record_load(present, now_ms)
         if self.control.level > gates.OPEN:
-            told = gates.Gate(
-                "narrow", "n", self.control.level, frozenset((ROUTE,)), now_ms
+            level, told_ms = self.control.level, clock.get_now_ms()
+            self.board.put(
+                gates.Gate("narrow", "n", level, frozenset((ROUTE,)), told_ms)
             )
-            self.board.put(told)
 
     def _ask(self, root: Root, now_ms: int) -> None:
         call = make_call(root, depth=3)
@@ -188,6 +190,7 @@
     assert sum(narrow.served.values()) >= 0.95 * sum(narrow.asked.values())
 
 
+@pytest.mark.looptime
 @pytest.mark.parametrize(
     ("depth", "service", "route", "is_closed"),
     [
@@ -202,10 +205,12 @@
 ) -> None:
     board = gates.GateBoard(gates.GateSettings())
     level = float(Importance.NORMAL)
-    board.put(gates.Gate("narrow", "n", level, frozenset((ROUTE,)), 0.0))
+    now_ms = clock.get_now_ms()
+    board.put(gates.Gate("narrow", "n", level, frozenset((ROUTE,)), now_ms))
     call = make_call(
         Root(1, Importance.SHEDDABLE), depth=depth, service=service, route=route
     )
-    found = board.find_closed(call, lambda _: 1, 10.0)
+    found = board.find_closed(call, lambda _: 1)
     assert found == ("narrow" if is_closed else None)
-    assert board.find_closed(call, lambda _: 1, 5000.0) is None
+    await asyncio.sleep(5.0)
+    assert board.find_closed(call, lambda _: 1) is None
