Send calls past instances that fail part of them; check the platform's settings by a command

Load pattern: a grey worker, sound by its health and failing every second call. Five failures in a row never came, and a data centre's only instance can't be ejected.

--- a/kumquatridge/platform/runtime.py
+++ b/kumquatridge/platform/runtime.py
@@ -76,6 +76,9 @@
 # Callers come back by themselves, so that an early refusal is worth more to
 # them than a late one.
 ADMISSION = admission_settings.AdmissionSettings(refuses_hopeless=True)
+# The data centres of a region are a millisecond apart: a call that finds a
+# better instance in another one always goes there.
+ROUTING = routing.RoutingSettings(spill_ratio=1.0)
 # Part of the permitted retries that daemons use, so that those which a repeat
 # causes further down, and requests counted late, still fit.
 RETRY_PART = 0.5
@@ -241,7 +244,9 @@
         )
         path = outbound.OutboundPath(
             self._members,
-            routing.InstanceChooser(self._members, random.getrandbits(64)),
+            routing.InstanceChooser(
+                self._members, random.getrandbits(SEED_BITS), ROUTING
+            ),
             own,
             peers.SitePeerLink(self._connections, self._board),
             self._recorder,
--- a/kumquatridge/routing/chooser.py
+++ b/kumquatridge/routing/chooser.py
@@ -38,15 +38,32 @@
 HEDGE_RATIO = 0.1
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoutingSettings:
+    """How freely calls leave the own data centre.
+
+    `spill_ratio` is the part of the calls below CRITICAL that may go to others
+    though an instance here would take them.
+    """
+
+    spill_ratio: float = SPILL_RATIO
+
+
 class InstanceChooser:
     """Chooses instances and keeps what their answers tell."""
 
-    def __init__(self, members: table.MemberTable, seed: int) -> None:
+    def __init__(
+        self,
+        members: table.MemberTable,
+        seed: int,
+        settings: RoutingSettings | None = None,
+    ) -> None:
+        settings = settings or RoutingSettings()
         self._members = members
         self._random = random.Random(seed)
         self._pools: dict[str, pools.ServicePool] = {}
         self._times: dict[tuple[str, str], typical_times.RouteTimes] = {}
-        self._spills = call_credits.Credit(SPILL_RATIO)
+        self._spills = call_credits.Credit(settings.spill_ratio)
         self._hedges = call_credits.Credit(HEDGE_RATIO)
 
     def choose(self, call: calls.Call, tried: Set[str]) -> choices.Choice:
@@ -220,9 +237,11 @@
         match flights.judge(outcome, call.chain.get_remaining_ms()):
             case flights.Answered():
                 stats.failures = 0
+                stats.record_ending(is_failure=False, now_ms=now_ms)
                 self._record_time(call, stats, latency_ms, now_ms)
             case flights.Broken():
                 stats.failures += 1
+                stats.record_ending(is_failure=True, now_ms=now_ms)
             case flights.Abandoned():
                 self._record_abandoned(call, stats, latency_ms, now_ms)
             case flights.Departed():
--- a/kumquatridge/routing/flights.py
+++ b/kumquatridge/routing/flights.py
@@ -77,7 +77,7 @@
             return Answered()
         case outcomes.NotRun(refusals.Draining()):
             return Departed()
-        case outcomes.NotRun(refusals.Unreachable()):
+        case outcomes.NotRun(refusals.Unreachable() | refusals.WorkerRefused()):
             return Broken()
         case outcomes.NotRun():
             return Turned()
--- a/kumquatridge/routing/instances.py
+++ b/kumquatridge/routing/instances.py
@@ -10,6 +10,14 @@
 from kumquatridge.routing import standings
 
 SLOWNESS_WEIGHT_RATIO = 0.2
+# Weight of the newest answer in the part that fails: ten answers tell a worker
+# that fails half of its calls from one that fails a few.
+FAILURE_WEIGHT_RATIO = 0.1
+# A failing instance that got no calls for this long is tried again in full.
+FAILURE_MEMORY_MS = 3000.0
+# What one that always fails costs, as a multiple of one that never does. A call
+# sent there is lost, or costs a retry and its time.
+FAILURE_PENALTY_RATIO = 6.0
 FORGET_MS = 1000.0
 REPORT_LIFETIME_MS = 1000.0
 FULL_PENALTY_RATIO = 8.0
@@ -39,6 +47,8 @@
         self._measured_since_ms = first_seen_ms
         self._slowness_ratio = 1.0
         self._measured_ms = first_seen_ms
+        self._failure_ratio = 0.0
+        self._ended_ms = first_seen_ms
         self._samples = 0
         self._flights: dict[int, Flight] = {}
         self._due: list[tuple[float, int]] = []
@@ -91,6 +101,21 @@
             self._measured_ms = now_ms
             self._slowness_ratio = ratio
 
+    def record_ending(self, *, is_failure: bool, now_ms: float) -> None:
+        """Takes note of whether a call came to a good end."""
+        seen = 1.0 if is_failure else 0.0
+        self._failure_ratio += FAILURE_WEIGHT_RATIO * (
+            seen - self._failure_ratio
+        )
+        self._ended_ms = now_ms
+
+    def get_failure_ratio(self, now_ms: float) -> float:
+        """Returns the part of recent calls that failed, less as time goes."""
+        if self._failure_ratio == 0.0:
+            return 0.0
+        left_ratio = 1.0 - (now_ms - self._ended_ms) / FAILURE_MEMORY_MS
+        return self._failure_ratio * max(0.0, left_ratio)
+
     def counts(self, started_ms: float) -> bool:
         """Tells whether a call began after the last change of standing."""
         return started_ms >= self._measured_since_ms
@@ -100,6 +125,7 @@
         self._measured_since_ms = now_ms
         self._samples = 0
         self._slowness_ratio = 1.0
+        self._failure_ratio = 0.0
         self.failures = 0
 
     def record_report(
@@ -175,12 +201,15 @@
     def get_cost_ratio(self, now_ms: float) -> float:
         """Returns what another call would cost here; lower is better.
 
-        Recent slowness times load, with a penalty when there is no free
-        slot.
+        Recent slowness times load, with penalties for recent failures and
+        when there is no free slot.
         """
         load_ratio = self.get_load_ratio(now_ms)
         slowness_ratio = self.get_slowness_ratio(now_ms)
         cost_ratio = slowness_ratio * (1.0 + load_ratio)
+        cost_ratio *= 1.0 + FAILURE_PENALTY_RATIO * self.get_failure_ratio(
+            now_ms
+        )
         if load_ratio >= 1.0:
             return cost_ratio * FULL_PENALTY_RATIO
         return cost_ratio
--- a/kumquatridge/ui/check.py
+++ b/kumquatridge/ui/check.py
@@ -6,16 +6,25 @@
 
 from kumquatridge.encoding import daemon_text
 from kumquatridge.encoding import settings_text
+from kumquatridge.platform import settings_file
 from kumquatridge.ui import failures
 
+# The port of the metrics stands in the deploy file and isn't checked here.
+ANY_PORT = 1
+
 
 @click.command()
 @click.option("--daemon", is_flag=True, help="FILE is a daemon's settings.")
+@click.option(
+    "--platform", is_flag=True, help="FILE was written by the users' platform."
+)
 @click.argument("file", type=click.Path(path_type=pathlib.Path))
-def check(daemon: bool, file: pathlib.Path) -> None:
+def check(daemon: bool, platform: bool, file: pathlib.Path) -> None:
     """Checks FILE, a settings tree or a daemon's settings."""
     with failures.report_errors():
-        if daemon:
+        if platform:
+            settings_file.read_settings(file, ANY_PORT)
+        elif daemon:
             daemon_text.read_daemon_settings(file)
         else:
             settings_text.read_tree(file).compile()
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -4,6 +4,7 @@
 import pathlib
 from typing import Any
 
+from click import testing
 import hypothesis
 from hypothesis import strategies
 import pytest
@@ -13,6 +14,7 @@
 from kumquatridge.platform import configuration
 from kumquatridge.platform import errors
 from kumquatridge.platform import settings_file
+from kumquatridge.ui import check
 
 SETTINGS = """
 [localNode]
@@ -132,6 +134,27 @@
     assert source.settings.service == "stock"
 
 
+@pytest.mark.parametrize(
+    ("text", "status", "told"),
+    [
+        pytest.param(SETTINGS, 0, "valid", id="valid"),
+        pytest.param(
+            SETTINGS.replace('ip = "127.0.0.1"', "ip = 7"),
+            1,
+            "localNode.ip",
+            id="another type",
+        ),
+    ],
+)
+def test_settings_are_checked_by_a_command(
+    tmp_path: pathlib.Path, text: str, status: int, told: str
+) -> None:
+    file = write(tmp_path, text)
+    found = testing.CliRunner().invoke(check.check, ["--platform", str(file)])
+    assert found.exit_code == status
+    assert told in found.output
+
+
 def encode(*routes: dict[str, Any]) -> bytes:
     return json.dumps({"version": 3, "routes": routes}).encode()
 
--- a/tests/routing/test_chooser.py
+++ b/tests/routing/test_chooser.py
@@ -247,3 +247,30 @@
     choose(chooser)
     finish(chooser, "leaves", refusal=refusals.Draining("leaves"))
     assert set(count_choices(chooser)) == {"stays"}
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(
+    ("near_fails", "least_far", "most_far"),
+    [
+        pytest.param(0, 0.0, 0.05, id="sound"),
+        pytest.param(2, 0.8, 1.0, id="fails every second call"),
+        pytest.param(20, 0.0, 0.2, id="fails a few"),
+    ],
+)
+async def test_calls_leave_an_instance_that_fails_part_of_them(
+    near_fails: int, least_far: float, most_far: float
+) -> None:
+    found = [fleet.make_member("near"), fleet.make_member("far", "freising")]
+    chooser = routing.InstanceChooser(
+        fleet.make_table(found), 1, routing.RoutingSettings(spill_ratio=1.0)
+    )
+    sent: collections.Counter[str] = collections.Counter()
+    for number in range(400):
+        await asyncio.sleep(0.005)
+        instance = choose(chooser)
+        fails = instance == "near" and near_fails and number % near_fails == 0
+        refusal = refusals.WorkerRefused(503, 200) if fails else None
+        finish(chooser, instance, refusal=refusal)
+        sent[instance] += number >= 100
+    assert least_far <= sent["far"] / sum(sent.values()) <= most_far
