Let a recovered instance get calls again within seconds

The part that fails faded only until the next call, so that an instance with few calls kept it: 1 of 200 calls after 4 s without a failure, 30 or more now.

--- a/kumquatridge/routing/instances.py
+++ b/kumquatridge/routing/instances.py
@@ -104,8 +104,9 @@
     def record_ending(self, *, is_failure: bool, now_ms: float) -> None:
         """Takes note of whether a call came to a good end."""
         seen = 1.0 if is_failure else 0.0
-        self._failure_ratio += FAILURE_WEIGHT_RATIO * (
-            seen - self._failure_ratio
+        left_ratio = self.get_failure_ratio(now_ms)
+        self._failure_ratio = left_ratio + FAILURE_WEIGHT_RATIO * (
+            seen - left_ratio
         )
         self._ended_ms = now_ms
 
