--- a/kumquatridge/admission/gates.py
+++ b/kumquatridge/admission/gates.py
@@ -25,6 +25,7 @@
 from kumquatridge.admission import levels
 from kumquatridge.calls import call as calls
 from kumquatridge.calls import importance as call_importance
+from kumquatridge.calls import refusals
 
 OPEN = 0.0
 # With less of an importance admitted on average, what arrives doesn't tell its
@@ -32,6 +33,8 @@
 LEAST_OPEN_RATIO = 0.05
 # A gate that turns away less than this part of an importance counts as open.
 LEAST_CLOSED_RATIO = 0.02
+# How long a gate that closes stays closed at least, rounded up.
+RETRY_MS = 1000
 # Routes whose calls were seen within this time lead to the instance.
 ROUTE_MEMORY_MS = 10_000.0
 
@@ -227,20 +230,30 @@
         self,
         call: calls.Call,
         count_instances: Callable[[str], int],
-    ) -> str | None:
-        """Returns the service whose gate turns a root away, if any.
+    ) -> refusals.GateClosed | None:
+        """Returns why a root is turned away, or None when it isn't.
 
         The level of a service is the mean over its instances; those that tell
         none are open.
         """
         if not self._gates or call.chain.depth > 0:
             return None
+        now_ms = clock.get_now_ms()
         score = get_score(call.chain.importance, call.chain.root_id)
-        sums: dict[str, float] = {}
-        for gate in self.get_fresh(clock.get_now_ms()):
+        found: dict[str, list[Gate]] = {}
+        for gate in self.get_fresh(now_ms):
             if gate.service == call.service or call.policy.route in gate.routes:
-                sums[gate.service] = sums.get(gate.service, 0.0) + gate.level
-        for service, total in sums.items():
-            if total / max(1, count_instances(service)) > score:
-                return service
+                found.setdefault(gate.service, []).append(gate)
+        for service, told in found.items():
+            count = max(1, count_instances(service))
+            level = sum(gate.level for gate in told) / count
+            if level > score:
+                oldest_ms = min(gate.told_ms for gate in told)
+                return refusals.GateClosed(
+                    service,
+                    round(level, 3),
+                    round(score, 3),
+                    round(now_ms - oldest_ms),
+                    RETRY_MS,
+                )
         return None
--- a/kumquatridge/bench/run_recorder.py
+++ b/kumquatridge/bench/run_recorder.py
@@ -4,6 +4,7 @@
 from kumquatridge.calls import call as calls
 from kumquatridge.calls import outcomes
 from kumquatridge.calls import refusals
+from kumquatridge.routing import choices
 
 
 class RunRecorder:
@@ -25,7 +26,10 @@
         self._environment.records.note_refusal(self._worker, call, refusal)
 
     def record_attempt(
-        self, call: calls.Call, instance: str, outcome: outcomes.Outcome
+        self,
+        call: calls.Call,
+        place: choices.Place,
+        outcome: outcomes.Outcome,
     ) -> None:
         """Counts nothing."""
 
--- a/kumquatridge/benchmarks/key_world.py
+++ b/kumquatridge/benchmarks/key_world.py
@@ -17,6 +17,7 @@
 from kumquatridge.calls import call as calls
 from kumquatridge.calls import outcomes
 from kumquatridge.calls import refusals
+from kumquatridge.routing import choices
 
 MAX_DELAY_S = 0.05
 LOSS_RATIO = 0.1
@@ -45,7 +46,10 @@
         self.reasons[refusal.code] = self.reasons.get(refusal.code, 0) + 1
 
     def record_attempt(
-        self, call: calls.Call, instance: str, outcome: outcomes.Outcome
+        self,
+        call: calls.Call,
+        place: choices.Place,
+        outcome: outcomes.Outcome,
     ) -> None:
         """Counts nothing."""
 
--- a/kumquatridge/callpath/outbound.py
+++ b/kumquatridge/callpath/outbound.py
@@ -20,8 +20,7 @@
 from kumquatridge.routing import chooser as routing
 from kumquatridge.telemetry import recorder as telemetry
 
-# How long a gate that closes stays closed at least, rounded up.
-GATE_RETRY_MS = 1000
+FIRST_ERROR_STATUS = 500
 HEDGE_REASON = "hedge"
 ALLOWANCE_SPENT = "allowance_spent"
 RATIO_EXCEEDED = "ratio_exceeded"
@@ -76,9 +75,8 @@
         """
         closed = self._board.find_closed(call, self._members.count_instances)
         if closed is not None:
-            told = refusals.GateClosed(closed, GATE_RETRY_MS)
-            self._recorder.record_refusal(call, told)
-            yield outcomes.NotRun(told, call.chain.retries)
+            self._recorder.record_refusal(call, closed)
+            yield outcomes.NotRun(closed, call.chain.retries)
             return
         account = chain_account.RetryAccount(call.chain.retries)
         ratio = self._ratios.get(call.service)
@@ -219,7 +217,9 @@
                 attempt = self._peers.send(sent, member)
             async with attempt as outcome:
                 record.finish(outcome)
-                self._recorder.record_attempt(call, member.instance, outcome)
+                if not _is_good(outcome):
+                    place = self._chooser.describe(call, member.instance)
+                    self._recorder.record_attempt(call, place, outcome)
                 account.give_back(min(granted, outcome.unspent_retries))
                 yield outcome
 
@@ -235,6 +235,15 @@
     )
 
 
+def _is_good(outcome: outcomes.Outcome) -> bool:
+    """Tells whether a worker answered, and not with a failure."""
+    match outcome:
+        case outcomes.Completed(status):
+            return status < FIRST_ERROR_STATUS
+        case _:
+            return False
+
+
 def _is_refusal(outcome: outcomes.Outcome) -> bool:
     """Tells whether an attempt surely ran nothing."""
     match outcome:
--- a/kumquatridge/calls/refusals.py
+++ b/kumquatridge/calls/refusals.py
@@ -175,10 +175,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GateClosed:
-    """A service that the root's calls lead to admits only others for now."""
+    """A service that the root's calls lead to admits only others for now.
+
+    Roots with a `score` below the `level` are turned away; the level was told
+    `age_ms` ago.
+    """
 
     code: ClassVar[str] = "gate_closed"
     service: str
+    level: float
+    score: float
+    age_ms: int
     retry_after_ms: int
 
 
--- a/kumquatridge/operators/explanations.py
+++ b/kumquatridge/operators/explanations.py
@@ -93,10 +93,10 @@
             return detail
         case refusals.NotReady():
             return "the daemon has just started and knows no routes yet"
-        case refusals.GateClosed(service, retry_after_ms):
+        case refusals.GateClosed(service, level, score, age_ms, _):
             return (
-                f"its calls lead to {service}, which is overloaded; "
-                f"retry after {retry_after_ms} ms"
+                f"its calls lead to {service}, which admits roots from "
+                f"{level} on, as told {age_ms} ms ago; this one has {score}"
             )
         case refusals.NoRoute(host):
             return f"no route leads from its path at {host!r} to a service"
--- a/kumquatridge/routing/chooser.py
+++ b/kumquatridge/routing/chooser.py
@@ -148,6 +148,21 @@
             stats.end(handle)
             self._learn(call, pool, stats, record, now_ms)
 
+    def describe(self, call: calls.Call, instance: str) -> choices.Place:
+        """Returns what is known of an instance, for the log."""
+        now_ms = clock.get_now_ms()
+        stats = self._get_pool(call.service, now_ms).get_stats(instance)
+        if stats is None:
+            return choices.Place(instance, "", 0.0, 1.0, None)
+        age_ms = stats.get_report_age_ms(now_ms)
+        return choices.Place(
+            instance,
+            stats.member.data_centre,
+            round(stats.get_load_ratio(now_ms), 2),
+            round(stats.get_slowness_ratio(now_ms), 2),
+            None if age_ms is None else round(age_ms, 1),
+        )
+
     def _get_pool(self, service: str, now_ms: float) -> pools.ServicePool:
         own = self._members.get_instances(service)
         remote = self._members.get_remote(service)
--- a/kumquatridge/routing/instances.py
+++ b/kumquatridge/routing/instances.py
@@ -215,6 +215,10 @@
             return cost_ratio * FULL_PENALTY_RATIO
         return cost_ratio
 
+    def get_report_age_ms(self, now_ms: float) -> float | None:
+        """Returns how old the last report is, None before any."""
+        return None if self._report is None else now_ms - self._reported_ms
+
     def _is_report_fresh(self, now_ms: float) -> bool:
         return now_ms - self._reported_ms < REPORT_LIFETIME_MS
 
--- a/kumquatridge/telemetry/counts.py
+++ b/kumquatridge/telemetry/counts.py
@@ -10,6 +10,7 @@
 from kumquatridge.calls import call as calls
 from kumquatridge.calls import outcomes
 from kumquatridge.calls import refusals
+from kumquatridge.routing import choices
 from kumquatridge.telemetry import decisions
 
 
@@ -71,7 +72,10 @@
         self.retries_denied[ServiceKey(reason, call.service)] += 1
 
     def record_attempt(
-        self, call: calls.Call, instance: str, outcome: outcomes.Outcome
+        self,
+        call: calls.Call,
+        place: choices.Place,
+        outcome: outcomes.Outcome,
     ) -> None:
         """Takes note of an attempt; refusals and retries are counted."""
 
--- a/kumquatridge/telemetry/events.py
+++ b/kumquatridge/telemetry/events.py
@@ -346,7 +346,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptFailed:
-    """An instance did not answer a request as it should."""
+    """An instance did not answer a request as it should.
+
+    The last three say why it was chosen, and how old that knowledge is.
+    """
 
     number: ClassVar[int] = 5004
     request_id: str
@@ -354,7 +357,10 @@
     service: str
     instance: str
     outcome: str
-    took_ms: float
+    held_ms: float
+    load_ratio: float
+    slowness_ratio: float
+    report_age_ms: float | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kumquatridge/telemetry/recorder.py
+++ b/kumquatridge/telemetry/recorder.py
@@ -5,6 +5,7 @@
 from kumquatridge.calls import call as calls
 from kumquatridge.calls import outcomes
 from kumquatridge.calls import refusals
+from kumquatridge.routing import choices
 
 
 class Recorder(Protocol):
@@ -25,7 +26,10 @@
         ...
 
     def record_attempt(
-        self, call: calls.Call, instance: str, outcome: outcomes.Outcome
+        self,
+        call: calls.Call,
+        place: choices.Place,
+        outcome: outcomes.Outcome,
     ) -> None:
         """Takes note of what an instance made of a call."""
         ...
--- a/kumquatridge/telemetry/request_log.py
+++ b/kumquatridge/telemetry/request_log.py
@@ -15,6 +15,7 @@
 from kumquatridge.calls import outcomes
 from kumquatridge.calls import refusals
 from kumquatridge.membership import budget
+from kumquatridge.routing import choices
 from kumquatridge.telemetry import counts
 from kumquatridge.telemetry import decisions
 from kumquatridge.telemetry import events
@@ -107,12 +108,13 @@
         )
 
     def record_attempt(
-        self, call: calls.Call, instance: str, outcome: outcomes.Outcome
+        self,
+        call: calls.Call,
+        place: choices.Place,
+        outcome: outcomes.Outcome,
     ) -> None:
-        """Says what an instance made of a call, if it isn't an answer."""
+        """Says what an instance made of a call that it didn't serve."""
         match outcome:
-            case outcomes.Completed(status) if status < FIRST_FAILURE_STATUS:
-                return
             case outcomes.Completed(status):
                 told = f"status {status}"
             case outcomes.NotRun(refusal):
@@ -126,9 +128,12 @@
                 call.request_id,
                 call.chain.root_id,
                 call.service,
-                instance,
+                place.instance,
                 told,
                 _get_held_ms(call),
+                place.load_ratio,
+                place.slowness_ratio,
+                place.report_age_ms,
             )
         )
 
--- a/tests/admission/test_gates.py
+++ b/tests/admission/test_gates.py
@@ -211,6 +211,8 @@
         Root(1, Importance.SHEDDABLE), depth=depth, service=service, route=route
     )
     found = board.find_closed(call, lambda _: 1)
-    assert found == ("narrow" if is_closed else None)
+    assert (found.service if found else None) == (
+        "narrow" if is_closed else None
+    )
     await asyncio.sleep(5.0)
     assert board.find_closed(call, lambda _: 1) is None
--- a/tests/callpath/graph.py
+++ b/tests/callpath/graph.py
@@ -22,6 +22,7 @@
 from kumquatridge.membership import member as members
 from kumquatridge.membership import table
 from kumquatridge.quarantine import register as crash_register
+from kumquatridge.routing import choices
 from kumquatridge.routing import chooser as routing
 from kumquatridge.settings import policy as settings_policy
 
@@ -57,7 +58,10 @@
         self.refusals.append(refusal.code)
 
     def record_attempt(
-        self, call: calls.Call, instance: str, outcome: outcomes.Outcome
+        self,
+        call: calls.Call,
+        place: choices.Place,
+        outcome: outcomes.Outcome,
     ) -> None:
         """Counts nothing."""
 
