--- a/kumquatridge/admission/gates.py
+++ b/kumquatridge/admission/gates.py
@@ -186,14 +186,14 @@
     def _move(self, load: Load) -> None:
         settings = self._settings
         surplus = max(0.0, load.waiting - load.slots * settings.queue_ratio)
-        room = self._capacity - surplus * settings.drain_ratio
+        room = max(0.0, self._capacity - surplus * settings.drain_ratio)
         if self._capacity == 0.0:
             room = math.inf
         for importance in reversed(range(len(self._open))):
             demand = self._demand[importance]
-            goal = 1.0 if demand <= room else max(0.0, room) / demand
+            goal = 1.0 if demand <= room else room / demand
             self._open[importance] = self._approach(importance, goal)
-            room -= min(demand, max(0.0, room))
+            room -= min(demand, room)
         self._places.append(tuple(self._open))
 
     def _approach(self, importance: int, goal: float) -> float:
--- a/kumquatridge/daemon/runtime.py
+++ b/kumquatridge/daemon/runtime.py
@@ -11,6 +11,7 @@
 
 import aiohttp
 
+from kumquatridge.admission import gates
 from kumquatridge.admission import guard as admission_guard
 from kumquatridge.callpath import inbound
 from kumquatridge.callpath import intake as call_intake
@@ -47,6 +48,7 @@
 from kumquatridge.telemetry import counts
 from kumquatridge.telemetry import decisions
 from kumquatridge.telemetry import events
+from kumquatridge.telemetry import gauges
 from kumquatridge.telemetry import metrics
 
 
@@ -66,6 +68,7 @@
         self._settings = settings
         self._members = table.MemberTable(_make_own_member(settings))
         self._guard = admission_guard.AdmissionGuard(slots=0)
+        self._gate = gates.GateControl(gates.GateSettings())
         self._ledger = chain_ledger.Ledger()
         self._plane = settings_plane.SettingsPlane(settings, self._members)
         self._decisions = decisions.DecisionLog()
@@ -125,6 +128,7 @@
         daemon_gauges.add_gauges(
             exporter, self._guard, self._members, self._plane.table
         )
+        exporter.add_gauge(gauges.GATE_LEVEL, lambda: self._gate.level)
         self._plane.add_metrics(exporter)
         self._control_counts.expose(exporter)
         return exporter
@@ -143,6 +147,7 @@
             worker_client.HttpWorkerLink(session),
             self._recorder,
             crashes=crashes,
+            gate=self._gate,
         )
         exchange = await self._open_exchange(session, crashes)
         self._exchange = exchange
--- a/tests/admission/test_gates.py
+++ b/tests/admission/test_gates.py
@@ -216,3 +216,14 @@
     )
     await asyncio.sleep(5.0)
     assert board.find_closed(call, lambda _: 1) is None
+
+
+async def test_a_queue_without_room_closes_only_what_there_is() -> None:
+    control = gates.GateControl(gates.GateSettings())
+    for interval in range(1, 20):
+        now_ms = interval * 100.0
+        call = make_call(Root(1, Importance.NORMAL), depth=0)
+        control.record_arrival(call, now_ms)
+        control.record_completion()
+        control.record_load(gates.Load(1, 50, 1), now_ms)
+    assert Importance.NORMAL < control.level <= Importance.CRITICAL
