--- a/tests/admission/test_gates.py
+++ b/tests/admission/test_gates.py
@@ -36,9 +36,9 @@
     for_ms: int
 
 
-@dataclasses.dataclass
+@dataclasses.dataclass(frozen=True)
 class Root:
-    """A root on its way."""
+    """A root on its way; `left` are the calls that it still has to make."""
 
     number: int
     importance: Importance
@@ -112,17 +112,16 @@
     def _ask(self, root: Root, now_ms: int) -> None:
         call = make_call(root, depth=3)
         self.control.record_arrival(call, now_ms)
-        root.waits_since_ms = now_ms
-        self.queue.append(root)
+        self.queue.append(dataclasses.replace(root, waits_since_ms=now_ms))
 
     def _finish(self, now_ms: int) -> None:
         done = [root for ends_ms, root in self.busy if ends_ms <= now_ms]
         self.busy = [one for one in self.busy if one[0] > now_ms]
         for root in done:
             self.control.record_completion()
-            root.left -= 1
-            if root.left:
-                self._ask(root, now_ms)
+            if root.left > 1:
+                after = dataclasses.replace(root, left=root.left - 1)
+                self._ask(after, now_ms)
             else:
                 self.served[now_ms // 1000, root.importance] += 1
 
