Keep whole roots from workers that all refuse; time answers without contexts

They are told to come back instead, but for a tenth of the most important by which the recovery is seen; calls that go there directly are still tried.

--- a/kumquatridge/admission/gates.py
+++ b/kumquatridge/admission/gates.py
@@ -33,6 +33,12 @@
 LEAST_OPEN_RATIO = 0.05
 # A gate that turns away less than this part of an importance counts as open.
 LEAST_CLOSED_RATIO = 0.02
+CLOSED = float(len(call_importance.Importance))
+# A worker that refuses more of its calls fails most roots that need a few of
+# them: of those that need four, three in four.
+REFUSING_RATIO = 0.3
+# The part of the most important roots that go on nevertheless.
+TRICKLE_RATIO = 0.1
 # How long a gate that closes stays closed at least, rounded up.
 RETRY_MS = 1000
 # Routes whose calls were seen within this time lead to the instance.
@@ -76,13 +82,14 @@
 class Gate:
     """What an instance tells: its level, and whose calls it gets.
 
-    `routes` are the routes of roots whose trees reach the instance. `told_ms`
-    is on the local clock.
+    `routes` are the routes of roots whose trees reach the instance;
+    `nested_level` is for these alone. `told_ms` is on the local clock.
     """
 
     service: str
     instance: str
     level: float
+    nested_level: float
     routes: frozenset[str]
     told_ms: float
 
@@ -112,6 +119,8 @@
         self._arrivals = [0] * importances
         self._capacity = 0.0
         self._completions = 0
+        self._refused = 0
+        self._refused_ratio = 0.0
         self._running = 0.0
         self._samples = 0
         self._started_ms = 0.0
@@ -125,6 +134,18 @@
                 return importance + 1.0 - self._open[importance]
         return OPEN
 
+    @property
+    def nested_level(self) -> float:
+        """The level for roots whose calls reach the instance.
+
+        A worker that itself refuses a good part of its calls fails nearly
+        every root that needs several of them. Of the most important ones a
+        few go on, by which its recovery is seen.
+        """
+        if self._refused_ratio < REFUSING_RATIO:
+            return self.level
+        return CLOSED - TRICKLE_RATIO
+
     def get_routes(self, now_ms: float) -> frozenset[str]:
         """Returns the routes of the roots whose calls came of late."""
         oldest_ms = now_ms - ROUTE_MEMORY_MS
@@ -144,6 +165,10 @@
         """Takes note of a call that the worker has finished."""
         self._completions += 1
 
+    def record_worker_refusal(self) -> None:
+        """Takes note of a call that the worker itself refused."""
+        self._refused += 1
+
     def record_load(self, load: Load, now_ms: float) -> None:
         """Takes note of the calls at the worker; moves the gate when due."""
         self._running += load.running
@@ -152,15 +177,25 @@
         if elapsed_ms < self._settings.interval_ms:
             return
         intervals = elapsed_ms / self._settings.interval_ms
+        self._estimate_refusals()
         self._estimate_capacity(load, intervals)
         self._estimate_demand(intervals)
         self._move(load)
         self._started_ms = now_ms
         self._completions = 0
+        self._refused = 0
         self._running = 0.0
         self._samples = 0
         self._arrivals = [0] * len(self._arrivals)
 
+    def _estimate_refusals(self) -> None:
+        """Estimates the part of the calls that the worker itself refuses."""
+        ended = self._completions + self._refused
+        if ended == 0:
+            return
+        change = self._refused / ended - self._refused_ratio
+        self._refused_ratio += change * self._settings.demand_ratio
+
     def _estimate_capacity(self, load: Load, intervals: float) -> None:
         """Estimates what all slots would finish in an interval."""
         running = self._running / self._samples
@@ -234,7 +269,8 @@
         """Returns why a root is turned away, or None when it isn't.
 
         The level of a service is the mean over its instances; those that tell
-        none are open.
+        none are open. Workers that refuse count when all of them do: else the
+        calls go to the others.
         """
         if not self._gates or call.chain.depth > 0:
             return None
@@ -247,6 +283,9 @@
         for service, told in found.items():
             count = max(1, count_instances(service))
             level = sum(gate.level for gate in told) / count
+            if service != call.service and len(told) >= count:
+                nested_level = min(gate.nested_level for gate in told)
+                level = max(level, nested_level)
             if level > score:
                 oldest_ms = min(gate.told_ms for gate in told)
                 return refusals.GateClosed(
--- a/kumquatridge/callpath/inbound.py
+++ b/kumquatridge/callpath/inbound.py
@@ -113,6 +113,13 @@
         load = gates.Load(guard.in_progress, guard.queued, guard.limit)
         self._gate.record_load(load, clock.get_now_ms())
 
+    def _note_ending(self, outcome: outcomes.Outcome) -> None:
+        match outcome:
+            case outcomes.NotRun(refusals.WorkerRefused()):
+                self._gate.record_worker_refusal()
+            case _:
+                self._gate.record_completion()
+
     def _check(self, call: calls.Call) -> refusals.Refusal | None:
         announcement = self._members.own.announcement
         if announcement is None or announcement.service != call.service:
@@ -149,7 +156,7 @@
                 latency_ms = clock.get_now_ms() - started_ms
                 concluded = await self._conclude(call, record, outcome)
                 self._guard.record_answer(call, latency_ms, concluded)
-                self._gate.record_completion()
+                self._note_ending(outcome)
                 yield concluded
 
     async def _conclude(
--- a/kumquatridge/encoding/gate_codec.py
+++ b/kumquatridge/encoding/gate_codec.py
@@ -11,6 +11,7 @@
     service: str
     instance: str
     level: float
+    nested_level: float
     routes: tuple[str, ...]
     age_ms: float
 
@@ -27,6 +28,7 @@
                 one.service,
                 one.instance,
                 round(one.level, 3),
+                round(one.nested_level, 3),
                 tuple(sorted(one.routes)),
                 round(now_ms - one.told_ms, 1),
             )
@@ -49,6 +51,7 @@
             one.service,
             one.instance,
             one.level,
+            one.nested_level,
             frozenset(one.routes),
             now_ms - one.age_ms,
         )
--- a/kumquatridge/platform/peers.py
+++ b/kumquatridge/platform/peers.py
@@ -4,7 +4,6 @@
 beyond it rides in one header.
 """
 
-import asyncio
 from collections.abc import Callable
 import contextlib
 import types
@@ -65,7 +64,10 @@
             (*call.headers, (own_headers.CHAIN, mark)),
             call.body,
         )
-        return self._connections.send(member.call_address, request)
+        allowed_ms = max(0.0, call.chain.get_remaining_ms()) + ANSWER_GRACE_MS
+        return self._connections.send(
+            member.call_address, request, timeout_ms=allowed_ms
+        )
 
     def read(self, answer: http.Answer) -> outcomes.Outcome:
         """Returns the outcome that another daemon's answer tells."""
@@ -95,16 +97,14 @@
     async def __aenter__(self) -> outcomes.Outcome:
         """Sends the call and returns what became of it."""
         exchange = self._link.open(self._call, self._member)
-        allowed_ms = self._call.chain.get_remaining_ms() + ANSWER_GRACE_MS
         try:
-            async with asyncio.timeout(allowed_ms / 1000.0):
-                answer = await exchange.__aenter__()
+            answer = await exchange.__aenter__()
         except transport_errors.ConnectError:
             return outcomes.NotRun(refusals.Unreachable(self._member.instance))
+        except transport_errors.AnswerTimeoutError:
+            return outcomes.Unknown(worker_link.DEADLINE_DETAIL)
         except transport_errors.TransportError as error:
             return outcomes.Unknown(f"connection to a daemon: {error}")
-        except TimeoutError:
-            return outcomes.Unknown(worker_link.DEADLINE_DETAIL)
         self._exchange = exchange
         return self._link.read(answer)
 
--- a/kumquatridge/platform/runtime.py
+++ b/kumquatridge/platform/runtime.py
@@ -312,12 +312,13 @@
         return self._board.get_fresh(now_ms)
 
     def _put_own_gate(self, now_ms: float) -> None:
-        if self._gate.level > gates.OPEN:
+        if self._gate.nested_level > gates.OPEN:
             self._board.put(
                 gates.Gate(
                     self._worker.service,
                     self._settings.instance,
                     self._gate.level,
+                    self._gate.nested_level,
                     self._gate.get_routes(now_ms),
                     now_ms,
                 )
--- a/kumquatridge/platform/worker_link.py
+++ b/kumquatridge/platform/worker_link.py
@@ -29,6 +29,8 @@
 FULL_RETRY_MS = 200
 DEADLINE_DETAIL = "no answer before the deadline"
 
+NEW_CONNECTION = pool.Bounds(idle_ms=0.0)
+
 LoseWorker = Callable[[str, str], None]
 
 
@@ -63,10 +65,14 @@
             _make_request(call, worker),
             accepts=lambda found: _answers(found, call.request_id),
             idle_ms=None if call.policy.idempotent else FRESH_IDLE_MS,
+            timeout_ms=max(0.0, call.chain.get_remaining_ms()),
         )
 
     async def judge_error(
-        self, error: Exception, address: str, worker: str
+        self,
+        error: transport_errors.TransportError,
+        address: str,
+        worker: str,
     ) -> outcomes.Outcome:
         """Returns what is known of a call that got no answer."""
         match error:
@@ -80,10 +86,10 @@
                 return outcomes.Unknown(
                     f"connection to the worker: {error}", worker_lost=lost
                 )
-            case transport_errors.TransportError():
-                return outcomes.Unknown(f"the worker's answer: {error}")
-            case _:
+            case transport_errors.AnswerTimeoutError():
                 return outcomes.Unknown(DEADLINE_DETAIL)
+            case _:
+                return outcomes.Unknown(f"the worker's answer: {error}")
 
     def judge(self, answer: http.Answer, worker: str) -> outcomes.Outcome:
         """Returns what a whole answer of the worker means."""
@@ -103,7 +109,7 @@
     async def _accepts_connections(self, address: str) -> bool:
         """Tells whether the worker still listens; False when it crashed."""
         try:
-            opened = await self._connections.lend(address, idle_ms=0.0)
+            opened = await self._connections.lend(address, NEW_CONNECTION)
         except transport_errors.ConnectError:
             return False
         opened.close()
@@ -129,9 +135,8 @@
             return outcomes.NotRun(refusals.Draining(call.service))
         exchange = self._link.open(call, self._address, identity.worker)
         try:
-            async with asyncio.timeout(call.chain.get_remaining_ms() / 1000.0):
-                answer = await exchange.__aenter__()
-        except (TimeoutError, transport_errors.TransportError) as error:
+            answer = await exchange.__aenter__()
+        except transport_errors.TransportError as error:
             return await self._link.judge_error(
                 error, self._address, identity.worker
             )
--- a/kumquatridge/transport/connection.py
+++ b/kumquatridge/transport/connection.py
@@ -83,7 +83,7 @@
         return not self._answer.is_stray and self._answer.body.is_complete
 
     async def send(
-        self, request: messages.Request, accepts: Accepts
+        self, request: messages.Request, accepts: Accepts, timeout_s: float
     ) -> messages.Answer:
         """Sends a request and waits for its answer.
 
@@ -94,11 +94,14 @@
         self._answer = None
         self._accepts = accepts
         self._strays = 0
-        self._awaited = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        self._awaited = loop.create_future()
         self._write(request)
+        timer = loop.call_later(timeout_s, self._expire)
         try:
             await self._awaited
         finally:
+            timer.cancel()
             self._awaited = None
         arrived = cast(_Arriving, self._answer)
         headers = arrived.headers
@@ -150,6 +153,9 @@
         if self._awaited is not None and not self._awaited.done():
             self._awaited.set_exception(fault)
 
+    def _expire(self) -> None:
+        self.fail(errors.AnswerTimeoutError("no answer in time"))
+
     def close(self) -> None:
         """Closes the connection, which cancels what is in progress."""
         self.fail(errors.ConnectionBrokenError("closed"))
--- a/kumquatridge/transport/errors.py
+++ b/kumquatridge/transport/errors.py
@@ -15,6 +15,10 @@
     """The connection ended after bytes were sent, before a whole answer."""
 
 
+class AnswerTimeoutError(TransportError):
+    """No answer came in the time allowed; the request may have arrived."""
+
+
 class MalformedAnswerError(TransportError):
     """What came back is no answer in the protocol."""
 
--- a/kumquatridge/transport/pool.py
+++ b/kumquatridge/transport/pool.py
@@ -12,6 +12,20 @@
 from kumquatridge.transport import errors
 from kumquatridge.transport import messages
 
+# Bounds an answer for which the caller names no time.
+LONGEST_MS = 60_000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """How long a connection may have been idle, and an answer may take.
+
+    `idle_ms` is None where the pool's own bound suffices.
+    """
+
+    idle_ms: float | None = None
+    timeout_ms: float = LONGEST_MS
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PoolSettings:
@@ -67,22 +81,26 @@
         *,
         accepts: connection.Accepts = connection.accept_any,
         idle_ms: float | None = None,
+        timeout_ms: float = LONGEST_MS,
     ) -> "Exchange":
         """Returns the exchange of a request for its answer, to be entered.
 
-        A kept connection is used unless it has been idle for `idle_ms`.
+        A kept connection is used unless it has been idle for `idle_ms`. The
+        answer must come within `timeout_ms`.
         """
-        return Exchange(self, address, request, accepts, idle_ms)
+        bounds = Bounds(idle_ms, timeout_ms)
+        return Exchange(self, address, request, accepts, bounds)
 
     async def lend(
-        self, address: str, idle_ms: float | None
+        self, address: str, bounds: "Bounds"
     ) -> connection.Connection:
         """Returns a connection that nobody else uses.
 
         Raises:
           ConnectError: none could be opened.
         """
-        return self._take_idle(address, idle_ms) or await self._open(address)
+        kept = self._take_idle(address, bounds.idle_ms)
+        return kept or await self._open(address, bounds.timeout_ms)
 
     def take_back(
         self,
@@ -127,14 +145,15 @@
             if name.lower() == "timeout" and seconds.isdecimal():
                 self._idle_limits_ms[address] = int(seconds) * 1000.0 / 2
 
-    async def _open(self, address: str) -> connection.Connection:
+    async def _open(
+        self, address: str, timeout_ms: float
+    ) -> connection.Connection:
         endpoint = connection.Endpoint.parse(address)
         loop = asyncio.get_running_loop()
         self.opened += 1
         try:
-            async with asyncio.timeout(
-                self._settings.connect_timeout_ms / 1000.0
-            ):
+            timeout_ms = min(timeout_ms, self._settings.connect_timeout_ms)
+            async with asyncio.timeout(timeout_ms / 1000.0):
                 transport, opened = await loop.create_connection(
                     connection.Connection, endpoint.host, endpoint.port
                 )
@@ -164,13 +183,13 @@
         address: str,
         request: messages.Request,
         accepts: connection.Accepts,
-        idle_ms: float | None,
+        bounds: Bounds,
     ) -> None:
         self._connections = connections
         self._address = address
         self._request = request
         self._accepts = accepts
-        self._idle_ms = idle_ms
+        self._bounds = bounds
         self._used: connection.Connection | None = None
         self._answer: messages.Answer | None = None
 
@@ -181,9 +200,12 @@
           ConnectError: no byte was sent.
           TransportError: the request may have arrived.
         """
-        self._used = await self._connections.lend(self._address, self._idle_ms)
+        bounds = self._bounds
+        self._used = await self._connections.lend(self._address, bounds)
         try:
-            self._answer = await self._used.send(self._request, self._accepts)
+            self._answer = await self._used.send(
+                self._request, self._accepts, bounds.timeout_ms / 1000.0
+            )
         except BaseException:
             self.close()
             raise
--- a/tests/admission/test_gates.py
+++ b/tests/admission/test_gates.py
@@ -103,10 +103,17 @@
             self.lost += 1
         present = gates.Load(len(self.busy), len(self.queue), SLOTS)
         self.control.record_load(present, now_ms)
-        if self.control.level > gates.OPEN:
+        if self.control.nested_level > gates.OPEN:
             level, told_ms = self.control.level, clock.get_now_ms()
             self.board.put(
-                gates.Gate("narrow", "n", level, frozenset((ROUTE,)), told_ms)
+                gates.Gate(
+                    "narrow",
+                    "n",
+                    level,
+                    self.control.nested_level,
+                    frozenset((ROUTE,)),
+                    told_ms,
+                )
             )
 
     def _ask(self, root: Root, now_ms: int) -> None:
@@ -205,7 +212,9 @@
     board = gates.GateBoard(gates.GateSettings())
     level = float(Importance.NORMAL)
     now_ms = clock.get_now_ms()
-    board.put(gates.Gate("narrow", "n", level, frozenset((ROUTE,)), now_ms))
+    board.put(
+        gates.Gate("narrow", "n", level, level, frozenset((ROUTE,)), now_ms)
+    )
     call = make_call(
         Root(1, Importance.SHEDDABLE), depth=depth, service=service, route=route
     )
@@ -226,3 +235,53 @@
         control.record_completion()
         control.record_load(gates.Load(1, 50, 1), now_ms)
     assert Importance.NORMAL < control.level <= Importance.CRITICAL
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(
+    ("refusing", "instances", "is_closed"),
+    [
+        pytest.param(("a", "b"), 2, True, id="all refuse"),
+        pytest.param(("a",), 2, False, id="one of two refuses"),
+        pytest.param((), 2, False, id="none refuses"),
+    ],
+)
+async def test_roots_are_kept_from_workers_that_all_refuse(
+    refusing: tuple[str, ...], instances: int, is_closed: bool
+) -> None:
+    control = gates.GateControl(gates.GateSettings())
+    for interval in range(1, 20):
+        for number in range(10):
+            if number % 2:
+                control.record_worker_refusal()
+            else:
+                control.record_completion()
+        control.record_load(gates.Load(1, 0, 8), interval * 100.0)
+    board = gates.GateBoard(gates.GateSettings())
+    for instance in refusing:
+        board.put(
+            gates.Gate(
+                "narrow",
+                instance,
+                control.level,
+                control.nested_level,
+                frozenset((ROUTE,)),
+                clock.get_now_ms(),
+            )
+        )
+    closed = [
+        board.find_closed(
+            make_call(Root(number, Importance.CRITICAL), depth=0),
+            lambda _: instances,
+        )
+        is not None
+        for number in range(300)
+    ]
+    direct = make_call(Root(1, Importance.NORMAL), depth=0, service="narrow")
+    assert board.find_closed(direct, lambda _: instances) is None
+    assert (0.8 <= sum(closed) / len(closed) < 1.0) is is_closed
+    for interval in range(20, 40):
+        for _ in range(5):
+            control.record_completion()
+        control.record_load(gates.Load(1, 0, 8), interval * 100.0)
+    assert control.nested_level == gates.OPEN
