--- a/kumquatridge/transport/listener.py
+++ b/kumquatridge/transport/listener.py
@@ -141,7 +141,7 @@
     @property
     def is_idle(self) -> bool:
         """Tells whether no byte of a request is here."""
-        return not self.is_busy and self._arriving is None
+        return not (self.is_busy or self._waiting or self._arriving)
 
     def check_timeouts(self, now_ms: float) -> None:
         """Closes a connection that is idle, or slow to send a head."""
--- a/tests/transport/test_listener.py
+++ b/tests/transport/test_listener.py
@@ -170,3 +170,16 @@
             assert length_bytes == size_bytes
         case _:
             pytest.fail("held in memory whole")
+
+
+async def test_request_that_has_just_arrived_is_not_idle() -> None:
+    handler = Handler()
+    async with run_listener(handler) as (opened, reader, writer):
+        await asyncio.sleep(0.05)
+        (connection,) = opened.connections
+        connection.data_received(POST)
+        assert not opened.is_idle
+        opened.close_idle()
+        await reader.readuntil(b"\r\n\r\n")
+        assert await reader.readexactly(4) == b"body"
+        writer.write(b"")
