--- a/kumquatridge/transport/connection.py
+++ b/kumquatridge/transport/connection.py
@@ -232,7 +232,8 @@
 
     def on_headers_complete(self) -> None:
         """Judges whether this is the awaited answer."""
-        answer = cast(_Arriving, self._answer)
+        answer = self._answer
+        assert answer is not None
         answer.status = self._parser.get_status_code()
         headers = messages.decode_headers(answer.raw_headers)
         answer.headers = headers
@@ -247,17 +248,17 @@
             if self._strays > MAX_STRAY_ANSWERS:
                 raise errors.MalformedAnswerError("answers to other requests")
             return
-        coding = messages.find_header(headers, "transfer-encoding")
-        length = messages.find_header(headers, "content-length")
+        fields = dict(headers)
         answer.ends_with_connection = (
-            coding is None
-            and length is None
+            "content-length" not in fields
+            and "transfer-encoding" not in fields
             and answer.status not in BODILESS_STATUSES
         )
 
     def on_body(self, data: bytes) -> None:
         """Takes a part of the body."""
-        answer = cast(_Arriving, self._answer)
+        answer = self._answer
+        assert answer is not None
         if answer.is_stray:
             return
         answer.body.add(data)
@@ -266,7 +267,8 @@
 
     def on_message_complete(self) -> None:
         """Takes the end of an answer."""
-        answer = cast(_Arriving, self._answer)
+        answer = self._answer
+        assert answer is not None
         if answer.is_stray:
             return
         self._keeps_alive = self._keeps_alive and (
--- a/kumquatridge/transport/listener.py
+++ b/kumquatridge/transport/listener.py
@@ -105,7 +105,6 @@
 
     def __init__(self, flow: inbox.Flow) -> None:
         self.target = b""
-        self.raw_headers: list[tuple[bytes, bytes]] = []
         self.headers: outcomes.Headers = ()
         self.header_bytes = 0
         self.method = ""
@@ -122,6 +121,7 @@
         self._listener = listener
         self._parser = httptools.HttpRequestParser(self)
         self._arriving: _Arriving | None = None
+        self._raw_headers: list[tuple[bytes, bytes]] = []
         self._waiting: collections.deque[_Arriving] = collections.deque()
         self._arrived = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
@@ -230,6 +230,16 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail(400)
+            return
+        arriving = self._arriving
+        if arriving is not None and not arriving.method:
+            self._bound_head(arriving, len(data))
+
+    def _bound_head(self, arriving: _Arriving, size_bytes: int) -> None:
+        """Rejects a head that is too large before its end has come."""
+        arriving.header_bytes += size_bytes
+        if arriving.header_bytes > self._listener.settings.max_header_bytes:
+            self._fail(431)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels what the client no longer waits for."""
@@ -261,50 +271,59 @@
     def on_message_begin(self) -> None:
         """Starts a request."""
         self._arriving = _Arriving(self.transport)
+        self._raw_headers = []
         self._since_ms = clock.get_now_ms()
 
     def on_url(self, url: bytes) -> None:
         """Takes a part of the target."""
-        arriving = cast(_Arriving, self._arriving)
+        arriving = self._arriving
+        assert arriving is not None
         arriving.target += url
-        arriving.header_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Takes a header; the size of all is bounded as they come."""
-        arriving = self._arriving
-        assert arriving is not None
-        arriving.raw_headers.append((name, value))
-        arriving.header_bytes += len(name) + len(value) + SEPARATOR_BYTES
-        if arriving.header_bytes > self._listener.settings.max_header_bytes:
-            self._fail(431)
-            raise errors.TransportError("headers too large")
+        """Takes a header."""
+        self._raw_headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Takes the end of the head; lets the client send the body."""
-        arriving = cast(_Arriving, self._arriving)
+        arriving = self._arriving
+        assert arriving is not None
         arriving.method = self._parser.get_method().decode("latin-1")
         arriving.keeps_alive = self._parser.should_keep_alive()
-        headers = messages.decode_headers(arriving.raw_headers)
-        arriving.headers = headers
-        length = messages.find_header(headers, "content-length")
+        if self._count_head() > self._listener.settings.max_header_bytes:
+            self._fail(431)
+            raise errors.TransportError("headers too large")
+        arriving.headers = messages.decode_headers(self._raw_headers)
+        fields = dict(arriving.headers)
+        length = fields.get("content-length")
         if length is not None:
             arriving.length_bytes = int(length)
             if int(length) > self._listener.settings.max_body_bytes:
                 self._fail(413)
                 raise errors.TransportError("body too large")
-        if messages.find_header(headers, "expect") is not None:
+        if "expect" in fields:
             self.transport.write(CONTINUE)
 
+    def _count_head(self) -> int:
+        """Returns the size of the target and headers so far."""
+        target_bytes = len(self._arriving.target) if self._arriving else 0
+        return target_bytes + sum(
+            len(name) + len(value) + SEPARATOR_BYTES
+            for name, value in self._raw_headers
+        )
+
     def on_body(self, data: bytes) -> None:
         """Takes a part of the body."""
-        arriving = cast(_Arriving, self._arriving)
+        arriving = self._arriving
+        assert arriving is not None
         arriving.body.add(data)
         if arriving.body.is_ready:
             self._queue(arriving)
 
     def on_message_complete(self) -> None:
         """Takes the end of a request."""
-        arriving = cast(_Arriving, self._arriving)
+        arriving = self._arriving
+        assert arriving is not None
         arriving.body.complete()
         self._queue(arriving)
         self._arriving = None
