--- a/kumquatridge/chain/ratio.py
+++ b/kumquatridge/chain/ratio.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+from collections.abc import Callable
 import dataclasses
 
 from kumquatridge import clock
@@ -28,11 +29,25 @@
         self.retries = 0
 
 
+def count_one() -> int:
+    """Returns that nobody shares the floor."""
+    return 1
+
+
 class RetryRatio:
-    """Counts first tries and retries over a sliding window."""
+    """Counts first tries and retries over a sliding window.
+
+    The floor is for all who share it together; `count_sharers` tells how many
+    they are now.
+    """
 
-    def __init__(self, settings: RatioSettings) -> None:
+    def __init__(
+        self,
+        settings: RatioSettings,
+        count_sharers: Callable[[], int] = count_one,
+    ) -> None:
         self._settings = settings
+        self._count_sharers = count_sharers
         self._buckets: collections.deque[_Bucket] = collections.deque()
         self._first_tries = 0
         self._retries = 0
@@ -46,7 +61,8 @@
         """Counts a retry if the ratio allows it; returns whether it does."""
         bucket = self._get_bucket()
         settings = self._settings
-        limit = settings.floor + settings.ratio * self._first_tries
+        floor = settings.floor / max(1, self._count_sharers())
+        limit = floor + settings.ratio * self._first_tries
         if self._retries + 1 > limit:
             return False
         bucket.retries += 1
@@ -73,14 +89,19 @@
 class RetryRatios:
     """The ratio of each service, all with the same settings."""
 
-    def __init__(self, settings: RatioSettings) -> None:
+    def __init__(
+        self,
+        settings: RatioSettings,
+        count_sharers: Callable[[], int] = count_one,
+    ) -> None:
         self._settings = settings
+        self._count_sharers = count_sharers
         self._ratios: dict[str, RetryRatio] = {}
 
     def get(self, service: str) -> RetryRatio:
         """Returns the ratio of a service."""
         ratio = self._ratios.get(service)
         if ratio is None:
-            ratio = RetryRatio(self._settings)
+            ratio = RetryRatio(self._settings, self._count_sharers)
             self._ratios[service] = ratio
         return ratio
--- a/kumquatridge/platform/runtime.py
+++ b/kumquatridge/platform/runtime.py
@@ -82,8 +82,6 @@
 # Part of the permitted retries that daemons use, so that those which a repeat
 # causes further down, and requests counted late, still fit.
 RETRY_PART = 0.5
-# Daemons among which the permitted floor is shared; half of it is given out.
-RETRY_FLOOR_SHARES = 16
 
 
 class SiteDaemon:
@@ -250,7 +248,9 @@
             own,
             peers.SitePeerLink(self._connections, self._board),
             self._recorder,
-            ratios=retry_ratio.RetryRatios(_make_ratio(settings)),
+            ratios=retry_ratio.RetryRatios(
+                _make_ratio(settings), self._count_daemons
+            ),
             settings=OUTBOUND,
             board=self._board,
         )
@@ -306,6 +306,10 @@
             for one in self._members
         )
 
+    def _count_daemons(self) -> int:
+        """Returns how many daemons share what is permitted to all."""
+        return len(self._members.get_live()) + 1
+
     def _get_gates(self, now_ms: float) -> tuple[gates.Gate, ...]:
         """Returns the gates that are worth telling, the own one included."""
         self._put_own_gate(now_ms)
@@ -374,11 +378,10 @@
 def _make_ratio(
     settings: settings_file.SiteSettings,
 ) -> retry_ratio.RatioSettings:
-    floor = settings.retry_floor * RETRY_PART / RETRY_FLOOR_SHARES
     return retry_ratio.RatioSettings(
         settings.retry_ratio * RETRY_PART,
         int(settings.retry_window_ms),
-        max(1, int(floor)),
+        int(settings.retry_floor * RETRY_PART),
     )
 
 
--- a/tests/chain/test_ratio.py
+++ b/tests/chain/test_ratio.py
@@ -32,3 +32,17 @@
     assert not ratio.take_retry()
     await asyncio.sleep(2.0)
     assert ratio.take_retry()
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(
+    ("daemons", "most"), [(1, 60), (16, 60), (90, 60), (300, 60)]
+)
+async def test_floor_is_shared_by_all_daemons(daemons: int, most: int) -> None:
+    settings = retry_ratio.RatioSettings(ratio=0.0, floor=60)
+    ratios = [
+        retry_ratio.RetryRatio(settings, lambda: daemons)
+        for _ in range(daemons)
+    ]
+    taken = sum(one.take_retry() for one in ratios for _ in range(100))
+    assert taken <= most
