Take no request late in a stop

While fewer than half of a data centre's daemons are ready, callers go on coming to one that stops; requests taken 4.9 s after SIGTERM were cut when it ended at 5.1 s. From half of the grace time on they are told that nothing ran. Ruled out: connections taken for idle (mended before, and these were busy). The new test failed before.

--- a/kumquatridge/platform/callers.py
+++ b/kumquatridge/platform/callers.py
@@ -37,11 +37,13 @@
         path: links.Dispatcher,
         recorder: request_log.RequestLog,
         get_service: Callable[[], str],
+        takes_requests: Callable[[], bool],
     ) -> None:
         self._intake = intake
         self._path = path
         self._recorder = recorder
         self._get_service = get_service
+        self._takes_requests = takes_requests
         self._random = random.Random()
 
     async def handle(
@@ -49,7 +51,7 @@
     ) -> None:
         """Answers one request."""
         asked = self._read(request)
-        match self._intake.make_call(asked):
+        match self._make_call(asked):
             case calls.Call() as call:
                 await self._dispatch(call, asked.remaining_ms, responder)
             case refusal:
@@ -59,6 +61,13 @@
                     _make_refusal(refusal, asked.request_id, retry_ms)
                 )
 
+    def _make_call(
+        self, asked: routed_intake.RoutedRequest
+    ) -> calls.Call | refusals.Refusal:
+        if not self._takes_requests():
+            return refusals.NotReady(routed_intake.NOT_READY_RETRY_MS)
+        return self._intake.make_call(asked)
+
     async def _dispatch(
         self,
         call: calls.Call,
--- a/kumquatridge/platform/runtime.py
+++ b/kumquatridge/platform/runtime.py
@@ -70,6 +70,9 @@
 # SIGKILL nobody counts on an answer.
 CLOSE_IDLE_AFTER_MS = 2500.0
 KILL_MARGIN_MS = 900.0
+# Part of that time in which requests are still taken: the rest must suffice
+# for those that were, and whoever comes later is told that nothing ran.
+TAKING_RATIO = 0.5
 CHECK_S = 0.05
 CALL_TIMEOUT_MS = 1200
 # Hedges would spend the retries of the whole system on calls that are merely
@@ -134,6 +137,7 @@
         )
         self._listeners: list[listener.HttpListener] = []
         self._is_stopping = False
+        self._takes_requests = True
         self._stack = contextlib.AsyncExitStack()
         self._enter = self._stack.enter_async_context
 
@@ -261,6 +265,7 @@
             path,
             self._recorder,
             lambda: self._worker.service,
+            lambda: self._takes_requests,
         )
         limits = routes.CallerLimits()
         peer_endpoint = peers.PeerEndpoint(
@@ -370,7 +375,11 @@
         started_s = loop.time()
         last_s = started_s + (self._settings.grace_ms - KILL_MARGIN_MS) / 1000.0
         await asyncio.sleep(CLOSE_IDLE_AFTER_MS / 1000.0)
+        last_taken_s = started_s + (
+            self._settings.grace_ms * TAKING_RATIO / 1000.0
+        )
         while loop.time() < last_s:
+            self._takes_requests = loop.time() < last_taken_s
             self._callers.close_idle()
             if all(one.is_idle for one in self._listeners):
                 return
--- a/tests/platform/test_site.py
+++ b/tests/platform/test_site.py
@@ -205,6 +205,23 @@
         await asyncio.gather(draining, other)
 
 
+async def test_daemon_takes_nothing_late_in_its_stop() -> None:
+    (shop,) = make_shops(1)
+    shop.behaviour = sites.Behaviour(work_ms=4000)
+    slow = sites.make_route("/slow/", ("shop", 1), timeoutS=5.0)
+    async with sites.open_site(shop, routes=(slow,), grace_ms=5600.0) as site:
+        request = sites.make_request("/slow/x", deadline_ms=5000)
+        sent = asyncio.create_task(site.send(request))
+        await sites.wait_until(lambda: shop.running == 1)
+        draining = asyncio.create_task(site.daemons[0].drain())
+        await asyncio.sleep(3.0)
+        late = await site.send(sites.make_request("/slow/y", request_id="2"))
+        assert late.status == 503
+        assert http.find_header(late.headers, "retry-after") == "0.500"
+        assert (await sent).status == 200
+        await draining
+
+
 async def test_daemon_stops_well_before_it_would_be_killed() -> None:
     (shop,) = make_shops(1)
     shop.behaviour = sites.Behaviour(work_ms=5000)
