Send calls between daemons in frames instead of HTTP

Of a call's Python samples two of four HTTP half legs, the mark in JSON and the marks on answers were the dearest part that we may shape ourselves. Ruled out: many calls on one connection. On links that lose packets each loss would hold up all calls of a peer, and a cancellation would need a message.

--- /dev/null
+++ b/kumquatridge/encoding/answer_codec.py
@@ -0,0 +1,141 @@
+"""What became of a routed call, as a daemon tells the one that sent it."""
+
+from collections.abc import Iterable
+import dataclasses
+
+import msgspec
+from returns import result
+
+from kumquatridge.admission import gates
+from kumquatridge.calls import body as call_body
+from kumquatridge.calls import outcomes
+from kumquatridge.calls import reports
+from kumquatridge.encoding import gate_codec
+from kumquatridge.encoding import refusal_codec
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Told:
+    """An answer: the outcome, and the gates that the daemon knows of."""
+
+    outcome: outcomes.Outcome
+    gates: tuple[gates.Gate, ...]
+
+
+class _Answer(msgspec.Struct, frozen=True, array_like=True):
+    """What all answers have."""
+
+    unspent_retries: int
+    report: reports.InstanceReport | None
+    gates: tuple[gate_codec.GateMessage, ...]
+
+
+class _Completed(_Answer, frozen=True, array_like=True, tag="completed"):
+    status: int
+    headers: outcomes.Headers
+    shed: bool
+    child_failed: bool
+
+
+class _NotRun(_Answer, frozen=True, array_like=True, tag="not-run"):
+    code: str
+    refusal: str
+
+
+class _Failed(_Answer, frozen=True, array_like=True, tag="failed"):
+    detail: str
+
+
+class _Unknown(_Answer, frozen=True, array_like=True, tag="unknown"):
+    detail: str
+    worker_lost: bool
+
+
+_Message = _Completed | _NotRun | _Failed | _Unknown
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(_Message)
+
+
+def encode_answer(
+    outcome: outcomes.Outcome, known: Iterable[gates.Gate], now_ms: float
+) -> bytes:
+    """Returns an outcome in MessagePack, without its body."""
+    told = gate_codec.encode_gates(known, now_ms)
+    return _encoder.encode(_make_message(outcome, told))
+
+
+def _make_message(
+    outcome: outcomes.Outcome, told: tuple[gate_codec.GateMessage, ...]
+) -> _Message:
+    unspent, report = outcome.unspent_retries, outcome.report
+    match outcome:
+        case outcomes.Completed(status, headers):
+            return _Completed(
+                unspent,
+                report,
+                told,
+                status,
+                headers,
+                outcome.shed,
+                outcome.child_failed,
+            )
+        case outcomes.NotRun(refusal):
+            fields = refusal_codec.encode_refusal(refusal)
+            return _NotRun(unspent, report, told, refusal.code, fields)
+        case outcomes.Failed(detail):
+            return _Failed(unspent, report, told, detail)
+        case outcomes.Unknown(detail, worker_lost=worker_lost):
+            return _Unknown(unspent, report, told, detail, worker_lost)
+
+
+def get_body(outcome: outcomes.Outcome) -> call_body.Body:
+    """Returns the body that goes with an answer."""
+    match outcome:
+        case outcomes.Completed(body=body):
+            return body
+        case _:
+            return call_body.EMPTY
+
+
+def decode_answer(
+    data: bytes, body: call_body.Body, now_ms: float
+) -> result.Result[Told, str]:
+    """Returns what an answer tells, or what is wrong with the bytes."""
+    try:
+        message = _decoder.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return result.Failure(str(error))
+    return result.Success(
+        Told(
+            _make_outcome(message, body),
+            gate_codec.decode_gates(message.gates, now_ms),
+        )
+    )
+
+
+def _make_outcome(message: _Message, body: call_body.Body) -> outcomes.Outcome:
+    unspent, report = message.unspent_retries, message.report
+    match message:
+        case _Completed(status=status, headers=headers):
+            return outcomes.Completed(
+                status,
+                headers,
+                body,
+                unspent,
+                report,
+                message.shed,
+                message.child_failed,
+            )
+        case _NotRun(code=code, refusal=fields):
+            match refusal_codec.decode_refusal(code, fields):
+                case result.Success(refusal):
+                    return outcomes.NotRun(refusal, unspent, report)
+                case result.Failure(fault):
+                    detail = f"refused without a known reason: {fault}"
+                    return outcomes.Unknown(detail, unspent)
+            raise AssertionError("a result is a success or a failure")
+        case _Failed(detail=detail):
+            return outcomes.Failed(detail, unspent, report)
+        case _Unknown(detail=detail, worker_lost=worker_lost):
+            return outcomes.Unknown(detail, unspent, report, worker_lost)
--- a/kumquatridge/encoding/call_codec.py
+++ b/kumquatridge/encoding/call_codec.py
@@ -1,17 +1,29 @@
-"""A routed call as it travels between daemons, beside its own headers."""
+"""A routed call as it travels between daemons, apart from its body."""
+
+import functools
 
 import msgspec
 from returns import result
 
 from kumquatridge import clock
+from kumquatridge.calls import body as call_body
+from kumquatridge.calls import call as calls
 from kumquatridge.calls import importance as call_importance
+from kumquatridge.calls import outcomes
 from kumquatridge.chain import context
 from kumquatridge.settings import policy as settings_policy
 
+# Policies differ by route, depth and version of the routes only.
+KEPT_POLICIES = 4096
+
 
-class CallMark(msgspec.Struct, frozen=True, array_like=True):
-    """What the receiving daemon needs beyond the request itself."""
+class _CallMessage(msgspec.Struct, frozen=True, array_like=True):
+    """The request and what the receiving daemon needs beyond it."""
 
+    method: str
+    path: str
+    headers: outcomes.Headers
+    request_id: str
     service: str
     route: str
     idempotent: bool
@@ -29,72 +41,111 @@
     root_route: str
 
 
-_encoder = msgspec.json.Encoder()
-_decoder = msgspec.json.Decoder(CallMark)
-
-
-def encode_mark(
-    policy: settings_policy.RoutePolicy,
-    caller: str,
-    chain: context.ChainContext,
-) -> str:
-    """Returns the mark as a JSON array."""
-    mark = CallMark(
-        policy.service,
-        policy.route,
-        policy.idempotent,
-        policy.queue_wait_ms,
-        caller,
-        chain.root_id,
-        chain.importance,
-        round(chain.get_remaining_ms(), 1),
-        chain.retries,
-        chain.depth,
-        round(chain.worked_ms, 1),
-        round(chain.waited_ms, 1),
-        chain.is_contended,
-        chain.is_repeat,
-        chain.root_route,
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(_CallMessage)
+
+
+def encode_call(call: calls.Call) -> bytes:
+    """Returns a call in MessagePack, without its body."""
+    policy, chain = call.policy, call.chain
+    return _encoder.encode(
+        _CallMessage(
+            call.method,
+            call.path,
+            call.headers,
+            call.request_id,
+            policy.service,
+            policy.route,
+            policy.idempotent,
+            policy.queue_wait_ms,
+            call.caller,
+            chain.root_id,
+            chain.importance,
+            chain.get_remaining_ms(),
+            chain.retries,
+            chain.depth,
+            chain.worked_ms,
+            chain.waited_ms,
+            chain.is_contended,
+            chain.is_repeat,
+            chain.root_route,
+        )
     )
-    return _encoder.encode(mark).decode()
 
 
-def decode_mark(text: str) -> result.Result[CallMark, str]:
-    """Returns the mark, or what is wrong with the text."""
+def decode_call(
+    data: bytes, body: call_body.Body, max_body_bytes: int
+) -> result.Result[calls.Call, str]:
+    """Returns the call, or what is wrong with the bytes.
+
+    Its deadline is on the own clock, and counts from now on.
+    """
     try:
-        return result.Success(_decoder.decode(text))
-    except msgspec.DecodeError as error:
+        message = _decoder.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
         return result.Failure(str(error))
+    now_ms = clock.get_now_ms()
+    policy = _make_policy(
+        message.service,
+        message.route,
+        importance=message.importance,
+        idempotent=message.idempotent,
+        retries=message.retries,
+        queue_wait_ms=message.queue_wait_ms,
+        max_body_bytes=max_body_bytes,
+    )
+    return result.Success(
+        calls.Call(
+            service=message.service,
+            method=message.method,
+            path=message.path,
+            headers=message.headers,
+            body=body,
+            caller=message.caller,
+            request_key=None,
+            policy=policy,
+            chain=_make_chain(message, now_ms),
+            received_ms=now_ms,
+            request_id=message.request_id,
+        )
+    )
 
 
-def make_chain(mark: CallMark) -> context.ChainContext:
-    """Returns the chain's context, with the deadline on the own clock."""
+def _make_chain(message: _CallMessage, now_ms: float) -> context.ChainContext:
     return context.ChainContext(
-        root_id=mark.root_id,
-        importance=mark.importance,
-        expires_at_ms=clock.get_now_ms() + mark.remaining_ms,
-        retries=mark.retries,
-        depth=mark.depth,
-        worked_ms=mark.worked_ms,
-        waited_ms=mark.waited_ms,
-        is_contended=mark.is_contended,
-        is_repeat=mark.is_repeat,
-        root_route=mark.root_route,
+        message.root_id,
+        message.importance,
+        now_ms + message.remaining_ms,
+        message.retries,
+        message.depth,
+        message.worked_ms,
+        message.waited_ms,
+        message.is_contended,
+        message.is_repeat,
+        message.root_route,
     )
 
 
-def make_policy(
-    mark: CallMark, max_body_bytes: int
+@functools.lru_cache(maxsize=KEPT_POLICIES)
+def _make_policy(
+    service: str,
+    route: str,
+    *,
+    importance: call_importance.Importance,
+    idempotent: bool,
+    retries: int,
+    queue_wait_ms: int,
+    max_body_bytes: int,
 ) -> settings_policy.RoutePolicy:
     """Returns the policy that the sending daemon found."""
     return settings_policy.RoutePolicy(
-        service=mark.service,
-        route=mark.route,
-        importance=mark.importance,
-        idempotent=mark.idempotent,
-        deadline_ms=int(mark.remaining_ms),
-        retry_allowance=mark.retries,
+        service=service,
+        route=route,
+        importance=importance,
+        idempotent=idempotent,
+        deadline_ms=0,  # The chain's own deadline is what counts here.
+        retry_allowance=retries,
         long_running=False,
         max_body_bytes=max_body_bytes,
-        queue_wait_ms=mark.queue_wait_ms,
+        queue_wait_ms=queue_wait_ms,
     )
--- a/kumquatridge/encoding/gate_codec.py
+++ b/kumquatridge/encoding/gate_codec.py
@@ -7,7 +7,9 @@
 from kumquatridge.admission import gates
 
 
-class _GateMessage(msgspec.Struct, frozen=True, array_like=True):
+class GateMessage(msgspec.Struct, frozen=True, array_like=True):
+    """A gate with its age, since clocks differ."""
+
     service: str
     instance: str
     level: float
@@ -16,15 +18,13 @@
     age_ms: float
 
 
-_encoder = msgspec.json.Encoder()
-_decoder = msgspec.json.Decoder(tuple[_GateMessage, ...])
-
-
-def encode_gates(known: Iterable[gates.Gate], now_ms: float) -> str:
-    """Returns gates as a JSON array, with their ages."""
-    return _encoder.encode(
-        tuple(
-            _GateMessage(
+def encode_gates(
+    known: Iterable[gates.Gate], now_ms: float
+) -> tuple[GateMessage, ...]:
+    """Returns gates as messages."""
+    return tuple(
+        [
+            GateMessage(
                 one.service,
                 one.instance,
                 round(one.level, 3),
@@ -33,27 +33,24 @@
                 round(now_ms - one.told_ms, 1),
             )
             for one in known
-        )
-    ).decode()
-
+        ]
+    )
 
-def decode_gates(text: str, now_ms: float) -> tuple[gates.Gate, ...]:
-    """Returns the gates of a text, none when it is not one.
 
-    Gates are hints of short life: those that are lost come with later answers.
-    """
-    try:
-        messages = _decoder.decode(text)
-    except msgspec.DecodeError:
-        return ()
+def decode_gates(
+    messages: tuple[GateMessage, ...], now_ms: float
+) -> tuple[gates.Gate, ...]:
+    """Returns the gates of messages."""
     return tuple(
-        gates.Gate(
-            one.service,
-            one.instance,
-            one.level,
-            one.nested_level,
-            frozenset(one.routes),
-            now_ms - one.age_ms,
-        )
-        for one in messages
+        [
+            gates.Gate(
+                one.service,
+                one.instance,
+                one.level,
+                one.nested_level,
+                frozenset(one.routes),
+                now_ms - one.age_ms,
+            )
+            for one in messages
+        ]
     )
--- a/kumquatridge/platform/peers.py
+++ b/kumquatridge/platform/peers.py
@@ -1,37 +1,27 @@
-"""Calls between the daemons of the platform, over HTTP.
-
-The request is the caller's own, byte for byte; what the receiving daemon needs
-beyond it rides in one header.
-"""
+"""Calls between the daemons of the platform, in frames."""
 
 from collections.abc import Callable
 import contextlib
-import types
 
 from returns import result
 
 from kumquatridge import clock
+from kumquatridge import scopes
 from kumquatridge.admission import gates
 from kumquatridge.callpath import links
 from kumquatridge.calls import body as call_body
 from kumquatridge.calls import call as calls
 from kumquatridge.calls import outcomes
 from kumquatridge.calls import refusals
+from kumquatridge.encoding import answer_codec
 from kumquatridge.encoding import call_codec
-from kumquatridge.encoding import gate_codec
-from kumquatridge.encoding import outcome_codec
-from kumquatridge.http import headers as own_headers
 from kumquatridge.membership import member as members
-from kumquatridge.platform import headers
 from kumquatridge.platform import worker_link
 from kumquatridge.transport import errors as transport_errors
-from kumquatridge.transport import listener
-from kumquatridge.transport import messages as http
-from kumquatridge.transport import pool
+from kumquatridge.transport import frame_listener
+from kumquatridge.transport import frame_pool
+from kumquatridge.transport import frames
 
-STATUS_UNKNOWN = 502
-STATUS_NOT_RUN = 503
-STATUS_MALFORMED = 400
 # The receiving daemon's own time-out answers first; this is for its silence.
 ANSWER_GRACE_MS = 50.0
 
@@ -40,7 +30,7 @@
     """Carries calls to other daemons."""
 
     def __init__(
-        self, connections: pool.ConnectionPool, board: gates.GateBoard
+        self, connections: frame_pool.FramePool, board: gates.GateBoard
     ) -> None:
         self._connections = connections
         self._board = board
@@ -55,35 +45,28 @@
         """Sends a call; callers of the platform send no request keys."""
         return self.send(call, member)
 
-    def open(self, call: calls.Call, member: members.Member) -> pool.Exchange:
+    def open(
+        self, call: calls.Call, member: members.Member
+    ) -> frame_pool.FrameExchange:
         """Returns the exchange of a call for its answer."""
-        mark = call_codec.encode_mark(call.policy, call.caller, call.chain)
-        request = http.Request(
-            call.method,
-            call.path,
-            (*call.headers, (own_headers.CHAIN, mark)),
-            call.body,
-        )
+        message = frames.Message(call_codec.encode_call(call), call.body)
         allowed_ms = max(0.0, call.chain.get_remaining_ms()) + ANSWER_GRACE_MS
-        return self._connections.send(
-            member.call_address, request, timeout_ms=allowed_ms
-        )
+        return self._connections.send(member.call_address, message, allowed_ms)
 
-    def read(self, answer: http.Answer) -> outcomes.Outcome:
+    def read(self, answer: frames.Message) -> outcomes.Outcome:
         """Returns the outcome that another daemon's answer tells."""
-        self._take_gates(answer.headers)
-        return outcome_codec.decode_outcome(
-            answer.status, answer.headers, answer.body
-        )
-
-    def _take_gates(self, found: outcomes.Headers) -> None:
-        text = http.find_header(found, own_headers.GATES)
-        if text is not None:
-            for gate in gate_codec.decode_gates(text, clock.get_now_ms()):
-                self._board.put(gate)
+        now_ms = clock.get_now_ms()
+        match answer_codec.decode_answer(answer.head, answer.body, now_ms):
+            case result.Success(answer_codec.Told(outcome, told)):
+                for gate in told:
+                    self._board.put(gate)
+                return outcome
+            case result.Failure(fault):
+                return outcomes.Unknown(f"a daemon's answer: {fault}")
+        raise AssertionError("a result is a success or a failure")
 
 
-class _Attempt:
+class _Attempt(scopes.Scope[outcomes.Outcome]):
     """A call at another daemon, cancelled when it is left early."""
 
     def __init__(
@@ -92,10 +75,9 @@
         self._link = link
         self._call = call
         self._member = member
-        self._exchange: pool.Exchange | None = None
+        self._exchange: frame_pool.FrameExchange | None = None
 
-    async def __aenter__(self) -> outcomes.Outcome:
-        """Sends the call and returns what became of it."""
+    async def _open(self) -> outcomes.Outcome:
         exchange = self._link.open(self._call, self._member)
         try:
             answer = await exchange.__aenter__()
@@ -108,15 +90,10 @@
         self._exchange = exchange
         return self._link.read(answer)
 
-    async def __aexit__(
-        self,
-        error_type: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: types.TracebackType | None,
-    ) -> None:
-        """Gives the connection back."""
-        if self._exchange is not None:
-            self._exchange.close()
+    async def _close(self, error: BaseException | None) -> None:
+        exchange, self._exchange = self._exchange, None
+        if exchange is not None:
+            await exchange.__aexit__(None, error, None)
 
 
 class PeerEndpoint:
@@ -133,60 +110,36 @@
         self._get_gates = get_gates
 
     async def handle(
-        self, request: http.Request, responder: listener.Responder
+        self, message: frames.Message, responder: frame_listener.FrameResponder
+    ) -> None:
+        """Answers one message."""
+        found = call_codec.decode_call(
+            message.head, message.body, self._max_body_bytes
+        )
+        match found:
+            case result.Success(call):
+                await self._serve(call, responder)
+            case result.Failure(fault):
+                refusal = refusals.InvalidRequest(fault)
+                await self._send(outcomes.NotRun(refusal), responder)
+
+    async def _serve(
+        self, call: calls.Call, responder: frame_listener.FrameResponder
     ) -> None:
-        """Answers one request."""
-        text = http.find_header(request.headers, own_headers.CHAIN) or ""
-        match call_codec.decode_mark(text):
-            case result.Success(mark):
-                call = self._make_call(request, mark)
-            case _:
-                await responder.send(
-                    http.Answer(STATUS_MALFORMED, (), call_body.EMPTY)
-                )
-                return
         async with self._path.serve(call) as outcome:
-            answer = make_answer(outcome, self._make_gate_mark())
-            if not call_body.is_buffered(answer.body):
-                await responder.send(answer)
-        if call_body.is_buffered(answer.body):
-            await responder.send(answer)
+            body = answer_codec.get_body(outcome)
+            if not call_body.is_buffered(body):
+                await self._send(outcome, responder)
+        if call_body.is_buffered(body):
+            await self._send(outcome, responder)
 
-    def _make_gate_mark(self) -> outcomes.Headers:
+    async def _send(
+        self,
+        outcome: outcomes.Outcome,
+        responder: frame_listener.FrameResponder,
+    ) -> None:
         now_ms = clock.get_now_ms()
-        known = self._get_gates(now_ms)
-        if not known:
-            return ()
-        return ((own_headers.GATES, gate_codec.encode_gates(known, now_ms)),)
-
-    def _make_call(
-        self, request: http.Request, mark: call_codec.CallMark
-    ) -> calls.Call:
-        return calls.Call(
-            service=mark.service,
-            method=request.method,
-            path=request.target,
-            headers=headers.keep_for_worker(request.headers),
-            body=request.body,
-            caller=mark.caller,
-            request_key=None,
-            policy=call_codec.make_policy(mark, self._max_body_bytes),
-            chain=call_codec.make_chain(mark),
-            received_ms=clock.get_now_ms(),
-            request_id=http.find_header(request.headers, headers.REQUEST_ID)
-            or "",
+        head = answer_codec.encode_answer(
+            outcome, self._get_gates(now_ms), now_ms
         )
-
-
-def make_answer(
-    outcome: outcomes.Outcome, more: outcomes.Headers = ()
-) -> http.Answer:
-    """Returns the answer that tells a daemon what became of its call."""
-    marks = (*outcome_codec.encode_marks(outcome), *more)
-    match outcome:
-        case outcomes.Completed(status, found, body):
-            return http.Answer(status, (*found, *marks), body)
-        case outcomes.NotRun():
-            return http.Answer(STATUS_NOT_RUN, marks, call_body.EMPTY)
-        case outcomes.Failed() | outcomes.Unknown():
-            return http.Answer(STATUS_UNKNOWN, marks, call_body.EMPTY)
+        await responder.send(head, answer_codec.get_body(outcome))
--- a/kumquatridge/platform/runtime.py
+++ b/kumquatridge/platform/runtime.py
@@ -49,6 +49,8 @@
 from kumquatridge.telemetry import events
 from kumquatridge.telemetry import log_sink
 from kumquatridge.telemetry import request_log
+from kumquatridge.transport import frame_listener
+from kumquatridge.transport import frame_pool
 from kumquatridge.transport import listener
 from kumquatridge.transport import pool
 from kumquatridge.workers import own_worker
@@ -109,6 +111,7 @@
             settings.service, settings.worker_address
         )
         self._connections = pool.ConnectionPool()
+        self._peer_connections = frame_pool.FramePool()
         self._supervisor = worker_supervisor.WorkerSupervisor(
             self._worker,
             self._members,
@@ -135,7 +138,9 @@
             settings.instance,
             self._announce,
         )
-        self._listeners: list[listener.HttpListener] = []
+        self._listeners: list[
+            listener.HttpListener | frame_listener.FrameListener
+        ] = []
         self._is_stopping = False
         self._takes_requests = True
         self._stack = contextlib.AsyncExitStack()
@@ -156,6 +161,7 @@
 
     async def _open(self) -> None:
         await self._enter(self._connections)
+        await self._enter(self._peer_connections)
         await self._enter(self._client)
         await self._open_control()
         await self._open_paths()
@@ -252,7 +258,7 @@
                 self._members, random.getrandbits(SEED_BITS), ROUTING
             ),
             own,
-            peers.SitePeerLink(self._connections, self._board),
+            peers.SitePeerLink(self._peer_connections, self._board),
             self._recorder,
             ratios=retry_ratio.RetryRatios(
                 _make_ratio(settings), self._count_daemons
@@ -272,7 +278,13 @@
             own, limits.max_body_bytes, self._get_gates
         )
         announced = announcements.AnnouncementEndpoint(self._supervisor)
-        await self._listen(settings.call_address, peer_endpoint.handle)
+        self._listeners.append(
+            await self._enter(
+                frame_listener.FrameListener(
+                    settings.call_address, peer_endpoint.handle
+                )
+            )
+        )
         await self._listen(settings.announcement_address, announced.handle)
         self._callers = await self._listen(
             settings.caller_address, caller_endpoint.handle
--- a/kumquatridge/platform/worker_link.py
+++ b/kumquatridge/platform/worker_link.py
@@ -3,8 +3,8 @@
 import asyncio
 from collections.abc import Callable
 import math
-import types
 
+from kumquatridge import scopes
 from kumquatridge.calls import body as call_body
 from kumquatridge.calls import call as calls
 from kumquatridge.calls import outcomes
@@ -116,7 +116,7 @@
         return True
 
 
-class _Attempt:
+class _Attempt(scopes.Scope[outcomes.Outcome]):
     """A call at the own worker, cancelled when it is left early."""
 
     def __init__(
@@ -127,8 +127,7 @@
         self._address = address
         self._exchange: pool.Exchange | None = None
 
-    async def __aenter__(self) -> outcomes.Outcome:
-        """Sends the call and returns what became of it."""
+    async def _open(self) -> outcomes.Outcome:
         call = self._call
         identity = self._link.get_serving()
         if identity is None:
@@ -143,15 +142,10 @@
         self._exchange = exchange
         return self._link.judge(answer, identity.worker)
 
-    async def __aexit__(
-        self,
-        error_type: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: types.TracebackType | None,
-    ) -> None:
-        """Gives the connection back."""
-        if self._exchange is not None:
-            self._exchange.close()
+    async def _close(self, error: BaseException | None) -> None:
+        exchange, self._exchange = self._exchange, None
+        if exchange is not None:
+            await exchange.__aexit__(None, error, None)
 
 
 def _make_request(call: calls.Call, worker: str) -> http.Request:
--- a/kumquatridge/transport/connection.py
+++ b/kumquatridge/transport/connection.py
@@ -12,6 +12,7 @@
 from kumquatridge.calls import outcomes
 from kumquatridge.transport import errors
 from kumquatridge.transport import inbox
+from kumquatridge.transport import kept
 from kumquatridge.transport import messages
 
 FIRST_FINAL_STATUS = 200
@@ -42,7 +43,7 @@
         self.ends_with_connection = False
 
 
-class Connection(asyncio.Protocol):
+class Connection(kept.KeptConnection):
     """Sends requests one after the other and reads their answers.
 
     An answer that arrives when none is awaited, or that belongs to another
--- a/kumquatridge/transport/listener.py
+++ b/kumquatridge/transport/listener.py
@@ -367,20 +367,9 @@
         Raises:
           ListenError: the address is taken, or not this instance's.
         """
-        host, port = self._address.rsplit(":", 1)
-        loop = asyncio.get_running_loop()
-        try:
-            self._server = await loop.create_server(
-                lambda: _ServerConnection(self),
-                host,
-                int(port),
-                backlog=BACKLOG,
-                reuse_address=True,
-            )
-        except OSError as error:
-            raise errors.ListenError(
-                f"can't listen at {self._address}: {error.strerror}"
-            ) from error
+        self._server = await open_server(
+            self._address, lambda: _ServerConnection(self)
+        )
         return await super().__aenter__()
 
     async def __aexit__(
@@ -414,5 +403,21 @@
                 one.check_timeouts(now_ms)
 
 
+async def open_server(
+    address: str, make_protocol: Callable[[], asyncio.Protocol]
+) -> asyncio.Server:
+    """Listens at an address; see `HttpListener.__aenter__`."""
+    host, port = address.rsplit(":", 1)
+    loop = asyncio.get_running_loop()
+    try:
+        return await loop.create_server(
+            make_protocol, host, int(port), backlog=BACKLOG, reuse_address=True
+        )
+    except OSError as error:
+        raise errors.ListenError(
+            f"can't listen at {address}: {error.strerror}"
+        ) from error
+
+
 def _make_plain(status: int) -> messages.Answer:
     return messages.Answer(status, (), call_body.EMPTY)
--- a/kumquatridge/transport/pool.py
+++ b/kumquatridge/transport/pool.py
@@ -2,14 +2,17 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 import dataclasses
 import socket
 import types
-from typing import Self
+from typing import Generic, Self, TypeVar
 
 from kumquatridge import clock
+from kumquatridge import scopes
 from kumquatridge.transport import connection
 from kumquatridge.transport import errors
+from kumquatridge.transport import kept
 from kumquatridge.transport import messages
 
 # Bounds an answer for which the caller names no time.
@@ -44,12 +47,20 @@
     max_idle: int = 64
 
 
-class ConnectionPool:
+ConnectionT = TypeVar("ConnectionT", bound=kept.KeptConnection)
+
+
+class KeptConnections(Generic[ConnectionT]):
     """Connections by address while its context is open."""
 
-    def __init__(self, settings: PoolSettings | None = None) -> None:
+    def __init__(
+        self,
+        make_connection: Callable[[], ConnectionT],
+        settings: PoolSettings | None = None,
+    ) -> None:
+        self._make_connection = make_connection
         self._settings = settings or PoolSettings()
-        self._idle: dict[str, collections.deque[connection.Connection]] = (
+        self._idle: dict[str, collections.deque[ConnectionT]] = (
             collections.defaultdict(collections.deque)
         )
         self._idle_limits_ms: dict[str, float] = {}
@@ -71,83 +82,49 @@
 
     def forget(self, address: str) -> None:
         """Closes the idle connections to an address."""
-        for kept in self._idle.pop(address, ()):
-            kept.close()
-
-    def send(
-        self,
-        address: str,
-        request: messages.Request,
-        *,
-        accepts: connection.Accepts = connection.accept_any,
-        idle_ms: float | None = None,
-        timeout_ms: float = LONGEST_MS,
-    ) -> "Exchange":
-        """Returns the exchange of a request for its answer, to be entered.
-
-        A kept connection is used unless it has been idle for `idle_ms`. The
-        answer must come within `timeout_ms`.
-        """
-        bounds = Bounds(idle_ms, timeout_ms)
-        return Exchange(self, address, request, accepts, bounds)
+        for one in self._idle.pop(address, ()):
+            one.close()
 
-    async def lend(
-        self, address: str, bounds: "Bounds"
-    ) -> connection.Connection:
+    async def lend(self, address: str, bounds: "Bounds") -> ConnectionT:
         """Returns a connection that nobody else uses.
 
         Raises:
           ConnectError: none could be opened.
         """
-        kept = self._take_idle(address, bounds.idle_ms)
-        return kept or await self._open(address, bounds.timeout_ms)
+        idle = self._take_idle(address, bounds.idle_ms)
+        return idle or await self._open(address, bounds.timeout_ms)
 
     def take_back(
         self,
         address: str,
-        used: connection.Connection,
-        answer: messages.Answer | None,
+        used: ConnectionT,
     ) -> None:
         """Keeps a connection for the next request, or closes it."""
-        if answer is not None:
-            self._learn_idle_limit(address, answer)
-        kept = self._idle[address]
-        if not used.is_reusable or len(kept) >= self._settings.max_idle:
+        idle = self._idle[address]
+        if not used.is_reusable or len(idle) >= self._settings.max_idle:
             used.close()
             return
-        kept.append(used)
+        idle.append(used)
 
     def _take_idle(
         self, address: str, idle_ms: float | None
-    ) -> connection.Connection | None:
-        kept = self._idle.get(address)
+    ) -> ConnectionT | None:
+        idle = self._idle.get(address)
         limit_ms = min(
             self._settings.idle_ms,
             self._idle_limits_ms.get(address, self._settings.idle_ms),
         )
         if idle_ms is not None:
             limit_ms = min(limit_ms, idle_ms)
-        while kept:
-            one = kept.pop()
+        while idle:
+            one = idle.pop()
             idled_ms = clock.get_now_ms() - one.idle_since_ms
             if one.is_reusable and idled_ms < limit_ms:
                 return one
             one.close()
         return None
 
-    def _learn_idle_limit(self, address: str, answer: messages.Answer) -> None:
-        """Takes the announced time-out of idle connections, halved."""
-        told = messages.find_header(answer.headers, "keep-alive")
-        if told is None:
-            return
-        for part in told.split(","):
-            name, _, seconds = part.strip().partition("=")
-            if name.lower() == "timeout" and seconds.isdecimal():
-                self._idle_limits_ms[address] = int(seconds) * 1000.0 / 2
-
-    async def _open(
-        self, address: str, timeout_ms: float
-    ) -> connection.Connection:
+    async def _open(self, address: str, timeout_ms: float) -> ConnectionT:
         endpoint = connection.Endpoint.parse(address)
         loop = asyncio.get_running_loop()
         self.opened += 1
@@ -155,7 +132,7 @@
             timeout_ms = min(timeout_ms, self._settings.connect_timeout_ms)
             async with asyncio.timeout(timeout_ms / 1000.0):
                 transport, opened = await loop.create_connection(
-                    connection.Connection, endpoint.host, endpoint.port
+                    self._make_connection, endpoint.host, endpoint.port
                 )
         except (OSError, TimeoutError) as error:
             raise errors.ConnectError(
@@ -170,10 +147,44 @@
         return opened
 
 
-class Exchange:
+class ConnectionPool(KeptConnections[connection.Connection]):
+    """Connections for requests in HTTP."""
+
+    def __init__(self, settings: PoolSettings | None = None) -> None:
+        super().__init__(connection.Connection, settings)
+
+    def send(
+        self,
+        address: str,
+        request: messages.Request,
+        *,
+        accepts: connection.Accepts = connection.accept_any,
+        idle_ms: float | None = None,
+        timeout_ms: float = LONGEST_MS,
+    ) -> "Exchange":
+        """Returns the exchange of a request for its answer, to be entered.
+
+        A kept connection is used unless it has been idle for `idle_ms`. The
+        answer must come within `timeout_ms`.
+        """
+        bounds = Bounds(idle_ms, timeout_ms)
+        return Exchange(self, address, request, accepts, bounds)
+
+    def learn_idle_limit(self, address: str, answer: messages.Answer) -> None:
+        """Takes the announced time-out of idle connections, halved."""
+        told = messages.find_header(answer.headers, "keep-alive")
+        if told is None:
+            return
+        for part in told.split(","):
+            name, _, seconds = part.strip().partition("=")
+            if name.lower() == "timeout" and seconds.isdecimal():
+                self._idle_limits_ms[address] = int(seconds) * 1000.0 / 2
+
+
+class Exchange(scopes.Scope[messages.Answer]):
     """One request and its answer, which is readable while this is open.
 
-    Entering sends the request and waits for the answer. Leaving before the
+    Opening sends the request and waits for the answer. Leaving before the
     answer's body was read closes the connection, which cancels the request.
     """
 
@@ -191,9 +202,8 @@
         self._accepts = accepts
         self._bounds = bounds
         self._used: connection.Connection | None = None
-        self._answer: messages.Answer | None = None
 
-    async def __aenter__(self) -> messages.Answer:
+    async def _open(self) -> messages.Answer:
         """Sends the request and waits for the answer.
 
         Raises:
@@ -202,26 +212,13 @@
         """
         bounds = self._bounds
         self._used = await self._connections.lend(self._address, bounds)
-        try:
-            self._answer = await self._used.send(
-                self._request, self._accepts, bounds.timeout_ms / 1000.0
-            )
-        except BaseException:
-            self.close()
-            raise
-        return self._answer
-
-    async def __aexit__(
-        self,
-        error_type: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: types.TracebackType | None,
-    ) -> None:
-        """Gives the connection back."""
-        self.close()
+        answer = await self._used.send(
+            self._request, self._accepts, bounds.timeout_ms / 1000.0
+        )
+        self._connections.learn_idle_limit(self._address, answer)
+        return answer
 
-    def close(self) -> None:
-        """Gives the connection back, once."""
+    async def _close(self, error: BaseException | None) -> None:
         used, self._used = self._used, None
         if used is not None:
-            self._connections.take_back(self._address, used, self._answer)
+            self._connections.take_back(self._address, used)
