--- a/kumquatridge/transport/inbox.py
+++ b/kumquatridge/transport/inbox.py
@@ -82,6 +82,7 @@
                 self._size_bytes = 0
                 yield b"".join(chunks)
             if self.is_complete:
+                self._resume()
                 return
             if self._fault is not None:
                 raise self._fault
--- /dev/null
+++ b/tests/encoding/test_call_codec.py
@@ -0,0 +1,83 @@
+"""Routed calls and what became of them survive the way between daemons."""
+
+import typing
+
+from hypothesis import given
+from hypothesis import strategies
+import pytest
+from returns import result
+
+from kumquatridge.admission import gates
+from kumquatridge.calls import body as call_body
+from kumquatridge.calls import importance as call_importance
+from kumquatridge.calls import outcomes
+from kumquatridge.calls import refusals
+from kumquatridge.calls import reports
+from kumquatridge.encoding import answer_codec
+from kumquatridge.encoding import call_codec
+from tests import calls_factory
+from tests.operators import test_explanations
+
+BODY = call_body.BufferedBody(b"\x00raw\xff")
+REPORT = reports.InstanceReport(
+    call_importance.Importance.NORMAL, 1, 17, 4, 8, 12.5
+)
+GATE = gates.Gate("shop", "machine-1", 0.5, 0.25, frozenset(("a", "b")), 900.0)
+HEADERS = (("x-mine", "ä"), ("host", "shop.example"))
+
+
+async def test_call_arrives_as_it_was_sent() -> None:
+    sent = calls_factory.make_call(root_id="r.1", depth=2, remaining_ms=900.0)
+    match call_codec.decode_call(call_codec.encode_call(sent), BODY, 77):
+        case result.Success(got):
+            pass
+        case fault:
+            raise AssertionError(fault)
+    assert (got.method, got.path, got.headers) == ("GET", "/", ())
+    assert got.body == BODY
+    assert got.chain.root_id == "r.1"
+    assert got.chain.depth == 2
+    assert got.chain.importance == sent.chain.importance
+    assert got.policy.service == sent.policy.service
+    assert got.policy.idempotent == sent.policy.idempotent
+    assert got.policy.max_body_bytes == 77
+    assert 0.0 < got.chain.get_remaining_ms() <= 900.0
+
+
+@pytest.mark.parametrize(
+    "outcome",
+    [
+        pytest.param(
+            outcomes.Completed(201, HEADERS, BODY, 2, REPORT), id="completed"
+        ),
+        pytest.param(
+            outcomes.Completed(503, (), BODY, 0, None, True, True), id="shed"
+        ),
+        pytest.param(outcomes.Failed("why", 1, REPORT), id="failed"),
+        pytest.param(outcomes.Unknown("why", 1, REPORT, True), id="unknown"),
+        *(
+            pytest.param(
+                outcomes.NotRun(test_explanations.make_refusal(one), 3, REPORT),
+                id=one.code,
+            )
+            for one in typing.get_args(refusals.Refusal)
+        ),
+    ],
+)
+def test_outcome_arrives_as_it_was_sent(outcome: outcomes.Outcome) -> None:
+    data = answer_codec.encode_answer(outcome, (GATE,), 1000.0)
+    body = answer_codec.get_body(outcome)
+    decoded = answer_codec.decode_answer(data, body, 5000.0)
+    gate = gates.Gate(
+        "shop", "machine-1", 0.5, 0.25, frozenset(("a", "b")), 4900.0
+    )
+    assert decoded == result.Success(answer_codec.Told(outcome, (gate,)))
+
+
+@given(data=strategies.binary(max_size=64))
+async def test_any_other_bytes_are_a_fault(data: bytes) -> None:
+    assert isinstance(
+        call_codec.decode_call(data, BODY, 1), result.Failure
+    ) and isinstance(
+        answer_codec.decode_answer(data, BODY, 0.0), result.Failure
+    )
