Tell gates to each daemon five times a second, not with each answer

Cause: under overload every answer carried up to 16 gates, encoded, decoded and compared each time. A failed attempt computed what the log might say of its instance, also when no line was written. Ranks were hashed four times a call.

--- a/kumquatridge/admission/guard.py
+++ b/kumquatridge/admission/guard.py
@@ -93,14 +93,14 @@
             ),
             kept_for_deeper=self._shares.get_kept(depth=0),
             queued=self.queued,
-            level=levels.AdmissionLevel.from_rank(self._control.rank),
+            level=levels.get_level(self._control.rank),
             is_overloaded=self._control.is_overloaded,
             latency_ms=self._times.median_ms,
         )
 
     def make_report(self) -> reports.InstanceReport:
         """Returns what answers tell the senders of calls."""
-        level = levels.AdmissionLevel.from_rank(self._control.rank)
+        level = levels.get_level(self._control.rank)
         return reports.InstanceReport(
             level.importance,
             level.depth_class,
--- a/kumquatridge/admission/levels.py
+++ b/kumquatridge/admission/levels.py
@@ -10,6 +10,7 @@
 """
 
 import dataclasses
+import functools
 from typing import Self
 
 import xxhash
@@ -21,11 +22,14 @@
 BUCKETS = 128
 DEPTH_CLASSES = 4
 _RANKS_PER_IMPORTANCE = DEPTH_CLASSES * BUCKETS
+# Each daemon on a call's way asks for the bucket of its root several times.
+KEPT_ROOTS = 4096
 RANKS = len(call_importance.Importance) * _RANKS_PER_IMPORTANCE
 OPEN_RANK = 0
 CRITICAL_RANK = call_importance.Importance.CRITICAL * _RANKS_PER_IMPORTANCE
 
 
+@functools.lru_cache(maxsize=KEPT_ROOTS)
 def get_bucket(root_id: str) -> int:
     """Returns the hash bucket of a root, the same at every hop."""
     return xxhash.xxh3_64_intdigest(root_id.encode()) % BUCKETS
@@ -71,6 +75,12 @@
         )
 
 
+@functools.lru_cache(maxsize=RANKS)
+def get_level(rank: int) -> AdmissionLevel:
+    """Returns the level at which a rank is the least admitted."""
+    return AdmissionLevel.from_rank(rank)
+
+
 def get_report_rank(report: reports.InstanceReport) -> int:
     """Returns the least rank that the reporting instance admits."""
     group = report.importance * DEPTH_CLASSES + report.depth_class
--- a/kumquatridge/bench/run_recorder.py
+++ b/kumquatridge/bench/run_recorder.py
@@ -1,5 +1,7 @@
 """Counts the product's refusals and retries in the records of a run."""
 
+from collections.abc import Callable
+
 from kumquatridge.bench import fleets
 from kumquatridge.calls import call as calls
 from kumquatridge.calls import outcomes
@@ -28,7 +30,7 @@
     def record_attempt(
         self,
         call: calls.Call,
-        place: choices.Place,
+        get_place: Callable[[], choices.Place],
         outcome: outcomes.Outcome,
     ) -> None:
         """Counts nothing."""
--- a/kumquatridge/benchmarks/key_world.py
+++ b/kumquatridge/benchmarks/key_world.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 import random
 
@@ -48,7 +49,7 @@
     def record_attempt(
         self,
         call: calls.Call,
-        place: choices.Place,
+        get_place: Callable[[], choices.Place],
         outcome: outcomes.Outcome,
     ) -> None:
         """Counts nothing."""
--- a/kumquatridge/callpath/outbound.py
+++ b/kumquatridge/callpath/outbound.py
@@ -217,8 +217,11 @@
     ) -> None:
         """Records an attempt that came to no good end."""
         if not _is_good(outcome):
-            place = self._chooser.describe(call, member.instance)
-            self._recorder.record_attempt(call, place, outcome)
+            self._recorder.record_attempt(
+                call,
+                lambda: self._chooser.describe(call, member.instance),
+                outcome,
+            )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -334,11 +337,25 @@
     outcome: outcomes.Outcome, unspent_retries: int
 ) -> outcomes.Outcome:
     """Returns the outcome with what is left of the allowance."""
-    if outcome.unspent_retries == unspent_retries and outcome.report is None:
-        return outcome
-    return dataclasses.replace(
-        outcome, unspent_retries=unspent_retries, report=None
-    )
+    match outcome:
+        case outcomes.Completed(status, headers, body):
+            return outcomes.Completed(
+                status,
+                headers,
+                body,
+                unspent_retries,
+                None,
+                outcome.shed,
+                outcome.child_failed,
+            )
+        case outcomes.NotRun(refusal):
+            return outcomes.NotRun(refusal, unspent_retries)
+        case outcomes.Failed(detail):
+            return outcomes.Failed(detail, unspent_retries)
+        case outcomes.Unknown(detail):
+            return outcomes.Unknown(
+                detail, unspent_retries, None, outcome.worker_lost
+            )
 
 
 def _is_good(outcome: outcomes.Outcome) -> bool:
--- a/kumquatridge/encoding/call_codec.py
+++ b/kumquatridge/encoding/call_codec.py
@@ -1,5 +1,6 @@
 """A routed call as it travels between daemons, apart from its body."""
 
+import dataclasses
 import functools
 
 import msgspec
@@ -18,8 +19,12 @@
 
 
 class _CallMessage(msgspec.Struct, frozen=True, array_like=True):
-    """The request and what the receiving daemon needs beyond it."""
+    """The request and what the receiving daemon needs beyond it.
 
+    `sender` names the instance whose daemon sent the call.
+    """
+
+    sender: str
     method: str
     path: str
     headers: outcomes.Headers
@@ -45,11 +50,20 @@
 _decoder = msgspec.msgpack.Decoder(_CallMessage)
 
 
-def encode_call(call: calls.Call) -> bytes:
+@dataclasses.dataclass(frozen=True, slots=True)
+class Received:
+    """A call that arrived, and the instance that sent it."""
+
+    sender: str
+    call: calls.Call
+
+
+def encode_call(call: calls.Call, sender: str) -> bytes:
     """Returns a call in MessagePack, without its body."""
     policy, chain = call.policy, call.chain
     return _encoder.encode(
         _CallMessage(
+            sender,
             call.method,
             call.path,
             call.headers,
@@ -75,7 +89,7 @@
 
 def decode_call(
     data: bytes, body: call_body.Body, max_body_bytes: int
-) -> result.Result[calls.Call, str]:
+) -> result.Result[Received, str]:
     """Returns the call, or what is wrong with the bytes.
 
     Its deadline is on the own clock, and counts from now on.
@@ -94,21 +108,20 @@
         queue_wait_ms=message.queue_wait_ms,
         max_body_bytes=max_body_bytes,
     )
-    return result.Success(
-        calls.Call(
-            service=message.service,
-            method=message.method,
-            path=message.path,
-            headers=message.headers,
-            body=body,
-            caller=message.caller,
-            request_key=None,
-            policy=policy,
-            chain=_make_chain(message, now_ms),
-            received_ms=now_ms,
-            request_id=message.request_id,
-        )
+    call = calls.Call(
+        service=message.service,
+        method=message.method,
+        path=message.path,
+        headers=message.headers,
+        body=body,
+        caller=message.caller,
+        request_key=None,
+        policy=policy,
+        chain=_make_chain(message, now_ms),
+        received_ms=now_ms,
+        request_id=message.request_id,
     )
+    return result.Success(Received(message.sender, call))
 
 
 def _make_chain(message: _CallMessage, now_ms: float) -> context.ChainContext:
--- a/kumquatridge/platform/peers.py
+++ b/kumquatridge/platform/peers.py
@@ -24,14 +24,21 @@
 
 # The receiving daemon's own time-out answers first; this is for its silence.
 ANSWER_GRACE_MS = 50.0
+# A daemon hears of all gates from each of the others, so that a fifth of their
+# lifetime between two answers that tell them is often enough.
+TELL_INTERVAL_MS = 200.0
 
 
 class SitePeerLink:
     """Carries calls to other daemons."""
 
     def __init__(
-        self, connections: frame_pool.FramePool, board: gates.GateBoard
+        self,
+        instance: str,
+        connections: frame_pool.FramePool,
+        board: gates.GateBoard,
     ) -> None:
+        self._instance = instance
         self._connections = connections
         self._board = board
 
@@ -49,7 +56,8 @@
         self, call: calls.Call, member: members.Member
     ) -> frame_pool.FrameExchange:
         """Returns the exchange of a call for its answer."""
-        message = frames.Message(call_codec.encode_call(call), call.body)
+        head = call_codec.encode_call(call, self._instance)
+        message = frames.Message(head, call.body)
         allowed_ms = max(0.0, call.chain.get_remaining_ms()) + ANSWER_GRACE_MS
         return self._connections.send(member.call_address, message, allowed_ms)
 
@@ -108,6 +116,7 @@
         self._path = path
         self._max_body_bytes = max_body_bytes
         self._get_gates = get_gates
+        self._told_ms: dict[str, float] = {}
 
     async def handle(
         self, message: frames.Message, responder: frame_listener.FrameResponder
@@ -117,29 +126,36 @@
             message.head, message.body, self._max_body_bytes
         )
         match found:
-            case result.Success(call):
-                await self._serve(call, responder)
+            case result.Success(received):
+                await self._serve(received, responder)
             case result.Failure(fault):
-                refusal = refusals.InvalidRequest(fault)
-                await self._send(outcomes.NotRun(refusal), responder)
+                refused = outcomes.NotRun(refusals.InvalidRequest(fault))
+                head = answer_codec.encode_answer(refused, (), 0.0)
+                await responder.send(head, call_body.EMPTY)
 
     async def _serve(
-        self, call: calls.Call, responder: frame_listener.FrameResponder
+        self,
+        received: call_codec.Received,
+        responder: frame_listener.FrameResponder,
     ) -> None:
-        async with self._path.serve(call) as outcome:
+        async with self._path.serve(received.call) as outcome:
             body = answer_codec.get_body(outcome)
             if not call_body.is_buffered(body):
-                await self._send(outcome, responder)
+                head = self._encode(outcome, received.sender)
+                await responder.send(head, body)
         if call_body.is_buffered(body):
-            await self._send(outcome, responder)
+            head = self._encode(outcome, received.sender)
+            await responder.send(head, body)
 
-    async def _send(
-        self,
-        outcome: outcomes.Outcome,
-        responder: frame_listener.FrameResponder,
-    ) -> None:
+    def _encode(self, outcome: outcomes.Outcome, sender: str) -> bytes:
         now_ms = clock.get_now_ms()
-        head = answer_codec.encode_answer(
-            outcome, self._get_gates(now_ms), now_ms
-        )
-        await responder.send(head, answer_codec.get_body(outcome))
+        told = self._get_untold(sender, now_ms)
+        return answer_codec.encode_answer(outcome, told, now_ms)
+
+    def _get_untold(self, sender: str, now_ms: float) -> tuple[gates.Gate, ...]:
+        """Returns the gates, unless the sender was told them just now."""
+        told_ms = self._told_ms.get(sender)
+        if told_ms is not None and now_ms - told_ms < TELL_INTERVAL_MS:
+            return ()
+        self._told_ms[sender] = now_ms
+        return self._get_gates(now_ms)
--- a/kumquatridge/platform/runtime.py
+++ b/kumquatridge/platform/runtime.py
@@ -258,7 +258,9 @@
                 self._members, random.getrandbits(SEED_BITS), ROUTING
             ),
             own,
-            peers.SitePeerLink(self._peer_connections, self._board),
+            peers.SitePeerLink(
+                settings.instance, self._peer_connections, self._board
+            ),
             self._recorder,
             ratios=retry_ratio.RetryRatios(
                 _make_ratio(settings), self._count_daemons
--- a/kumquatridge/telemetry/counts.py
+++ b/kumquatridge/telemetry/counts.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+from collections.abc import Callable
 from typing import NamedTuple, TypeVar
 
 from kumquatridge.calls import call as calls
@@ -74,7 +75,7 @@
     def record_attempt(
         self,
         call: calls.Call,
-        place: choices.Place,
+        get_place: Callable[[], choices.Place],
         outcome: outcomes.Outcome,
     ) -> None:
         """Takes note of an attempt; refusals and retries are counted."""
--- a/kumquatridge/telemetry/recorder.py
+++ b/kumquatridge/telemetry/recorder.py
@@ -1,5 +1,6 @@
 """Where decisions are counted and remembered."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 from kumquatridge.calls import call as calls
@@ -28,7 +29,7 @@
     def record_attempt(
         self,
         call: calls.Call,
-        place: choices.Place,
+        get_place: Callable[[], choices.Place],
         outcome: outcomes.Outcome,
     ) -> None:
         """Takes note of what an instance made of a call."""
--- a/kumquatridge/telemetry/request_log.py
+++ b/kumquatridge/telemetry/request_log.py
@@ -110,7 +110,7 @@
     def record_attempt(
         self,
         call: calls.Call,
-        place: choices.Place,
+        get_place: Callable[[], choices.Place],
         outcome: outcomes.Outcome,
     ) -> None:
         """Says what an instance made of a call that it didn't serve."""
@@ -123,6 +123,7 @@
                 told = detail
         if not self._may_write(f"attempt/{told}"):
             return
+        place = get_place()
         events.log(
             events.AttemptFailed(
                 call.request_id,
--- a/kumquatridge/transport/inbox.py
+++ b/kumquatridge/transport/inbox.py
@@ -36,7 +36,7 @@
         self._is_streamed = False
         self._is_paused = False
         self._fault: errors.TransportError | None = None
-        self._changed = asyncio.Event()
+        self._changed: asyncio.Event | None = None
         self.is_complete = False
 
     @property
@@ -50,18 +50,18 @@
         self._size_bytes += len(data)
         if self._is_streamed and self._size_bytes > STREAM_WINDOW_BYTES:
             self._pause()
-        self._changed.set()
+        self._wake()
 
     def complete(self) -> None:
         """Takes note that the whole body is here."""
         self.is_complete = True
-        self._changed.set()
+        self._wake()
 
     def fail(self, fault: errors.TransportError) -> None:
         """Takes note that the rest will never come."""
         if not self.is_complete:
             self._fault = fault
-            self._changed.set()
+            self._wake()
 
     def hand_over(self, length_bytes: int | None) -> call_body.Body:
         """Returns the body; a stream when more is still to come."""
@@ -86,10 +86,14 @@
                 return
             if self._fault is not None:
                 raise self._fault
-            self._changed.clear()
+            self._changed = asyncio.Event()
             self._resume()
             await self._changed.wait()
 
+    def _wake(self) -> None:
+        if self._changed is not None:
+            self._changed.set()
+
     def _pause(self) -> None:
         if not self._is_paused:
             self._is_paused = True
--- a/kumquatridge/transport/listener.py
+++ b/kumquatridge/transport/listener.py
@@ -106,7 +106,9 @@
     def __init__(self, flow: inbox.Flow) -> None:
         self.target = b""
         self.headers: outcomes.Headers = ()
-        self.header_bytes = 0
+        # What arrived before the head's end, and the head as it was parsed.
+        self.arrived_bytes = 0
+        self.head_bytes = 0
         self.method = ""
         self.keeps_alive = True
         self.length_bytes: int | None = None
@@ -237,8 +239,8 @@
 
     def _bound_head(self, arriving: _Arriving, size_bytes: int) -> None:
         """Rejects a head that is too large before its end has come."""
-        arriving.header_bytes += size_bytes
-        if arriving.header_bytes > self._listener.settings.max_header_bytes:
+        arriving.arrived_bytes += size_bytes
+        if arriving.arrived_bytes > self._listener.settings.max_header_bytes:
             self._fail(431)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -279,10 +281,14 @@
         arriving = self._arriving
         assert arriving is not None
         arriving.target += url
+        arriving.head_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Takes a header."""
         self._raw_headers.append((name, value))
+        arriving = self._arriving
+        assert arriving is not None
+        arriving.head_bytes += len(name) + len(value) + SEPARATOR_BYTES
 
     def on_headers_complete(self) -> None:
         """Takes the end of the head; lets the client send the body."""
@@ -290,7 +296,7 @@
         assert arriving is not None
         arriving.method = self._parser.get_method().decode("latin-1")
         arriving.keeps_alive = self._parser.should_keep_alive()
-        if self._count_head() > self._listener.settings.max_header_bytes:
+        if arriving.head_bytes > self._listener.settings.max_header_bytes:
             self._fail(431)
             raise errors.TransportError("headers too large")
         arriving.headers = messages.decode_headers(self._raw_headers)
@@ -304,14 +310,6 @@
         if "expect" in fields:
             self.transport.write(CONTINUE)
 
-    def _count_head(self) -> int:
-        """Returns the size of the target and headers so far."""
-        target_bytes = len(self._arriving.target) if self._arriving else 0
-        return target_bytes + sum(
-            len(name) + len(value) + SEPARATOR_BYTES
-            for name, value in self._raw_headers
-        )
-
     def on_body(self, data: bytes) -> None:
         """Takes a part of the body."""
         arriving = self._arriving
--- a/tests/callpath/graph.py
+++ b/tests/callpath/graph.py
@@ -1,7 +1,7 @@
 """Random call graphs over real call paths, with faults, in virtual time."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 import contextlib
 import dataclasses
 import random
@@ -60,7 +60,7 @@
     def record_attempt(
         self,
         call: calls.Call,
-        place: choices.Place,
+        get_place: Callable[[], choices.Place],
         outcome: outcomes.Outcome,
     ) -> None:
         """Counts nothing."""
--- a/tests/encoding/test_call_codec.py
+++ b/tests/encoding/test_call_codec.py
@@ -28,8 +28,10 @@
 
 async def test_call_arrives_as_it_was_sent() -> None:
     sent = calls_factory.make_call(root_id="r.1", depth=2, remaining_ms=900.0)
-    match call_codec.decode_call(call_codec.encode_call(sent), BODY, 77):
-        case result.Success(got):
+    match call_codec.decode_call(
+        call_codec.encode_call(sent, "machine-2"), BODY, 77
+    ):
+        case result.Success(call_codec.Received("machine-2", got)):
             pass
         case fault:
             raise AssertionError(fault)
