--- a/kumquatridge/bench/fake_links.py
+++ b/kumquatridge/bench/fake_links.py
@@ -60,7 +60,9 @@
                 await instance.process.wait_while_paused()
                 return outcome
         except TimeoutError:
-            return outcomes.Unknown("no answer before the deadline")
+            return outcomes.Unknown(
+                "no answer before the deadline", timed_out=True
+            )
         except bench_process.ProcessDownError:
             return outcomes.NotRun(refusals.Unreachable(instance.name))
         except bench_process.ProcessLostError:
@@ -111,7 +113,9 @@
             async with asyncio.timeout(call.chain.get_remaining_ms() / 1000.0):
                 outcome = await self._carry(call, target, serve)
         except TimeoutError:
-            outcome = outcomes.Unknown("no answer before the deadline")
+            outcome = outcomes.Unknown(
+                "no answer before the deadline", timed_out=True
+            )
         except bench_process.ProcessDownError:
             outcome = outcomes.NotRun(
                 refusals.Unreachable(target.name), call.chain.retries
--- a/kumquatridge/callpath/outbound.py
+++ b/kumquatridge/callpath/outbound.py
@@ -350,11 +350,9 @@
             )
         case outcomes.NotRun(refusal):
             return outcomes.NotRun(refusal, unspent_retries)
-        case outcomes.Failed(detail):
-            return outcomes.Failed(detail, unspent_retries)
-        case outcomes.Unknown(detail):
-            return outcomes.Unknown(
-                detail, unspent_retries, None, outcome.worker_lost
+        case outcomes.Failed() | outcomes.Unknown():
+            return dataclasses.replace(
+                outcome, unspent_retries=unspent_retries, report=None
             )
 
 
--- a/kumquatridge/calls/outcomes.py
+++ b/kumquatridge/calls/outcomes.py
@@ -51,13 +51,15 @@
 class Unknown:
     """The call may or may not have run; `detail` says what was lost.
 
-    `worker_lost` tells that the connection to the worker broke.
+    `worker_lost` tells that the connection to the worker broke, `timed_out`
+    that the deadline passed without an answer.
     """
 
     detail: str
     unspent_retries: int = 0
     report: reports.InstanceReport | None = None
     worker_lost: bool = False
+    timed_out: bool = False
 
 
 Outcome = Completed | NotRun | Failed | Unknown
--- a/kumquatridge/encoding/answer_codec.py
+++ b/kumquatridge/encoding/answer_codec.py
@@ -49,6 +49,7 @@
 class _Unknown(_Answer, frozen=True, array_like=True, tag="unknown"):
     detail: str
     worker_lost: bool
+    timed_out: bool
 
 
 _Message = _Completed | _NotRun | _Failed | _Unknown
@@ -85,8 +86,15 @@
             return _NotRun(unspent, report, told, refusal.code, fields)
         case outcomes.Failed(detail):
             return _Failed(unspent, report, told, detail)
-        case outcomes.Unknown(detail, worker_lost=worker_lost):
-            return _Unknown(unspent, report, told, detail, worker_lost)
+        case outcomes.Unknown(detail):
+            return _Unknown(
+                unspent,
+                report,
+                told,
+                detail,
+                outcome.worker_lost,
+                outcome.timed_out,
+            )
 
 
 def get_body(outcome: outcomes.Outcome) -> call_body.Body:
@@ -137,5 +145,7 @@
             raise AssertionError("a result is a success or a failure")
         case _Failed(detail=detail):
             return outcomes.Failed(detail, unspent, report)
-        case _Unknown(detail=detail, worker_lost=worker_lost):
-            return outcomes.Unknown(detail, unspent, report, worker_lost)
+        case _Unknown(detail=detail):
+            return outcomes.Unknown(
+                detail, unspent, report, message.worker_lost, message.timed_out
+            )
--- a/kumquatridge/http/client.py
+++ b/kumquatridge/http/client.py
@@ -97,7 +97,9 @@
     except aiohttp.ClientConnectorError:
         reply: Reply = outcomes.NotRun(refusals.Unreachable(instance))
     except TimeoutError:
-        reply = outcomes.Unknown("no answer before the deadline")
+        reply = outcomes.Unknown(
+            "no answer before the deadline", timed_out=True
+        )
     except (aiohttp.ClientError, OSError):
         reply = outcomes.Unknown(
             "connection lost after the call was sent", worker_lost=True
--- a/kumquatridge/platform/callers.py
+++ b/kumquatridge/platform/callers.py
@@ -12,7 +12,6 @@
 from kumquatridge.calls import outcomes
 from kumquatridge.calls import refusals
 from kumquatridge.platform import headers
-from kumquatridge.platform import worker_link
 from kumquatridge.telemetry import request_log
 from kumquatridge.transport import listener
 from kumquatridge.transport import messages as http
@@ -100,7 +99,7 @@
             case outcomes.NotRun(refusal):
                 retry_ms = self._choose_return(call, refusal, remaining_ms)
                 return _make_refusal(refusal, call.request_id, retry_ms)
-            case outcomes.Unknown(worker_link.DEADLINE_DETAIL):
+            case outcomes.Unknown(timed_out=True):
                 return _make_own(call, STATUS_TIMED_OUT)
             case outcomes.Failed() | outcomes.Unknown():
                 if call.chain.get_remaining_ms() <= 0:
--- a/kumquatridge/platform/peers.py
+++ b/kumquatridge/platform/peers.py
@@ -16,7 +16,6 @@
 from kumquatridge.encoding import answer_codec
 from kumquatridge.encoding import call_codec
 from kumquatridge.membership import member as members
-from kumquatridge.platform import worker_link
 from kumquatridge.transport import errors as transport_errors
 from kumquatridge.transport import frame_listener
 from kumquatridge.transport import frame_pool
@@ -92,7 +91,9 @@
         except transport_errors.ConnectError:
             return outcomes.NotRun(refusals.Unreachable(self._member.instance))
         except transport_errors.AnswerTimeoutError:
-            return outcomes.Unknown(worker_link.DEADLINE_DETAIL)
+            return outcomes.Unknown(
+                "no answer before the deadline", timed_out=True
+            )
         except transport_errors.TransportError as error:
             return outcomes.Unknown(f"connection to a daemon: {error}")
         self._exchange = exchange
--- a/kumquatridge/platform/worker_link.py
+++ b/kumquatridge/platform/worker_link.py
@@ -27,7 +27,6 @@
 # When a worker that was full may have room again; a queue of its own length
 # takes a few service times to empty.
 FULL_RETRY_MS = 200
-DEADLINE_DETAIL = "no answer before the deadline"
 
 NEW_CONNECTION = pool.Bounds(idle_ms=0.0)
 
@@ -87,7 +86,9 @@
                     f"connection to the worker: {error}", worker_lost=lost
                 )
             case transport_errors.AnswerTimeoutError():
-                return outcomes.Unknown(DEADLINE_DETAIL)
+                return outcomes.Unknown(
+                    "no answer before the deadline", timed_out=True
+                )
             case _:
                 return outcomes.Unknown(f"the worker's answer: {error}")
 
--- a/tests/encoding/test_call_codec.py
+++ b/tests/encoding/test_call_codec.py
@@ -56,7 +56,9 @@
             outcomes.Completed(503, (), BODY, 0, None, True, True), id="shed"
         ),
         pytest.param(outcomes.Failed("why", 1, REPORT), id="failed"),
-        pytest.param(outcomes.Unknown("why", 1, REPORT, True), id="unknown"),
+        pytest.param(
+            outcomes.Unknown("why", 1, REPORT, True, True), id="unknown"
+        ),
         *(
             pytest.param(
                 outcomes.NotRun(test_explanations.make_refusal(one), 3, REPORT),
