Use no connection again that is about to close

Cause: between the end of a connection and asyncio's word of it, what is written is lost without a trace, and a call that can't be repeated ended as unknown though it never left. Found by reading; the test failed first.

--- a/kumquatridge/transport/connection.py
+++ b/kumquatridge/transport/connection.py
@@ -72,6 +72,8 @@
             self._fault is None
             and self._keeps_alive
             and self._awaited is None
+            and self._transport is not None
+            and not self._transport.is_closing()
             and self._has_ended
             and (self._sending is None or self._sending.done())
         )
--- a/kumquatridge/transport/frame_connection.py
+++ b/kumquatridge/transport/frame_connection.py
@@ -32,6 +32,8 @@
             self._fault is None
             and self._keeps_alive
             and not self._owes_answer
+            and self._transport is not None
+            and not self._transport.is_closing()
             and self._reader is not None
             and self._reader.is_between
             and (self._sending is None or self._sending.done())
