Tell what a step holds of the error that ended it

Cause: the steps of the call path left what they hold with an error but without its type. A generator of contextlib takes a call without a type for a good end: an attempt whose caller had left, or that was cancelled, ended as if it had been read. Found by reading; test_attempt_learns_that_its_caller_has_left failed first.

--- a/kumquatridge/admission/guard.py
+++ b/kumquatridge/admission/guard.py
@@ -93,14 +93,14 @@
             ),
             kept_for_deeper=self._shares.get_kept(depth=0),
             queued=self.queued,
-            level=levels.get_level(self._control.rank),
+            level=levels.AdmissionLevel.from_rank(self._control.rank),
             is_overloaded=self._control.is_overloaded,
             latency_ms=self._times.median_ms,
         )
 
     def make_report(self) -> reports.InstanceReport:
         """Returns what answers tell the senders of calls."""
-        level = levels.get_level(self._control.rank)
+        level = levels.AdmissionLevel.from_rank(self._control.rank)
         return reports.InstanceReport(
             level.importance,
             level.depth_class,
@@ -127,20 +127,14 @@
         """Returns the admission of a call, which may hold a slot while open."""
         return Admission(self, call)
 
-    async def enter(
-        self, call: calls.Call, kind: shares.Kind
-    ) -> verdicts.Verdict:
-        """Decides about a call that was announced; may wait for a slot."""
-        return await self._decide(call, kind, clock.get_now_ms())
-
-    def announce(self, call: calls.Call) -> shares.Kind:
+    def announce(self, call: calls.Call, now_ms: float) -> shares.Kind:
         """Takes note of a call that wants a slot; `forget` it at its end."""
         kind = shares.Kind(
             call.chain.importance,
             call.chain.depth,
             self._times.is_long(call.policy),
         )
-        self._shares.enter(kind, clock.get_now_ms())
+        self._shares.enter(kind, now_ms)
         return kind
 
     def forget(
@@ -185,9 +179,10 @@
         if self._limit.limit > before:
             self._hand_over()
 
-    async def _decide(
+    async def decide(
         self, call: calls.Call, kind: shares.Kind, now_ms: float
     ) -> verdicts.Verdict:
+        """Decides about a call that was announced; may wait for a slot."""
         rank = levels.get_rank(call.chain)
         if not kind.is_long:
             self._control.record_arrival(rank)
@@ -321,13 +316,15 @@
     async def _open(self) -> verdicts.Verdict:
         if self._guard.is_draining:
             return verdicts.Refused(refusals.Draining(self._call.service))
-        self._kind = self._guard.announce(self._call)
-        self._verdict = await self._guard.enter(self._call, self._kind)
+        now_ms = clock.get_now_ms()
+        self._kind = self._guard.announce(self._call, now_ms)
+        self._verdict = await self._guard.decide(self._call, self._kind, now_ms)
         return self._verdict
 
     async def _close(self, error: BaseException | None) -> None:
-        if self._kind is not None:
-            self._guard.forget(self._kind, self._verdict)
+        kind, self._kind = self._kind, None
+        if kind is not None:
+            self._guard.forget(kind, self._verdict)
 
 
 def _holds_slot(waiting: waiting_queue.Waiting) -> bool:
--- a/kumquatridge/admission/levels.py
+++ b/kumquatridge/admission/levels.py
@@ -64,6 +64,7 @@
     threshold: int
 
     @classmethod
+    @functools.lru_cache(maxsize=RANKS)
     def from_rank(cls, rank: int) -> Self:
         """Returns the level at which a rank is the least admitted."""
         group, offset = divmod(rank, BUCKETS)
@@ -75,12 +76,6 @@
         )
 
 
-@functools.lru_cache(maxsize=RANKS)
-def get_level(rank: int) -> AdmissionLevel:
-    """Returns the level at which a rank is the least admitted."""
-    return AdmissionLevel.from_rank(rank)
-
-
 def get_report_rank(report: reports.InstanceReport) -> int:
     """Returns the least rank that the reporting instance admits."""
     group = report.importance * DEPTH_CLASSES + report.depth_class
--- a/kumquatridge/callpath/inbound.py
+++ b/kumquatridge/callpath/inbound.py
@@ -213,16 +213,13 @@
         self._path = path
         self._call = call
         self._admission = admission
-        self._is_decided = False
         self._entry: chain_ledger.Entry | None = None
         self._attempt: (
             contextlib.AbstractAsyncContextManager[outcomes.Outcome] | None
         ) = None
 
     async def _open(self) -> outcomes.Outcome:
-        verdict = await self._admission.__aenter__()
-        self._is_decided = True
-        match verdict:
+        match await self._admission.__aenter__():
             case verdicts.Refused(refusal):
                 return self._path.refuse(self._call, refusal)
             case verdicts.Admitted() as admitted:
@@ -249,9 +246,8 @@
         self._attempt = self._entry = None
         try:
             if attempt is not None:
-                await attempt.__aexit__(None, error, None)
+                await scopes.leave(attempt, error)
         finally:
             if entry is not None:
-                entry.__exit__(None, error, None)
-            if self._is_decided:
-                await self._admission.__aexit__(None, error, None)
+                entry.close(error)
+            await scopes.leave(self._admission, error)
--- a/kumquatridge/callpath/outbound.py
+++ b/kumquatridge/callpath/outbound.py
@@ -268,9 +268,9 @@
         held, self._held = self._held, None
         try:
             if held is not None:
-                await held.__aexit__(None, error, None)
+                await scopes.leave(held, error)
         finally:
-            self._track.__exit__(None, error, None)
+            self._track.close()
 
 
 class _Dispatch(scopes.Scope[outcomes.Outcome]):
@@ -310,7 +310,7 @@
             if choice is None:
                 answer = _hide_refusal(outcome) if may_have_run else outcome
                 return _settle(answer, self._account.settle())
-            await self._leave(None)
+            await self._close(None)
             may_have_run = may_have_run or not _is_refusal(outcome)
             if not _is_daemons(outcome):
                 call = _mark_repeat(call)
@@ -324,13 +324,10 @@
         self._held = attempt
         return outcome
 
-    async def _leave(self, error: BaseException | None) -> None:
+    async def _close(self, error: BaseException | None) -> None:
         held, self._held = self._held, None
         if held is not None:
-            await held.__aexit__(None, error, None)
-
-    async def _close(self, error: BaseException | None) -> None:
-        await self._leave(error)
+            await scopes.leave(held, error)
 
 
 def _settle(
--- a/kumquatridge/chain/ledger.py
+++ b/kumquatridge/chain/ledger.py
@@ -159,6 +159,10 @@
         error: BaseException | None,
         traceback: types.TracebackType | None,
     ) -> None:
+        """Closes the entry."""
+        self.close(error)
+
+    def close(self, error: BaseException | None) -> None:
         """Takes the record out; cuts off the child calls after an error."""
         if error is not None:
             self._record.cut_off()
--- a/kumquatridge/platform/peers.py
+++ b/kumquatridge/platform/peers.py
@@ -102,7 +102,7 @@
     async def _close(self, error: BaseException | None) -> None:
         exchange, self._exchange = self._exchange, None
         if exchange is not None:
-            await exchange.__aexit__(None, error, None)
+            await scopes.leave(exchange, error)
 
 
 class PeerEndpoint:
@@ -141,11 +141,10 @@
     ) -> None:
         async with self._path.serve(received.call) as outcome:
             body = answer_codec.get_body(outcome)
+            head = self._encode(outcome, received.sender)
             if not call_body.is_buffered(body):
-                head = self._encode(outcome, received.sender)
                 await responder.send(head, body)
-        if call_body.is_buffered(body):
-            head = self._encode(outcome, received.sender)
+        if call_body.is_buffered(body):  # The slot is free by now.
             await responder.send(head, body)
 
     def _encode(self, outcome: outcomes.Outcome, sender: str) -> bytes:
--- a/kumquatridge/platform/worker_link.py
+++ b/kumquatridge/platform/worker_link.py
@@ -146,7 +146,7 @@
     async def _close(self, error: BaseException | None) -> None:
         exchange, self._exchange = self._exchange, None
         if exchange is not None:
-            await exchange.__aexit__(None, error, None)
+            await scopes.leave(exchange, error)
 
 
 def _make_request(call: calls.Call, worker: str) -> http.Request:
--- a/kumquatridge/routing/chooser.py
+++ b/kumquatridge/routing/chooser.py
@@ -330,6 +330,10 @@
         error: BaseException | None,
         traceback: types.TracebackType | None,
     ) -> None:
+        """Ends the flight."""
+        self.close()
+
+    def close(self) -> None:
         """Learns from the record, as far as there is an outcome."""
         if self._sent is not None:
             self._chooser.end(self._call, self._sent)
--- a/tests/callpath/test_outbound.py
+++ b/tests/callpath/test_outbound.py
@@ -26,12 +26,17 @@
     def __init__(self, answers: tuple[outcomes.Outcome, ...]) -> None:
         self._answers = iter(answers)
         self.attempts = 0
+        self.abandoned = 0
 
     @contextlib.asynccontextmanager
     async def serve(self, call: calls.Call) -> AsyncIterator[outcomes.Outcome]:
         """Answers an attempt."""
         self.attempts += 1
-        yield next(self._answers)
+        try:
+            yield next(self._answers)
+        except BaseException:
+            self.abandoned += 1
+            raise
 
     def send(
         self, call: calls.Call, member: members.Member
@@ -53,6 +58,32 @@
     allowance: int = 3
 
 
+@contextlib.asynccontextmanager
+async def dispatch(
+    script: Script, case: Case
+) -> AsyncIterator[outcomes.Outcome]:
+    """Dispatches a call whose attempts a script answers."""
+    graph = graphs.Graph(
+        ((),), case.allowance, 0.0, 1, seed=1, idempotent=case.idempotent
+    )
+    world = graphs.GraphWorld(graph)
+    node = world.nodes["s0-0"]
+    path = outbound.OutboundPath(
+        node.members,
+        graphs.make_chooser(node.members, seed=1),
+        script,
+        script,
+        world.recorder,
+        ratios=graphs.make_ratios(),
+    )
+    request = dataclasses.replace(graphs.make_child_request("x"), token=None)
+    request = dataclasses.replace(request, service="s0")
+    with node.intake.open(request) as opened:
+        assert isinstance(opened, calls.Call)
+        async with path.dispatch(opened) as outcome:
+            yield outcome
+
+
 @pytest.mark.looptime
 @pytest.mark.parametrize(
     "case",
@@ -92,24 +123,18 @@
     ],
 )
 async def test_outcome_after_attempts(case: Case) -> None:
-    graph = graphs.Graph(
-        ((),), case.allowance, 0.0, 1, seed=1, idempotent=case.idempotent
-    )
-    world = graphs.GraphWorld(graph)
-    node = world.nodes["s0-0"]
     script = Script(case.answers)
-    path = outbound.OutboundPath(
-        node.members,
-        graphs.make_chooser(node.members, seed=1),
-        script,
-        script,
-        world.recorder,
-        ratios=graphs.make_ratios(),
-    )
-    request = dataclasses.replace(graphs.make_child_request("x"), token=None)
-    request = dataclasses.replace(request, service="s0")
-    with node.intake.open(request) as opened:
-        assert isinstance(opened, calls.Call)
-        async with path.dispatch(opened) as outcome:
-            assert isinstance(outcome, case.told)
+    async with dispatch(script, case) as outcome:
+        assert isinstance(outcome, case.told)
     assert script.attempts == case.attempts
+    assert script.abandoned == 0
+
+
+@pytest.mark.looptime
+async def test_attempt_learns_that_its_caller_has_left() -> None:
+    script = Script((SERVED,))
+    case = Case((SERVED,), outcomes.Completed, 1)
+    with pytest.raises(ConnectionError):
+        async with dispatch(script, case):
+            raise ConnectionError
+    assert script.abandoned == 1
