One base for connections and one for servers; long bodies at hand in parts

Cause: HTTP and frames each had their own copy of a connection's faults and of a server's address, tasks and time-outs (kept.KeptConnection, server.Listener). Callers' limits no longer apply to the addresses for daemons and the platform: an idle limit below that of our own connections would have raced with calls.

--- a/kumquatridge/benchmarks/processes.py
+++ b/kumquatridge/benchmarks/processes.py
@@ -46,6 +46,7 @@
         "-m",
         module,
         *arguments,
+        stdout=asyncio.subprocess.DEVNULL,
         stderr=asyncio.subprocess.DEVNULL,
     )
     try:
--- a/kumquatridge/http/peer_client.py
+++ b/kumquatridge/http/peer_client.py
@@ -68,8 +68,8 @@
                     yield _read_outcome(reply)
                 case outcomes.NotRun(refusal):
                     yield outcomes.NotRun(refusal, call.chain.retries)
-                case outcomes.Unknown(detail):
-                    yield outcomes.Unknown(detail)
+                case outcomes.Unknown(detail, timed_out=timed_out):
+                    yield outcomes.Unknown(detail, timed_out=timed_out)
 
     def _make_marks(self, call: calls.Call) -> outcomes.Headers:
         return (
--- a/kumquatridge/platform/listeners.py
+++ b/kumquatridge/platform/listeners.py
@@ -8,6 +8,7 @@
 from kumquatridge.settings import routes
 from kumquatridge.transport import frame_listener
 from kumquatridge.transport import listener
+from kumquatridge.transport import server
 
 # Requests go on arriving for about two seconds after readiness has failed;
 # the rest of the time before SIGKILL is for those in progress, but for what it
@@ -21,16 +22,13 @@
 CHECK_S = 0.05
 
 
-Listener = listener.HttpListener | frame_listener.FrameListener
-
-
 class SiteListeners:
     """All listeners of a daemon, closed with its context."""
 
     def __init__(self) -> None:
         self._stack = contextlib.AsyncExitStack()
-        self._opened: list[Listener] = []
-        self._for_callers: list[listener.HttpListener] = []
+        self._opened: list[server.Listener] = []
+        self._for_callers: list[server.Listener] = []
         self.is_stopping = False
         self.takes_requests = True
 
@@ -79,13 +77,13 @@
 
     def set_limits(self, limits: routes.CallerLimits) -> None:
         """Takes what callers may send from now on."""
-        settings = listener.ListenerSettings(
+        settings = server.ListenerSettings(
             limits.max_header_bytes,
             limits.max_body_bytes,
             limits.header_timeout_ms,
             limits.idle_ms,
         )
-        for one in self._opened:
+        for one in self._for_callers:
             one.set_limits(settings)
 
     async def drain(self, grace_ms: float) -> None:
--- a/kumquatridge/transport/connection.py
+++ b/kumquatridge/transport/connection.py
@@ -43,7 +43,7 @@
         self.ends_with_connection = False
 
 
-class Connection(kept.KeptConnection):
+class Connection(kept.KeptConnection[_Arriving]):
     """Sends requests one after the other and reads their answers.
 
     An answer that arrives when none is awaited, or that belongs to another
@@ -51,32 +51,17 @@
     """
 
     def __init__(self) -> None:
-        self._transport: asyncio.Transport | None = None
+        super().__init__()
         self._parser = httptools.HttpResponseParser(self)
         self._answer: _Arriving | None = None
         self._accepts: Accepts = accept_any
-        self._awaited: asyncio.Future[None] | None = None
-        self._fault: errors.TransportError | None = None
         self._strays = 0
-        self._writable = asyncio.Event()
-        self._writable.set()
-        self._sending: asyncio.Task[None] | None = None
         self._keeps_alive = True
-        self.idle_since_ms = 0.0
         self.exchanges = 0
 
     @property
-    def is_reusable(self) -> bool:
-        """Tells whether another request may be sent."""
-        return (
-            self._fault is None
-            and self._keeps_alive
-            and self._awaited is None
-            and self._transport is not None
-            and not self._transport.is_closing()
-            and self._has_ended
-            and (self._sending is None or self._sending.done())
-        )
+    def _is_settled(self) -> bool:
+        return self._keeps_alive and self._has_ended
 
     @property
     def _has_ended(self) -> bool:
@@ -93,29 +78,22 @@
         Raises:
           TransportError: no answer came.
         """
+        transport = self._get_transport()
         self.exchanges += 1
         self._answer = None
         self._accepts = accepts
         self._strays = 0
-        loop = asyncio.get_running_loop()
-        self._awaited = loop.create_future()
-        self._write(request)
-        timer = loop.call_later(timeout_s, self._expire)
-        try:
-            await self._awaited
-        finally:
-            timer.cancel()
-            self._awaited = None
-        arrived = cast(_Arriving, self._answer)
+        self._expect()
+        self._write(transport, request)
+        arrived = await self._wait(timeout_s)
         headers = arrived.headers
         length = messages.find_header(headers, "content-length")
         body = arrived.body.hand_over(int(length) if length else None)
         return messages.Answer(arrived.status, headers, body)
 
-    def _write(self, request: messages.Request) -> None:
-        transport = self._transport
-        if self._fault is not None or transport is None:
-            raise self._fault or errors.ConnectError("not connected")
+    def _write(
+        self, transport: asyncio.Transport, request: messages.Request
+    ) -> None:
         head = messages.encode_request_head(request)
         match request.body:
             case call_body.BufferedBody(data):
@@ -123,11 +101,12 @@
             case call_body.StreamedBody():
                 transport.write(head)
                 self._sending = asyncio.create_task(
-                    self._write_stream(request.body)
+                    self._write_stream(transport, request.body)
                 )
 
-    async def _write_stream(self, body: call_body.StreamedBody) -> None:
-        transport = cast(asyncio.Transport, self._transport)
+    async def _write_stream(
+        self, transport: asyncio.Transport, body: call_body.StreamedBody
+    ) -> None:
         chunked = messages.is_chunked(body)
         try:
             async for chunk in body.chunks:
@@ -141,34 +120,12 @@
         if chunked:
             transport.write(messages.LAST_CHUNK)
 
-    def fail(self, fault: errors.TransportError) -> None:
-        """Gives the connection up."""
-        if self._fault is None:
-            self._fault = fault
-        if self._sending is not None:
-            self._sending.cancel()
-        if self._transport is not None:
-            self._transport.abort()
+    def _break_body(self, fault: errors.BrokenBodyError) -> None:
         if self._answer is not None:
-            self._answer.body.fail(
-                errors.BrokenBodyError(str(fault) or "cut off")
-            )
-        if self._awaited is not None and not self._awaited.done():
-            self._awaited.set_exception(fault)
-
-    def _expire(self) -> None:
-        self.fail(errors.AnswerTimeoutError("no answer in time"))
-
-    def close(self) -> None:
-        """Closes the connection, which cancels what is in progress."""
-        self.fail(errors.ConnectionBrokenError("closed"))
+            self._answer.body.fail(fault)
 
     # What asyncio calls.
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Takes the open transport."""
-        self._transport = cast(asyncio.Transport, transport)
-
     def data_received(self, data: bytes) -> None:
         """Parses bytes; those that nobody waits for spoil the connection."""
         if self._awaited is None and self._has_ended:
@@ -203,20 +160,6 @@
             self._finish(answer)
         return False
 
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Fails what is in progress."""
-        reason = "reset" if exc is not None else "closed by the server"
-        self._writable.set()
-        self.fail(errors.ConnectionBrokenError(reason))
-
-    def pause_writing(self) -> None:
-        """Holds up a streamed body."""
-        self._writable.clear()
-
-    def resume_writing(self) -> None:
-        """Lets a streamed body go on."""
-        self._writable.set()
-
     # What the parser calls.
 
     def on_message_begin(self) -> None:
@@ -266,7 +209,7 @@
             return
         answer.body.add(data)
         if answer.body.is_ready:
-            self._wake()
+            self._deliver(answer)
 
     def on_message_complete(self) -> None:
         """Takes the end of an answer."""
@@ -282,11 +225,7 @@
     def _finish(self, answer: _Arriving) -> None:
         answer.body.complete()
         self.idle_since_ms = clock.get_now_ms()
-        self._wake()
-
-    def _wake(self) -> None:
-        if self._awaited is not None and not self._awaited.done():
-            self._awaited.set_result(None)
+        self._deliver(answer)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kumquatridge/transport/frames.py
+++ b/kumquatridge/transport/frames.py
@@ -23,6 +23,9 @@
 # A frame holds headers and a body that is short enough to be read whole, each
 # bounded by the routes' own limits; a longer frame is no message of ours.
 MAX_FRAME_BYTES = 4 * 1024 * 1024
+# A longer body is sent in parts, also when it is at hand; twice what is read
+# whole as a rule.
+WHOLE_BYTES = 2 * inbox.BUFFERED_BYTES
 # In place of the length of a body whose sender announced none.
 UNKNOWN_LENGTH = 0xFFFFFFFF
 
@@ -125,10 +128,10 @@
         body = self._stream.hand_over(known)
         self._deliver(Message(head, body, kind in _LAST_KINDS))
 
-    def fail(self, reason: str) -> None:
+    def fail(self, fault: errors.BrokenBodyError) -> None:
         """Breaks off a body that is being read."""
         if self._stream is not None:
-            self._stream.fail(errors.BrokenBodyError(reason))
+            self._stream.fail(fault)
 
 
 async def write(
@@ -142,35 +145,34 @@
       BrokenBodyError: the body broke off.
     """
     match message.body:
-        case call_body.BufferedBody():
-            write_whole(transport, message)
-        case call_body.StreamedBody() as body:
-            await _write_stream(transport, writable, message, body)
-
-
-def write_whole(transport: asyncio.WriteTransport, message: Message) -> None:
-    """Writes a message whose body is at hand."""
-    match message.body:
-        case call_body.BufferedBody(data):
+        case call_body.BufferedBody(data) if len(data) <= WHOLE_BYTES:
             kind = Kind.LAST if message.is_last else Kind.WHOLE
-            header = HEADER.pack(kind, len(message.head), len(data))
-            transport.write(header + message.head + data)
-        case call_body.StreamedBody():
-            raise AssertionError("a streamed body isn't at hand")
-
-
-async def _write_stream(
+            transport.write(_encode(kind, message.head, data))
+        case call_body.BufferedBody(data):
+            _write_head(transport, message, len(data))
+            for start in range(0, len(data), WHOLE_BYTES):
+                part = data[start : start + WHOLE_BYTES]
+                transport.write(_encode(Kind.PART, b"", part))
+            transport.write(_encode(Kind.END))
+        case call_body.StreamedBody(length_bytes, chunks):
+            _write_head(transport, message, length_bytes)
+            async for chunk in chunks:
+                await writable.wait()
+                transport.write(_encode(Kind.PART, b"", chunk))
+            transport.write(_encode(Kind.END))
+
+
+def _write_head(
     transport: asyncio.WriteTransport,
-    writable: asyncio.Event,
     message: Message,
-    body: call_body.StreamedBody,
+    length_bytes: int | None,
 ) -> None:
+    """Writes the head of a message whose body comes in parts."""
     kind = Kind.LAST_STREAMED if message.is_last else Kind.STREAMED
-    known = body.length_bytes
-    length_bytes = UNKNOWN_LENGTH if known is None else known
+    length_bytes = UNKNOWN_LENGTH if length_bytes is None else length_bytes
     header = HEADER.pack(kind, len(message.head), length_bytes)
     transport.write(header + message.head)
-    async for chunk in body.chunks:
-        await writable.wait()
-        transport.write(HEADER.pack(Kind.PART, 0, len(chunk)) + chunk)
-    transport.write(HEADER.pack(Kind.END, 0, 0))
+
+
+def _encode(kind: Kind, head: bytes = b"", body: bytes = b"") -> bytes:
+    return HEADER.pack(kind, len(head), len(body)) + head + body
--- a/kumquatridge/transport/listener.py
+++ b/kumquatridge/transport/listener.py
@@ -1,16 +1,10 @@
-"""A listening server with one task for each connection."""
+"""A server for requests in HTTP."""
 
-import asyncio
 import collections
 from collections.abc import Awaitable, Callable
-import dataclasses
-import socket
-import types
-from typing import cast, Self
 
 import httptools
 
-from kumquatridge import background
 from kumquatridge import clock
 from kumquatridge.calls import body as call_body
 from kumquatridge.calls import outcomes
@@ -18,31 +12,15 @@
 from kumquatridge.transport import errors
 from kumquatridge.transport import inbox
 from kumquatridge.transport import messages
+from kumquatridge.transport import server
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-CHECK_INTERVAL_S = 1.0
 # Requests that a client may send ahead of their answers.
 MAX_PIPELINED = 16
-BACKLOG = 1024
 # A colon, a space and the end of the line.
 SEPARATOR_BYTES = 4
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ListenerSettings:
-    """What clients may send, and how long connections may stay idle.
-
-    The defaults are those that operators commonly use. A connection idle for
-    `idle_ms` plus a second is closed.
-    """
-
-    max_header_bytes: int = 16 * 1024
-    max_body_bytes: int = 64 * 1024 * 1024
-    header_timeout_ms: float = 3000.0
-    idle_ms: float = 15_000.0
-    unacknowledged_ms: int = 5000
-
-
 class Responder:
     """Sends the answer to one request."""
 
@@ -116,29 +94,18 @@
         self.is_queued = False
 
 
-class _ServerConnection(asyncio.Protocol):
-    """One client's connection, answered in order by one task."""
+class _ServerConnection(server.ServerConnection):
+    """One caller's connection."""
 
-    def __init__(self, listener: "HttpListener") -> None:
-        self._listener = listener
+    def __init__(self, listener: server.Listener, handler: Handler) -> None:
+        super().__init__(listener)
+        self._handler = handler
         self._parser = httptools.HttpRequestParser(self)
         self._arriving: _Arriving | None = None
         self._raw_headers: list[tuple[bytes, bytes]] = []
         self._waiting: collections.deque[_Arriving] = collections.deque()
-        self._arrived = asyncio.Event()
-        self._task: asyncio.Task[None] | None = None
         self._fault_status: int | None = None
         self._is_finished = False
-        self._since_ms = clock.get_now_ms()
-        self.transport: asyncio.Transport = cast(asyncio.Transport, None)
-        self.writable = asyncio.Event()
-        self.writable.set()
-        self.is_busy = False
-
-    @property
-    def closes_next(self) -> bool:
-        """Tells whether the connection ends after the next answer."""
-        return self._listener.is_draining
 
     @property
     def is_idle(self) -> bool:
@@ -147,22 +114,18 @@
 
     def check_timeouts(self, now_ms: float) -> None:
         """Closes a connection that is idle, or slow to send a head."""
-        if self.is_busy or (
-            self._arriving is not None and self._arriving.method
-        ):
+        arriving = self._arriving
+        if self.is_busy or arriving is None or arriving.method:
+            super().check_timeouts(now_ms)
             return
-        settings = self._listener.settings
-        elapsed_ms = now_ms - self._since_ms
-        if self._arriving is not None:
-            if elapsed_ms > settings.header_timeout_ms + 1000.0:
-                self._reject(408)
-        elif elapsed_ms > settings.idle_ms + 1000.0:
-            self.finish()
+        limit_ms = self._listener.settings.header_timeout_ms
+        if now_ms - self._since_ms > limit_ms + server.CHECK_MARGIN_MS:
+            self._reject(408)
 
     def finish(self) -> None:
         """Closes the connection once what was written is sent."""
         self._is_finished = True
-        self.transport.close()
+        super().finish()
 
     async def _serve(self) -> None:
         while True:
@@ -194,7 +157,7 @@
         keeps_alive = arrived.keeps_alive and arrived.body.is_complete
         responder = Responder(self, keeps_alive)
         try:
-            await self._listener.handler(request, responder)
+            await self._handler(request, responder)
         except errors.BrokenBodyError as error:
             events.log(events.AnswerCut(request.target, str(error)))
         except Exception as error:
@@ -212,18 +175,6 @@
 
     # What asyncio calls.
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Starts the connection's task."""
-        self.transport = cast(asyncio.Transport, transport)
-        raw = transport.get_extra_info("socket")
-        raw.setsockopt(
-            socket.IPPROTO_TCP,
-            socket.TCP_USER_TIMEOUT,
-            self._listener.settings.unacknowledged_ms,
-        )
-        self._listener.connections.add(self)
-        self._task = asyncio.create_task(self._serve())
-
     def data_received(self, data: bytes) -> None:
         """Parses bytes; after a fault the rest is ignored."""
         if self._fault_status is not None or self._is_finished:
@@ -243,29 +194,15 @@
         if arriving.arrived_bytes > self._listener.settings.max_header_bytes:
             self._fail(431)
 
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Cancels what the client no longer waits for."""
-        self._listener.connections.discard(self)
-        self.writable.set()
+    def _break_body(self, fault: errors.BrokenBodyError) -> None:
         if self._arriving is not None:
-            self._arriving.body.fail(errors.BrokenBodyError("client left"))
-        if self._task is not None:
-            self._task.cancel()
-
-    def pause_writing(self) -> None:
-        """Holds up a streamed body."""
-        self.writable.clear()
-
-    def resume_writing(self) -> None:
-        """Lets a streamed body go on."""
-        self.writable.set()
+            self._arriving.body.fail(fault)
 
     def _fail(self, status: int) -> None:
         if self._fault_status is not None:
             return
         self._fault_status = status
-        if self._arriving is not None:
-            self._arriving.body.fail(errors.BrokenBodyError("malformed body"))
+        self._break_body(errors.BrokenBodyError("malformed body"))
         self._arrived.set()
 
     # What the parser calls.
@@ -335,86 +272,20 @@
             self._arrived.set()
 
 
-class HttpListener(background.BackgroundOwner):
-    """Listens on an address while its context is open.
-
-    A handler is cancelled when its connection is lost.
-    """
+class HttpListener(server.Listener):
+    """Takes requests in HTTP."""
 
     def __init__(
         self,
         address: str,
         handler: Handler,
-        settings: ListenerSettings | None = None,
+        settings: server.ListenerSettings | None = None,
     ) -> None:
-        self._address = address
-        self.handler = handler
-        self.settings = settings or ListenerSettings()
-        self.connections: set[_ServerConnection] = set()
-        self.is_draining = False
-        self._server: asyncio.Server | None = None
-
-    @property
-    def is_idle(self) -> bool:
-        """Tells whether no request is in progress."""
-        return all(one.is_idle for one in self.connections)
+        super().__init__(address, settings)
+        self._handler = handler
 
-    async def __aenter__(self) -> Self:
-        """Starts to listen.
-
-        Raises:
-          ListenError: the address is taken, or not this instance's.
-        """
-        self._server = await open_server(
-            self._address, lambda: _ServerConnection(self)
-        )
-        return await super().__aenter__()
-
-    async def __aexit__(
-        self,
-        error_type: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: types.TracebackType | None,
-    ) -> None:
-        """Stops listening and closes what connections are left."""
-        await super().__aexit__(error_type, error, traceback)
-        if self._server is not None:
-            self._server.close()
-        for one in tuple(self.connections):
-            one.finish()
-
-    def set_limits(self, settings: ListenerSettings) -> None:
-        """Takes other bounds, for what arrives from now on."""
-        self.settings = settings
-
-    def close_idle(self) -> None:
-        """Closes the connections on which nothing is in progress."""
-        for one in tuple(self.connections):
-            if one.is_idle:
-                one.finish()
-
-    async def _run(self) -> None:
-        while True:
-            await asyncio.sleep(CHECK_INTERVAL_S)
-            now_ms = clock.get_now_ms()
-            for one in tuple(self.connections):
-                one.check_timeouts(now_ms)
-
-
-async def open_server(
-    address: str, make_protocol: Callable[[], asyncio.Protocol]
-) -> asyncio.Server:
-    """Listens at an address; see `HttpListener.__aenter__`."""
-    host, port = address.rsplit(":", 1)
-    loop = asyncio.get_running_loop()
-    try:
-        return await loop.create_server(
-            make_protocol, host, int(port), backlog=BACKLOG, reuse_address=True
-        )
-    except OSError as error:
-        raise errors.ListenError(
-            f"can't listen at {address}: {error.strerror}"
-        ) from error
+    def _make_connection(self) -> _ServerConnection:
+        return _ServerConnection(self, self._handler)
 
 
 def _make_plain(status: int) -> messages.Answer:
--- a/kumquatridge/transport/pool.py
+++ b/kumquatridge/transport/pool.py
@@ -6,7 +6,7 @@
 import dataclasses
 import socket
 import types
-from typing import Generic, Self, TypeVar
+from typing import Any, Generic, Self, TypeVar
 
 from kumquatridge import clock
 from kumquatridge import scopes
@@ -47,7 +47,7 @@
     max_idle: int = 64
 
 
-ConnectionT = TypeVar("ConnectionT", bound=kept.KeptConnection)
+ConnectionT = TypeVar("ConnectionT", bound=kept.KeptConnection[Any])
 
 
 class KeptConnections(Generic[ConnectionT]):
--- a/tests/platform/measure.py
+++ b/tests/platform/measure.py
@@ -8,21 +8,20 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import Awaitable, Callable
 import contextlib
 import dataclasses
 import functools
 import pathlib
-import statistics
-import sys
 import tempfile
 
 import click
 import psutil
 
+from kumquatridge.benchmarks import hops
+from kumquatridge.benchmarks import processes
 from kumquatridge.platform import settings_file
 from kumquatridge.standins import platform as platform_standin
-from kumquatridge.transport import errors as transport_errors
 from kumquatridge.transport import messages as http
 from kumquatridge.transport import pool
 from tests.platform import site as sites
@@ -90,33 +89,23 @@
     return file
 
 
-@contextlib.asynccontextmanager
-async def run_daemon(
+def run_daemon(
     settings: settings_file.SiteSettings, folder: pathlib.Path
-) -> AsyncIterator[psutil.Process]:
+) -> contextlib.AbstractAsyncContextManager[psutil.Process]:
     """Runs a daemon until the context is left."""
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
+    return processes.run_module(
         PROGRAM,
         "--settings",
         str(write_settings(settings, folder)),
         "--metrics-port",
         settings.metrics_address.rpartition(":")[2],
-        stdout=asyncio.subprocess.DEVNULL,
+        address=settings.readiness_address,
     )
-    try:
-        yield psutil.Process(process.pid)
-    finally:
-        if process.returncode is None:
-            process.kill()
-        await process.wait()
 
 
 def get_processor_s(daemons: list[psutil.Process]) -> float:
     """Returns the processor time that daemons have spent."""
-    times = [one.cpu_times() for one in daemons]
-    return float(sum(one.user + one.system for one in times))
+    return sum(processes.get_cpu_s(one) for one in daemons)
 
 
 class Callers:
@@ -174,12 +163,11 @@
     started_s = get_processor_s(daemons)
     found_ms = await callers.run(address, request)
     spent_s = get_processor_s(daemons) - started_s
-    late = len(found_ms) * 99 // 100
     return Figures(
         name,
         spent_s / load.calls * 1e6,
-        statistics.median(found_ms) - statistics.median(direct_ms),
-        found_ms[late] - direct_ms[late],
+        hops.get_percentile(found_ms, 50) - hops.get_percentile(direct_ms, 50),
+        hops.get_percentile(found_ms, 99) - hops.get_percentile(direct_ms, 99),
     )
 
 
@@ -239,15 +227,7 @@
 async def wait_until_ready(site: sites.Site, count: int) -> None:
     """Waits until all daemons say that they are ready."""
     for number in range(count):
-        await wait_for_status(functools.partial(ask_ready, site, number))
-
-
-async def ask_ready(site: sites.Site, number: int) -> int:
-    """Returns the status of a daemon's readiness, 0 before it listens."""
-    try:
-        return await site.ask_ready(number)
-    except transport_errors.ConnectError:
-        return 0
+        await wait_for_status(functools.partial(site.ask_ready, number))
 
 
 async def wait_until_served(site: sites.Site) -> None:
--- a/tests/transport/test_frames.py
+++ b/tests/transport/test_frames.py
@@ -14,7 +14,6 @@
 from kumquatridge.transport import frame_listener
 from kumquatridge.transport import frame_pool
 from kumquatridge.transport import frames
-from kumquatridge.transport import listener
 from tests import processes
 from tests.platform import site as sites
 from tests.transport import scripted
@@ -222,9 +221,7 @@
     handler: Handler,
 ) -> AsyncIterator[tuple[frame_listener.FrameListener, str]]:
     address = processes.get_free_address()
-    settings = listener.ListenerSettings()
-    opened = frame_listener.FrameListener(address, handler.handle, settings)
-    async with opened:
+    async with frame_listener.FrameListener(address, handler.handle) as opened:
         yield opened, address
 
 
@@ -243,6 +240,11 @@
             LONG_BYTES,
             id="whole",
         ),
+        pytest.param(
+            lambda: call_body.BufferedBody(b"x" * 20 * LONG_BYTES),
+            20 * LONG_BYTES,
+            id="whole, longer than a frame",
+        ),
         pytest.param(
             lambda: call_body.StreamedBody(
                 None, call_body.OnceReadable(iterate(4))
--- a/tests/transport/test_listener.py
+++ b/tests/transport/test_listener.py
@@ -9,6 +9,7 @@
 from kumquatridge.calls import body as call_body
 from kumquatridge.transport import listener
 from kumquatridge.transport import messages
+from kumquatridge.transport import server
 from tests import processes
 
 GET = b"GET /a?b HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -54,7 +55,7 @@
     """Runs a listener and opens a connection to it."""
     address = processes.get_free_address()
     host, port = address.rsplit(":", 1)
-    bounds = listener.ListenerSettings(**settings)  # type: ignore[arg-type]
+    bounds = server.ListenerSettings(**settings)  # type: ignore[arg-type]
     async with listener.HttpListener(address, handler.handle, bounds) as opened:
         reader, writer = await asyncio.open_connection(host, int(port))
         try:
