Offer a refused call again on another connection to the worker

Cause: a refused call is offered to the same worker again with the same request id, on the connection that carried the refusal. A worker that sends the refusal once more, late, does so where the answer to the new offer is due. Only the request id was compared, and it matches.

Change: exchanges have a key, the request id of the call; exchanges with one key never share a connection. The copy then arrives where another request's answer is due, and its id gives it away. All offers of a call to a worker use the connections of the daemon beside it, so that retries by way of other daemons are covered as well.

Ruled out: two offers by the sending daemon to one instance (it chooses each instance once); a resend after a broken connection (none broke).

--- a/kumquatridge/platform/worker_link.py
+++ b/kumquatridge/platform/worker_link.py
@@ -68,17 +68,26 @@
     def open(
         self, call: calls.Call, address: str, worker: str
     ) -> pool.Exchange:
-        """Returns the HTTP exchange that sends a call and reads its answer."""
+        """Returns the HTTP exchange that sends a call and reads its answer.
+
+        A call that the worker refused may be offered to it again, with the same
+        request id. It is sent on another connection then: a copy of the refusal
+        on the first one could not be told from the answer to the new offer.
+        """
+        limits = pool.ExchangeLimits(
+            idle_ms=None
+            if call.policy.idempotent
+            else NON_IDEMPOTENT_MAX_IDLE_MS,
+            timeout_ms=max(0.0, call.chain.get_remaining_ms()),
+            key=call.request_id,
+        )
         return self._connections.send(
             address,
             _make_request(call, worker),
             accepts=lambda answer_headers: _is_answer_to(
                 answer_headers, call.request_id
             ),
-            idle_ms=None
-            if call.policy.idempotent
-            else NON_IDEMPOTENT_MAX_IDLE_MS,
-            timeout_ms=max(0.0, call.chain.get_remaining_ms()),
+            limits=limits,
         )
 
     async def classify_error(
--- a/kumquatridge/transport/client_connection.py
+++ b/kumquatridge/transport/client_connection.py
@@ -8,6 +8,11 @@
 
 AnswerT = TypeVar("AnswerT")
 
+# Keys of exchanges that a connection remembers. An extra answer arrives at the
+# latest with the next answer on its connection; further keys are kept for
+# servers that delay it longer.
+MAX_KEYS = 64
+
 
 class ClientConnection(asyncio.Protocol, abc.ABC, Generic[AnswerT]):
     """Waits for one answer at a time; any error ends the connection.
@@ -26,6 +31,8 @@
         # Cleared while the write buffer of the transport is full.
         self._writable = asyncio.Event()
         self._writable.set()
+        # The newest exchanges, oldest first; see `has_carried`.
+        self._keys: dict[str, None] = {}
         self.idle_since_ms = 0.0
 
     @property
@@ -48,6 +55,16 @@
         No answer is due, and the server keeps the connection open.
         """
 
+    def has_carried(self, key: str) -> bool:
+        """Returns whether an exchange with this key used the connection."""
+        return key in self._keys
+
+    def record_key(self, key: str) -> None:
+        """Remembers that an exchange with this key uses the connection."""
+        self._keys[key] = None
+        if len(self._keys) > MAX_KEYS:
+            del self._keys[next(iter(self._keys))]
+
     def _get_transport(self) -> asyncio.Transport:
         """Returns the transport to write to.
 
--- a/kumquatridge/transport/pool.py
+++ b/kumquatridge/transport/pool.py
@@ -26,10 +26,18 @@
     A connection is reused only if it has been idle for less than `idle_ms`
     (None for the limit of the pool). The answer, or the first part of a
     streamed one, must arrive within `timeout_ms` after the request was sent.
+
+    Exchanges with the same `key` use different connections. A server may send
+    an answer once more, late; where two requests can't be told apart by their
+    answers, that copy would be taken for the answer to the later one.
     """
 
     idle_ms: float | None = None
     timeout_ms: float = DEFAULT_ANSWER_TIMEOUT_MS
+    key: str | None = None
+
+
+NO_LIMITS = ExchangeLimits()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -103,8 +111,12 @@
         Raises:
           ConnectError: the connection could not be opened.
         """
-        idle = self._pop_idle(address, limits.idle_ms)
-        return idle or await self._open(address, limits.timeout_ms)
+        acquired = self._pop_idle(address, limits)
+        if acquired is None:
+            acquired = await self._open(address, limits.timeout_ms)
+        if limits.key is not None:
+            acquired.record_key(limits.key)
+        return acquired
 
     def release(
         self,
@@ -119,22 +131,41 @@
         idle.append(leased)
 
     def _pop_idle(
-        self, address: str, idle_ms: float | None
+        self, address: str, limits: "ExchangeLimits"
     ) -> ConnectionT | None:
+        """Returns the connection used last that the limits allow, if any.
+
+        Connections that are no longer usable are closed; those that have
+        carried the key of the limits stay idle.
+        """
         idle = self._idle.get(address)
+        limit_ms = self._get_idle_limit_ms(address, limits)
+        skipped: list[ConnectionT] = []
+        found: ConnectionT | None = None
+        while idle and found is None:
+            candidate = idle.pop()
+            idle_time_ms = clock.get_now_ms() - candidate.idle_since_ms
+            if not candidate.is_reusable or idle_time_ms >= limit_ms:
+                candidate.close()
+            elif limits.key is not None and candidate.has_carried(limits.key):
+                skipped.append(candidate)
+            else:
+                found = candidate
+        if idle is not None:
+            idle.extend(reversed(skipped))
+        return found
+
+    def _get_idle_limit_ms(
+        self, address: str, limits: "ExchangeLimits"
+    ) -> float:
+        """Returns the time after which an idle connection is not reused."""
         limit_ms = min(
             self._settings.idle_ms,
             self._idle_limits_ms.get(address, self._settings.idle_ms),
         )
-        if idle_ms is not None:
-            limit_ms = min(limit_ms, idle_ms)
-        while idle:
-            idle_connection = idle.pop()
-            idle_time_ms = clock.get_now_ms() - idle_connection.idle_since_ms
-            if idle_connection.is_reusable and idle_time_ms < limit_ms:
-                return idle_connection
-            idle_connection.close()
-        return None
+        if limits.idle_ms is None:
+            return limit_ms
+        return min(limit_ms, limits.idle_ms)
 
     async def _open(self, address: str, timeout_ms: float) -> ConnectionT:
         endpoint = connection.Endpoint.parse(address)
@@ -172,16 +203,13 @@
         request: messages.Request,
         *,
         accepts: connection.AnswerFilter = connection.accept_any,
-        idle_ms: float | None = None,
-        timeout_ms: float = DEFAULT_ANSWER_TIMEOUT_MS,
+        limits: ExchangeLimits = NO_LIMITS,
     ) -> "Exchange":
         """Returns a context that sends a request and yields its answer.
 
-        Connections that were idle for `idle_ms` are not reused. The answer
-        must arrive within `timeout_ms`. `accepts` decides by the headers
-        whether an answer belongs to the request.
+        `accepts` decides by the headers whether an answer belongs to the
+        request.
         """
-        limits = ExchangeLimits(idle_ms, timeout_ms)
         return Exchange(self, address, request, accepts, limits)
 
     def record_idle_limit(self, address: str, answer: messages.Answer) -> None:
--- a/tests/transport/test_endless.py
+++ b/tests/transport/test_endless.py
@@ -64,7 +64,7 @@
                     address,
                     REQUEST,
                     accepts=lambda headers: ("request-id", "1") in headers,
-                    timeout_ms=30_000.0,
+                    limits=pool.ExchangeLimits(timeout_ms=30_000.0),
                 ) as answer:
                     match answer.body:
                         case call_body.StreamedBody(_, chunks):
--- a/tests/transport/test_pool.py
+++ b/tests/transport/test_pool.py
@@ -193,6 +193,34 @@
         assert server.connection_count == connections_used
 
 
+# Guards against a repeated answer that is taken for the one to the same
+# request, sent again on the connection that carried it before.
+@pytest.mark.parametrize(
+    ("keys", "connections_used"),
+    [
+        pytest.param(("1", "1"), 2, id="same key"),
+        pytest.param(("1", "2"), 1, id="another key"),
+        pytest.param(("1", "2", "1"), 2, id="same key after another"),
+        pytest.param(("1", "1", "2", "2"), 2, id="two keys"),
+        pytest.param((None, None), 1, id="no key"),
+    ],
+)
+async def test_exchanges_with_one_key_share_no_connection(
+    keys: tuple[str | None, ...], connections_used: int
+) -> None:
+    steps = (Read(), Send(OWN_ANSWER)) * len(keys)
+    async with (
+        scripted.run_scripted(*steps) as (server, address),
+        pool.ConnectionPool() as connections,
+    ):
+        for key in keys:
+            async with connections.send(
+                address, REQUEST, limits=pool.ExchangeLimits(key=key)
+            ):
+                pass
+        assert server.connection_count == connections_used
+
+
 async def test_answer_to_abandoned_request_reaches_no_later_request() -> None:
     # The request is abandoned after 30 ms, before its answer is sent.
     steps = (
