Put a worker into use only after a health check

Cause: departures are kept in the memory of a daemon. After a kill, a heartbeat from before the departure reached the new process, which put the worker into use on its word alone, though the health check failed. A departure without a start time was recorded for health checks only, so that a late report undid it without any kill.

Change: a process that is not in use is "Reported" until a health check, which follows at once, has succeeded; a leaving worker fails it. A lost worker needs one as well. Each health check has its own connection, so that a late copy of an earlier answer can't confirm a worker.

--- a/kumquatridge/platform/runtime.py
+++ b/kumquatridge/platform/runtime.py
@@ -36,9 +36,7 @@
             self._components.worker,
             self._components.members,
             self._components.controller,
-            worker_link.HttpHealthCheck(
-                self._components.connections, self._components.store
-            ),
+            worker_link.HttpHealthCheck(self._components.store),
             self._control.notify_peers,
         )
         self._listeners = daemon_listeners.DaemonListeners()
--- a/kumquatridge/platform/worker_link.py
+++ b/kumquatridge/platform/worker_link.py
@@ -202,12 +202,15 @@
 
 
 class HttpHealthCheck:
-    """Checks the health of the local worker over HTTP."""
+    """Checks the health of the local worker over HTTP.
 
-    def __init__(
-        self, connections: pool.ConnectionPool, store: route_store.RouteStore
-    ) -> None:
-        self._connections = connections
+    Each check has a connection of its own. Answers to health checks have no
+    request id: on a shared connection, a late copy of one would pass for the
+    answer to a later check, though the worker is leaving by then.
+    """
+
+    def __init__(self, store: route_store.RouteStore) -> None:
+        self._connections = pool.ConnectionPool(pool.PoolSettings(max_idle=0))
         self._store = store
 
     async def check(
--- a/kumquatridge/workers/own_worker.py
+++ b/kumquatridge/workers/own_worker.py
@@ -3,6 +3,11 @@
 Only this daemon sends calls to the worker, so this state decides whether the
 worker receives calls at all. A worker process that announced its shutdown is
 never used again, regardless of later reports.
+
+A daemon keeps departures in memory only. After its restart a late report may
+come from a worker that has announced its shutdown to the previous process.
+Therefore no report puts a worker into use by itself: a health check has to
+confirm it, which a worker fails once it is leaving.
 """
 
 import dataclasses
@@ -46,6 +51,13 @@
     """No worker has been seen."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reported:
+    """The worker reported that it is ready; no health check confirmed it."""
+
+    identity: WorkerIdentity
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Serving:
     """The worker accepts calls."""
@@ -67,7 +79,7 @@
     identity: WorkerIdentity
 
 
-WorkerState = Unknown | Serving | Leaving | Lost
+WorkerState = Unknown | Reported | Serving | Leaving | Lost
 
 # Departed workers are remembered so that late reports do not put them back into
 # use. Each has up to two entries, one for reports and one for health checks,
@@ -142,7 +154,12 @@
         match self.state:
             case Unknown():
                 return None
-            case Serving(identity) | Leaving(identity) | Lost(identity):
+            case (
+                Reported(identity)
+                | Serving(identity)
+                | Leaving(identity)
+                | Lost(identity)
+            ):
                 return identity
 
     def get_serving(self) -> WorkerIdentity | None:
@@ -156,7 +173,8 @@
     def apply_report(self, report: WorkerReport) -> ReportResult:
         """Applies a report unless it is stale or mismatched.
 
-        A report of a process that was started later replaces the known one.
+        A report of a process that was started later replaces the known one. A
+        process that is not serving yet needs a health check to be put into use.
         """
         identity = report.identity
         if identity.address != self._address:
@@ -178,8 +196,10 @@
         self._sequence = report.sequence
         if report.is_leaving or self._has_departed(identity):
             self._mark_leaving(identity)
-        else:
+        elif self._is_serving(identity):
             self.state = Serving(identity)
+        else:
+            self.state = Reported(identity)
         return Applied()
 
     def apply_departure(self, worker: str, started_ms: int = 0) -> bool:
@@ -207,18 +227,20 @@
         """Applies a successful health check; returns whether the state changed.
 
         `worker` and `slots` are what the worker at the address answered. Has no
-        effect unless the known worker is lost or unknown. If the answer has the
-        name of the lost worker, that worker is serving again. Any other worker
-        becomes serving only if `slots` is positive and that worker has not
-        announced its shutdown.
+        effect unless the known worker is reported, lost or unknown. If the
+        answer has the name of the reported or lost worker, that worker becomes
+        serving. Any other worker becomes serving only if `slots` is positive
+        and that worker has not announced its shutdown.
         """
         match self.state:
             case Serving() | Leaving():
                 return False
-            case Lost(identity) if identity.worker == worker:
+            case Reported(identity) | Lost(identity) if (
+                identity.worker == worker
+            ):
                 self.state = Serving(identity)
                 return True
-            case Lost() | Unknown():
+            case Reported() | Lost() | Unknown():
                 pass
         if (worker, 0) in self._departed or slots <= 0:
             return False
@@ -237,6 +259,19 @@
             case _:
                 return False
 
+    def _is_serving(self, identity: WorkerIdentity) -> bool:
+        """Returns whether this process is in use.
+
+        A worker in use that is known only from a health check has no start
+        time; it is recognised by its name.
+        """
+        serving = self.get_serving()
+        return (
+            serving is not None
+            and serving.worker == identity.worker
+            and serving.started_ms in (0, identity.started_ms)
+        )
+
     def _has_departed(self, identity: WorkerIdentity) -> bool:
         return (identity.worker, identity.started_ms) in self._departed
 
--- a/kumquatridge/workers/supervisor.py
+++ b/kumquatridge/workers/supervisor.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 import dataclasses
 from typing import Protocol
 
@@ -12,7 +13,7 @@
 from kumquatridge.telemetry import events
 from kumquatridge.workers import own_worker
 
-# Interval at which an unknown or lost worker is checked. A restarted daemon
+# Interval at which a worker that is not in use is checked. A restarted daemon
 # uses a healthy worker after this time at the latest.
 HEALTH_CHECK_INTERVAL_S = 0.25
 
@@ -55,9 +56,10 @@
     departures that were malformed or did not apply to the worker. The
     supervisor does not start or stop the worker process.
 
-    While its context is open, a worker that is unknown or lost is checked at
-    intervals until it is in use. A restarted daemon therefore does not have to
-    wait for the next report of its worker.
+    While its context is open, a worker that is unknown, lost or only reported
+    is checked at intervals until it is in use. A restarted daemon therefore
+    does not have to wait for the next report of its worker, and a report is
+    followed by a check at once.
     """
 
     def __init__(
@@ -73,6 +75,7 @@
         self._controller = controller
         self._health = health
         self._on_change = on_change
+        self._check_requested = asyncio.Event()
         self.ignored_reports = 0
 
     def handle_report(self, report: own_worker.WorkerReport) -> None:
@@ -81,6 +84,7 @@
         match self.worker.apply_report(report):
             case own_worker.Applied():
                 self._publish(previous_state, "report")
+                self._check_requested.set()
             case own_worker.Stale():
                 self.ignore(
                     report.identity.worker,
@@ -127,12 +131,23 @@
 
     async def _run(self) -> None:
         while True:
+            self._check_requested.clear()
             match self.worker.state:
-                case own_worker.Unknown() | own_worker.Lost():
+                case (
+                    own_worker.Unknown()
+                    | own_worker.Reported()
+                    | own_worker.Lost()
+                ):
                     await self._check()
                 case own_worker.Serving() | own_worker.Leaving():
                     pass
-            await asyncio.sleep(HEALTH_CHECK_INTERVAL_S)
+            await self._wait_for_next_check()
+
+    async def _wait_for_next_check(self) -> None:
+        """Waits for the interval, or until a report arrives."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(HEALTH_CHECK_INTERVAL_S):
+                await self._check_requested.wait()
 
     async def _check(self) -> None:
         worker = self.worker
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -337,11 +337,16 @@
 
     async def send_report(self, number: int, name: str, data: bytes) -> int:
         """Sends bytes as a worker's heartbeat; returns the answer's status."""
+        return await self._announce(number, f"Heartbeat/{name}", data)
+
+    async def deregister(self, number: int, data: bytes) -> int:
+        """Announces a worker's shutdown; returns the answer's status."""
+        name = self.workers[number].name
+        return await self._announce(number, f"Deregister/{name}", data)
+
+    async def _announce(self, number: int, call: str, data: bytes) -> int:
         request = http.Request(
-            "POST",
-            f"/api/Instances.Heartbeat/{name}",
-            (),
-            call_body.BufferedBody(data),
+            "POST", f"/api/Instances.{call}", (), call_body.BufferedBody(data)
         )
         address = self.settings[number].announcement_address
         async with self.callers.send(address, request) as answer:
--- a/tests/platform/test_deployment.py
+++ b/tests/platform/test_deployment.py
@@ -212,15 +212,7 @@
     shops = make_shops()
     async with deployments.open_deployment(*shops, routes=ROUTES) as deployment:
         if deregisters:
-            request = http.Request(
-                "POST",
-                "/api/Instances.Deregister/shop-0",
-                (),
-                call_body.EMPTY,
-            )
-            address = deployment.settings[0].announcement_address
-            async with deployment.callers.send(address, request) as answer:
-                assert answer.status == 200
+            assert await deployment.deregister(0, b"") == 200
         else:
             # Without an earlier report, any sequence number is accepted.
             assert (
@@ -235,6 +227,41 @@
     assert len(shops[1].received) == 20
 
 
+# Guards against a worker that is used again after its departure: the daemon
+# that acknowledged it was killed, and an earlier report arrives late.
+@pytest.mark.parametrize(
+    "departure",
+    [
+        pytest.param(b'{"born":1}', id="with start time"),
+        pytest.param(b"", id="without start time"),
+    ],
+)
+@pytest.mark.parametrize("departs_after_restart", [False, True])
+async def test_departed_worker_stays_unused_after_a_restart_of_its_daemon(
+    departs_after_restart: bool, departure: bytes
+) -> None:
+    shops = make_shops()
+    async with deployments.open_deployment(*shops, routes=ROUTES) as deployment:
+        await deployment.report(0, sequence=1)
+        shops[0].is_healthy = False
+        if not departs_after_restart:
+            assert await deployment.deregister(0, departure) == 200
+        daemon = await deployment.restart_daemon(0)
+        if departs_after_restart:
+            assert await deployment.deregister(0, departure) == 200
+        await deployment.report(0, sequence=2)
+        await deployments.wait_until(lambda: daemon.count_instances() > 0, 8.0)
+        # Longer than the interval of the health checks.
+        await asyncio.sleep(0.4)
+        for number in range(20):
+            request = deployments.make_request(
+                "/buy/x", request_id=f"r{number}"
+            )
+            assert (await deployment.send(request, 0)).status == 200
+    assert not shops[0].received
+    assert len(shops[1].received) == 20
+
+
 async def test_request_in_progress_completes_while_its_worker_leaves() -> None:
     (shop,) = make_shops(1)
     shop.behaviour = deployments.Behaviour(work_ms=300)
--- a/tests/workers/test_own_worker.py
+++ b/tests/workers/test_own_worker.py
@@ -52,6 +52,10 @@
 Step = ReportReceived | DepartureReceived | HealthCheckPassed | WorkerLost
 
 
+IN_USE_A = (ReportReceived(WORKER_A, 1), HealthCheckPassed("a"))
+IN_USE_B = (ReportReceived(WORKER_B, 1), HealthCheckPassed("b"))
+
+
 def apply_step(worker: own_worker.OwnWorker, step: Step) -> None:
     match step:
         case ReportReceived(identity, sequence, is_leaving):
@@ -70,40 +74,49 @@
     ("steps", "serving_worker"),
     [
         pytest.param((), None, id="no events"),
-        pytest.param((ReportReceived(WORKER_A, 1),), "a", id="reported ready"),
+        # Guards against a worker that left before a restart of its daemon and
+        # is used again after a late report.
+        pytest.param((ReportReceived(WORKER_A, 1),), None, id="reported ready"),
+        pytest.param(IN_USE_A, "a", id="reported ready and healthy"),
+        pytest.param(
+            (*IN_USE_A, ReportReceived(WORKER_A, 2)), "a", id="reported again"
+        ),
         pytest.param(
-            (ReportReceived(WORKER_A, 1), ReportReceived(WORKER_A, 2, True)),
+            (*IN_USE_A, ReportReceived(WORKER_A, 2, True)),
             None,
             id="reported leaving",
         ),
         pytest.param(
             (
-                ReportReceived(WORKER_A, 1),
+                *IN_USE_A,
                 ReportReceived(WORKER_A, 3, True),
                 ReportReceived(WORKER_A, 2),
+                HealthCheckPassed("a"),
             ),
             None,
             id="late report after leaving",
         ),
         pytest.param(
             (
-                ReportReceived(WORKER_A, 1),
+                *IN_USE_A,
                 ReportReceived(WORKER_A, 2, True),
                 ReportReceived(WORKER_A, 3),
+                HealthCheckPassed("a"),
             ),
             None,
             id="reported ready again after leaving",
         ),
+        pytest.param((*IN_USE_A, DepartureReceived("a")), None, id="departed"),
         pytest.param(
-            (ReportReceived(WORKER_A, 1), DepartureReceived("a")),
-            None,
-            id="departed",
-        ),
-        pytest.param(
-            (ReportReceived(WORKER_A, 1), DepartureReceived("b")),
+            (*IN_USE_A, DepartureReceived("b")),
             "a",
             id="another worker departed",
         ),
+        pytest.param(
+            (*IN_USE_A, DepartureReceived("a"), HealthCheckPassed("a")),
+            None,
+            id="healthy after departure",
+        ),
         pytest.param(
             (
                 ReportReceived(WORKER_A, 1),
@@ -111,46 +124,82 @@
                 HealthCheckPassed("a"),
             ),
             None,
-            id="healthy after departure",
+            id="departed before the first health check",
         ),
         pytest.param(
             (
                 ReportReceived(WORKER_A, 9, True),
                 ReportReceived(RESTARTED_WORKER_A, 1),
+                HealthCheckPassed("a"),
             ),
             "a",
             id="restarted under the same name",
         ),
         pytest.param(
-            (ReportReceived(WORKER_A, 9), ReportReceived(WORKER_B, 1)),
+            (*IN_USE_A, ReportReceived(WORKER_B, 1), HealthCheckPassed("b")),
             "b",
             id="replaced by another worker",
         ),
         pytest.param(
-            (ReportReceived(WORKER_B, 1), ReportReceived(WORKER_A, 9, True)),
+            (*IN_USE_A, ReportReceived(WORKER_B, 1)),
+            None,
+            id="replaced by a worker that is not yet healthy",
+        ),
+        pytest.param(
+            (*IN_USE_A, ReportReceived(RESTARTED_WORKER_A, 1)),
+            None,
+            id="restarted in use, not yet healthy",
+        ),
+        pytest.param(
+            (*IN_USE_B, ReportReceived(WORKER_A, 9, True)),
             "b",
             id="report of an earlier process",
         ),
+        pytest.param(
+            (ReportReceived(WORKER_A, 9), HealthCheckPassed("b")),
+            "b",
+            id="another worker answers the health check",
+        ),
         pytest.param(
             (HealthCheckPassed("a"),), "a", id="healthy before any report"
         ),
+        pytest.param(
+            (HealthCheckPassed("a"), ReportReceived(WORKER_A, 9)),
+            "a",
+            id="reported after a health check",
+        ),
         pytest.param(
             (HealthCheckPassed("a", 0),), None, id="healthy without slots"
         ),
+        pytest.param(
+            (ReportReceived(WORKER_A, 1), HealthCheckPassed("a", 0)),
+            "a",
+            id="slots known from the report only",
+        ),
         pytest.param(
             (DepartureReceived("a"), HealthCheckPassed("a")),
             None,
             id="healthy after the departure of an unknown worker",
         ),
         pytest.param(
-            (DepartureReceived("a", 100), ReportReceived(WORKER_A, 9)),
+            (
+                DepartureReceived("a", 100),
+                ReportReceived(WORKER_A, 9),
+                HealthCheckPassed("a"),
+            ),
             None,
             id="late report after a departure before any report",
         ),
+        pytest.param(
+            (DepartureReceived("a"), ReportReceived(WORKER_A, 9)),
+            None,
+            id="late report after a departure without start time",
+        ),
         pytest.param(
             (
                 DepartureReceived("a", 100),
                 ReportReceived(RESTARTED_WORKER_A, 1),
+                HealthCheckPassed("a"),
             ),
             "a",
             id="restarted after a departure before any report",
@@ -158,6 +207,7 @@
         pytest.param(
             (
                 ReportReceived(RESTARTED_WORKER_A, 1),
+                HealthCheckPassed("a"),
                 DepartureReceived("a", 100),
             ),
             "a",
@@ -168,42 +218,37 @@
                 HealthCheckPassed("a"),
                 DepartureReceived("a", 100),
                 ReportReceived(WORKER_A, 9),
+                HealthCheckPassed("a"),
             ),
             None,
             id="late report after a departure known from health checks only",
         ),
+        pytest.param((*IN_USE_A, WorkerLost("a")), None, id="lost"),
         pytest.param(
-            (ReportReceived(WORKER_A, 1), WorkerLost("a")), None, id="lost"
-        ),
-        pytest.param(
-            (ReportReceived(WORKER_B, 1), WorkerLost("a")),
-            "b",
-            id="another worker lost",
+            (*IN_USE_B, WorkerLost("a")), "b", id="another worker lost"
         ),
         pytest.param(
-            (
-                ReportReceived(WORKER_A, 1),
-                WorkerLost("a"),
-                HealthCheckPassed("a"),
-            ),
+            (*IN_USE_A, WorkerLost("a"), HealthCheckPassed("a")),
             "a",
             id="restored by health check",
         ),
+        pytest.param(
+            (*IN_USE_A, WorkerLost("a"), ReportReceived(WORKER_A, 2)),
+            None,
+            id="reported after the loss",
+        ),
         pytest.param(
             (
-                ReportReceived(WORKER_A, 1),
+                *IN_USE_A,
                 WorkerLost("a"),
                 ReportReceived(WORKER_A, 2),
+                HealthCheckPassed("a"),
             ),
             "a",
-            id="restored by report",
+            id="restored by report and health check",
         ),
         pytest.param(
-            (
-                ReportReceived(WORKER_A, 1),
-                WorkerLost("a"),
-                ReportReceived(WORKER_A, 1),
-            ),
+            (*IN_USE_A, WorkerLost("a"), ReportReceived(WORKER_A, 1)),
             None,
             id="repeated report after the loss",
         ),
@@ -212,6 +257,7 @@
                 ReportReceived(
                     dataclasses.replace(WORKER_A, service="other"), 1
                 ),
+                HealthCheckPassed("a", 0),
             ),
             None,
             id="another service",
@@ -221,6 +267,7 @@
                 ReportReceived(
                     dataclasses.replace(WORKER_A, address="10.0.0.2:80"), 1
                 ),
+                HealthCheckPassed("a", 0),
             ),
             None,
             id="another address",
