Notice silent connections to the store in time

Cause: a silent watch was given up after its window of 3.5 to 5 s and 1 s more, then came a pause, and the next read could use another silent connection. After a change all watchers begin to watch together, so that none ended early. A watcher counted as in touch while its watch was silent.

Change: one watcher of all has a window of 0.6 of the bound for changes. The time-out follows 0.5 s after a window (the store's slowest answers take 0.4 s), a first failure is followed by a read at once, and a time-out closes the idle connections to the store. A failed watch dates the sign of its daemon back to the last answer. Calls and control messages between daemons close the idle connections to a daemon after a time-out too.

--- a/kumquatridge/membership/platform_signs.py
+++ b/kumquatridge/membership/platform_signs.py
@@ -22,11 +22,20 @@
         self._is_watching = False
         # Time of the newest sign, on the clock of this process.
         self._signed_ms = -math.inf
+        # Time of the last answer of the platform to this daemon.
+        self._answered_ms = -math.inf
 
     def set_watching(self, is_watching: bool) -> None:
-        """Says whether this daemon is in touch with the platform itself."""
-        if self._is_watching:
-            self._signed_ms = clock.get_now_ms()
+        """Says whether this daemon is in touch with the platform itself.
+
+        Called with True at each answer of the platform. Once the watch has
+        failed, the last answer is the newest sign: the connection may have been
+        silent since.
+        """
+        if is_watching:
+            self._answered_ms = clock.get_now_ms()
+        elif self._is_watching:
+            self._signed_ms = max(self._signed_ms, self._answered_ms)
         self._is_watching = is_watching
 
     def get_age_ms(self) -> float:
--- a/kumquatridge/membership/watch_role.py
+++ b/kumquatridge/membership/watch_role.py
@@ -30,7 +30,8 @@
         # The revision of the member table at the last call of `has_settled`.
         self._checked_revision = -1
         self._is_watcher = False
-        # The revision of the member table for which `_is_watcher` was computed.
+        self._is_first = False
+        # The revision of the member table for which the two were computed.
         self._revision = -1
 
     def has_settled(self) -> bool:
@@ -44,20 +45,31 @@
 
     def is_watcher(self) -> bool:
         """Returns whether this daemon watches for its data centre."""
-        if self._revision != self._members.revision:
-            self._revision = self._members.revision
-            self._is_watcher = self._is_selected()
+        self._update()
         return self._is_watcher
 
+    def is_first(self) -> bool:
+        """Returns whether this daemon is the first watcher of all.
+
+        It is selected by the same hash, so that it is one of the watchers of
+        its data centre.
+        """
+        self._update()
+        return self._is_first
+
     def get_sign_age_ms(self) -> float:
         """Returns the age of the newest sign of a working watch."""
         return self._signs.get_age_ms()
 
     def set_watching(self, is_watching: bool) -> None:
-        """Says whether the watch of this daemon works."""
+        """Says whether the watch of this daemon works, at each answer."""
         self._signs.set_watching(is_watching)
 
-    def _is_selected(self) -> bool:
+    def _update(self) -> None:
+        """Selects the watchers again if the members have changed."""
+        if self._revision == self._members.revision:
+            return
+        self._revision = self._members.revision
         own = self._members.own
         candidates = [
             member
@@ -71,4 +83,9 @@
             for member in candidates
             if member.data_centre == own.data_centre
         ]
-        return relays.is_relay(own, neighbours, count, self._purpose)
+        self._is_watcher = relays.is_relay(
+            own, neighbours, count, self._purpose
+        )
+        self._is_first = self._is_watcher and relays.is_relay(
+            own, candidates, 1, self._purpose
+        )
--- a/kumquatridge/peers/http_link.py
+++ b/kumquatridge/peers/http_link.py
@@ -49,6 +49,8 @@
             ):
                 return self._decode(address, answer)
         except (TimeoutError, transport_errors.TransportError) as error:
+            # The idle connections may have gone silent together with this one.
+            self.disconnect(address)
             raise membership_errors.PeerSilentError(
                 f"{address}: no answer to a control message "
                 f"(time-out {timeout_ms} ms): {error!r}"
--- a/kumquatridge/platform/client.py
+++ b/kumquatridge/platform/client.py
@@ -34,7 +34,7 @@
 # The store ends a watch without changes when the requested wait is over. The
 # client times out this much later, to allow for the store's slowest answers
 # (0.4 s).
-WATCH_GRACE_S = 1.0
+WATCH_GRACE_S = 0.5
 # Longest wait that the store allows for one watch.
 MAX_WAIT_S = 30.0
 # Pause after a watch that returned changes, so that frequent changes arrive in
@@ -264,6 +264,8 @@
             ):
                 return answer.status, await _read_body(answer.body)
         except (TimeoutError, transport_errors.TransportError) as error:
+            # The idle connections may have gone silent together with this one.
+            self._connections.close_idle(self._address)
             raise errors.PlatformUnreachableError(
                 f"no answer from the platform at {self._address}:"
                 f" {error or 'time-out'}"
--- a/kumquatridge/platform/control_plane.py
+++ b/kumquatridge/platform/control_plane.py
@@ -40,9 +40,6 @@
 GOSSIP_SETTINGS = gossip_settings.GossipSettings(dead_retry_ms=1500)
 # Selects the daemons that watch the configuration.
 WATCH_PURPOSE = "routes"
-# A daemon without a sign of a working watch calls the store itself after this
-# share of the time within which a change must be in force.
-MAX_SIGN_AGE_RATIO = 0.75
 # Well above the 4 ms in which the store usually answers, and well below its
 # shortest outage.
 STORE_TIMEOUT_MS = 1200
@@ -153,9 +150,8 @@
 
     def _make_route_watch(self) -> route_watch.RouteWatch:
         return route_watch.RouteWatch(
-            route_watch.RouteWatchSettings(
-                max_sign_age_ms=self._settings.config_apply_ms
-                * MAX_SIGN_AGE_RATIO
+            route_watch.RouteWatchSettings.for_bound(
+                self._settings.config_apply_ms
             ),
             configuration.ConfigurationRepository(self._client),
             self._components.store,
--- a/kumquatridge/settings/route_watch.py
+++ b/kumquatridge/settings/route_watch.py
@@ -10,7 +10,7 @@
 import dataclasses
 import math
 import random
-from typing import Protocol
+from typing import Protocol, Self
 
 from kumquatridge import background
 from kumquatridge import clock
@@ -21,6 +21,9 @@
 
 # The peers are taken to be known when as many checks in a row found no other.
 SETTLED_CHECKS = 4
+# Shares of the time within which a change must be in force.
+FIRST_WINDOW_RATIO = 0.6
+MAX_SIGN_AGE_RATIO = 0.75
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,6 +78,10 @@
         """Returns whether this daemon was selected to watch the platform."""
         ...
 
+    def is_first(self) -> bool:
+        """Returns whether this daemon is the first of all watchers."""
+        ...
+
     def get_sign_age_ms(self) -> float:
         """Returns the age of the newest sign of a working watch.
 
@@ -83,7 +90,10 @@
         ...
 
     def set_watching(self, is_watching: bool) -> None:
-        """Says whether the watch of this daemon works."""
+        """Says whether the watch of this daemon works.
+
+        Called with True at each answer of the platform.
+        """
         ...
 
 
@@ -98,6 +108,10 @@
         """Returns True."""
         return True
 
+    def is_first(self) -> bool:
+        """Returns True."""
+        return True
+
     def get_sign_age_ms(self) -> float:
         """Returns infinity."""
         return math.inf
@@ -110,11 +124,13 @@
 class RouteWatchSettings:
     """Timing of the calls to the platform.
 
-    A watch lasts at most `window_ms`. If it silently stops delivering, the next
-    one finds a change after that time, unless a peer passes it on sooner. The
-    pause of `pause_ms` after each change limits a burst of changes to a few
-    calls per second. After a failure the next call follows in 0.5 to 1.5 times
-    `retry_ms`, doubled with each further failure up to `max_retry_ms`.
+    A watch lasts at most `window_ms`, that of the first watcher at most
+    `first_window_ms`. If all watches silently stop delivering, the first
+    watcher notices this by its time-out, reads, and publishes a change to the
+    others. The pause of `pause_ms` after each change limits a burst of changes
+    to a few calls per second. After a first failure the next call follows at
+    once, after the second in 0.5 to 1.5 times `retry_ms`, doubled with each
+    further failure up to `max_retry_ms`.
 
     A daemon that is no watcher calls the platform while the newest sign of a
     working watch is older than `max_sign_age_ms`; it checks this every
@@ -122,14 +138,23 @@
     `join_ms` at most: a daemon without peers takes itself for a watcher.
     """
 
-    window_ms: float = 5000.0
+    window_ms: float = 4500.0
+    first_window_ms: float = 1200.0
     pause_ms: float = 250.0
     retry_ms: float = 400.0
     max_retry_ms: float = 1600.0
-    max_sign_age_ms: float = 1300.0
+    max_sign_age_ms: float = 1500.0
     check_ms: float = 100.0
     join_ms: float = 2000.0
 
+    @classmethod
+    def for_bound(cls, apply_ms: float) -> Self:
+        """Returns settings for changes to be in force within `apply_ms`."""
+        return cls(
+            first_window_ms=apply_ms * FIRST_WINDOW_RATIO,
+            max_sign_age_ms=apply_ms * MAX_SIGN_AGE_RATIO,
+        )
+
 
 class RouteWatch(background.BackgroundOwner):
     """Keeps the route table up to date while its context is open."""
@@ -223,7 +248,8 @@
         except errors.RepositoryError as error:
             self._record_failure(str(error))
             self._revision = None
-            await asyncio.sleep(self._get_retry_ms() / 1000.0)
+            if self._failures > 1:
+                await asyncio.sleep(self._get_retry_ms() / 1000.0)
             return
         self._record_answer()
         self._role.set_watching(True)
@@ -235,10 +261,12 @@
 
     def _get_window_ms(self) -> float:
         """Returns the window with jitter, so that daemons don't synchronise."""
+        if self._role.is_first():
+            return self._settings.first_window_ms
         return self._settings.window_ms * self._random.uniform(0.7, 1.0)
 
     def _get_retry_ms(self) -> float:
-        retry_ms = self._settings.retry_ms * 2.0 ** (self._failures - 1)
+        retry_ms = self._settings.retry_ms * 2.0 ** (self._failures - 2)
         retry_ms = min(retry_ms, self._settings.max_retry_ms)
         return retry_ms * self._random.uniform(0.5, 1.5)
 
--- a/kumquatridge/transport/frame_pool.py
+++ b/kumquatridge/transport/frame_pool.py
@@ -1,6 +1,7 @@
 """A pool of connections to other daemons."""
 
 from kumquatridge import scopes
+from kumquatridge.transport import errors
 from kumquatridge.transport import frame_connection
 from kumquatridge.transport import frames
 from kumquatridge.transport import pool
@@ -48,7 +49,15 @@
         """
         limits = pool.ExchangeLimits(timeout_ms=self._timeout_ms)
         self._leased = await self._connections.acquire(self._address, limits)
-        return await self._leased.send(self._message, self._timeout_ms / 1000.0)
+        try:
+            return await self._leased.send(
+                self._message, self._timeout_ms / 1000.0
+            )
+        except errors.AnswerTimeoutError:
+            # A daemon answers before this time-out. The idle connections to it
+            # may have gone silent together with this one.
+            self._connections.close_idle(self._address)
+            raise
 
     async def _close(self, error: BaseException | None) -> None:
         leased, self._leased = self._leased, None
--- a/tests/platform/test_client.py
+++ b/tests/platform/test_client.py
@@ -12,6 +12,7 @@
 from kumquatridge.standins import platform as platform_standin
 from kumquatridge.standins import platform_store
 from tests import processes
+from tests.transport import scripted
 
 Faults = platform_store.PlatformFaults
 # Time-out of the client's calls.
@@ -188,6 +189,23 @@
             await read(client)
 
 
+# Guards against calls that are sent on further silent connections one by one,
+# after a time-out has shown that connections to the store have gone silent.
+async def test_call_after_a_time_out_uses_a_new_connection() -> None:
+    body = b'{"metadata":{"name":"x","revision":1},"spec":1}'
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+    # Each connection is silent after its first answer.
+    steps = (scripted.Read(), scripted.Send(head.encode() + body))
+    async with scripted.run_scripted(*steps) as (server, address):
+        settings = platform_client.ClientSettings(address, None, TIMEOUT_MS)
+        async with platform_client.PlatformClient(settings) as client:
+            await asyncio.gather(*(client.get("a/x") for _ in range(3)))
+            assert server.connection_count == 3
+            with pytest.raises(errors.PlatformUnreachableError):
+                await client.get("a/x")
+            assert await client.get("a/x") is not None
+
+
 async def test_listing_of_several_pages_is_complete() -> None:
     store = platform_store.PlatformStore()
     names = [
--- a/tests/transport/test_frames.py
+++ b/tests/transport/test_frames.py
@@ -343,3 +343,23 @@
         for _ in range(2):
             assert await exchange(connections, address) == b"body"
         assert connections.opened_count == 2
+
+
+# Guards against calls that are sent on further silent connections one by one,
+# after a time-out has shown that connections to a daemon have gone silent.
+async def test_call_after_a_time_out_uses_a_new_connection() -> None:
+    async def send(timeout_ms: float) -> None:
+        async with connections.send(address, MESSAGE, timeout_ms):
+            pass
+
+    # Each connection is silent after its first answer.
+    async with (
+        scripted.run_scripted(Read(), Send(ANSWER)) as (server, address),
+        frame_pool.FramePool() as connections,
+    ):
+        await asyncio.gather(*(send(TIMEOUT_MS) for _ in range(3)))
+        assert server.connection_count == 3
+        with pytest.raises(errors.AnswerTimeoutError):
+            await send(100.0)
+        await send(TIMEOUT_MS)
+        assert server.connection_count == 4
