Keep a stopping daemon until its answers are sent

Cause: a buffered answer is passed to the write buffer at once, and its request counted as done. The drain ended when no request was in progress, and the process with the rest of the answer in its buffer.

Change: a connection is idle only when its write buffer is empty too, for callers and for other daemons. After the drain, while the daemon closes its parts, requests are refused as not run; they were passed on and cut off before.

Ruled out: the kernel's buffers (what was passed to the kernel arrived); the deadline (the answer is complete before it without the stop).

--- a/kumquatridge/platform/listeners.py
+++ b/kumquatridge/platform/listeners.py
@@ -101,7 +101,7 @@
 
         The listeners stay open: callers stop sending when they see the failing
         readiness check, and requests sent before that are still forwarded to
-        other instances.
+        other instances. Requests that arrive after the drain are refused.
         """
         self.is_stopping = True
         for opened_listener in self._listeners:
@@ -116,8 +116,9 @@
             for caller_listener in self._caller_listeners:
                 caller_listener.close_idle()
             if self._is_idle():
-                return
+                break
             await asyncio.sleep(IDLE_POLL_S)
+        self.accepts_requests = False
 
     def _is_idle(self) -> bool:
         return all(
--- a/kumquatridge/transport/frame_listener.py
+++ b/kumquatridge/transport/frame_listener.py
@@ -54,11 +54,11 @@
         self._message: frames.Message | None = None
 
     @property
-    def is_idle(self) -> bool:
-        """Returns whether no message is in progress or partly received."""
+    def _has_request(self) -> bool:
+        """Returns whether a message is in progress or partly received."""
         is_at_boundary = self._reader is None or self._reader.is_at_boundary
         return (
-            not self.is_answering and self._message is None and is_at_boundary
+            self.is_answering or self._message is not None or not is_at_boundary
         )
 
     async def _serve(self) -> None:
--- a/kumquatridge/transport/http_listener.py
+++ b/kumquatridge/transport/http_listener.py
@@ -122,9 +122,9 @@
         self._is_finished = False
 
     @property
-    def is_idle(self) -> bool:
-        """Returns whether no request is in progress, queued or incomplete."""
-        return not (self.is_answering or self._pending or self._incoming)
+    def _has_request(self) -> bool:
+        """Returns whether a request is in progress, queued or incomplete."""
+        return bool(self.is_answering or self._pending or self._incoming)
 
     def check_timeouts(self, now_ms: float) -> None:
         """Closes a connection idle for too long; answers 408 to a slow head."""
--- a/kumquatridge/transport/server.py
+++ b/kumquatridge/transport/server.py
@@ -61,9 +61,21 @@
         return self._listener.is_draining
 
     @property
-    @abc.abstractmethod
     def is_idle(self) -> bool:
-        """Returns whether no request is in progress or partly received."""
+        """Returns whether the connection can be closed without loss.
+
+        There is no request, and all answers were passed to the kernel.
+        """
+        return not self._has_request and not self._has_unsent_bytes
+
+    @property
+    def _has_unsent_bytes(self) -> bool:
+        return self.transport.get_write_buffer_size() > 0
+
+    @property
+    @abc.abstractmethod
+    def _has_request(self) -> bool:
+        """Returns whether a request is in progress or partly received."""
 
     @abc.abstractmethod
     async def _serve(self) -> None:
@@ -134,7 +146,7 @@
 
     @property
     def is_idle(self) -> bool:
-        """Returns whether no connection has a request in progress."""
+        """Returns whether no connection has a request or unsent bytes."""
         return all(connection.is_idle for connection in self.connections)
 
     @abc.abstractmethod
@@ -181,7 +193,7 @@
         self.settings = settings
 
     def close_idle(self) -> None:
-        """Closes the connections without a request in progress."""
+        """Closes the connections without a request or unsent bytes."""
         for connection in tuple(self.connections):
             if connection.is_idle:
                 connection.finish()
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -33,15 +33,16 @@
 class Behaviour:
     """How a stand-in worker handles requests.
 
-    `work_ms` is the time spent on a request and `status` the status of the
-    answer. With `is_endless` the body of the answer never ends. `not_run` marks
-    answers as not executed, `drops` closes the connection instead of answering,
-    `crashes` stops the worker on a path that ends in "/poison", and `calls` are
-    the paths of its nested calls.
+    `work_ms` is the time spent on a request, `status` the status of the answer
+    and `body_bytes` the least length of its body. With `is_endless` the body of
+    the answer never ends. `not_run` marks answers as not executed, `drops`
+    closes the connection instead of answering, `crashes` stops the worker on a
+    path that ends in "/poison", and `calls` are the paths of its nested calls.
     """
 
     work_ms: float = 1.0
     status: int = 200
+    body_bytes: int = 0
     is_endless: bool = False
     not_run: bool = False
     drops: bool = False
@@ -149,8 +150,9 @@
         )
         if behaviour.not_run:
             headers = (("Request-Id", request_id), ("Not-Executed", "1"))
+        data = f"{self.name}{request.target}".encode()
         body: call_body.Body = call_body.BufferedBody(
-            f"{self.name}{request.target}".encode()
+            data.ljust(behaviour.body_bytes, b".")
         )
         if behaviour.is_endless:
             body = call_body.StreamedBody(
--- a/tests/platform/test_deployment.py
+++ b/tests/platform/test_deployment.py
@@ -7,9 +7,11 @@
 
 from kumquatridge.admission import offers
 from kumquatridge.calls import body as call_body
+from kumquatridge.platform import listeners
 from kumquatridge.standins import platform_store
 from kumquatridge.transport import messages as http
 from tests.platform import deployment as deployments
+from tests.platform import late_reader
 
 NON_IDEMPOTENT = {"routeType": "non_idempotent"}
 SHOP = deployments.make_route("/shop/", ("shop", 1))
@@ -344,6 +346,46 @@
         await draining
 
 
+# Guards against an answer that a planned stop cuts off, because it is still in
+# the daemon's write buffer when its caller begins to read.
+@pytest.mark.parametrize(
+    "body_bytes",
+    # `incoming_body.MAX_BUFFERED_BYTES` is 512 KiB.
+    [
+        pytest.param(500_000, id="buffered"),
+        pytest.param(700_000, id="streamed"),
+    ],
+)
+async def test_drain_waits_for_an_answer_that_is_read_late(
+    body_bytes: int,
+) -> None:
+    (shop,) = make_shops(1)
+    shop.behaviour = Behaviour(body_bytes=body_bytes)
+    slow = deployments.make_route("/slow/", ("shop", 1), timeoutS=5.0)
+    async with deployments.open_deployment(shop, routes=(slow,)) as deployment:
+        address = deployment.settings[0].caller_address
+        async with late_reader.send(address, "/slow/x", 5000) as reader:
+            await deployments.wait_until(lambda: bool(shop.received))
+            draining = asyncio.create_task(deployment.daemons[0].drain())
+            # Past the time at which idle connections are closed.
+            await asyncio.sleep(listeners.CLOSE_IDLE_AFTER_MS / 1000 + 0.3)
+            assert not draining.done()
+            assert len(await late_reader.read_body(reader)) == body_bytes
+        async with asyncio.timeout(1.0):
+            await draining
+
+
+# Guards against a request that is passed on after the drain, while the daemon
+# closes, and is cut off without an answer.
+async def test_request_after_the_drain_is_refused() -> None:
+    shops = make_shops()
+    async with deployments.open_deployment(*shops, routes=ROUTES) as deployment:
+        await deployment.daemons[0].drain()
+        answer = await deployment.send(deployments.make_request("/shop/x"))
+        assert answer.status == 503
+    assert count_received(shops) == 0
+
+
 async def test_drain_ends_before_the_kill_margin() -> None:
     """A drain stops waiting for requests shortly before SIGKILL.
 
