--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -289,6 +289,11 @@
         self._daemon_stacks[number] = stack
         return daemon
 
+    async def stop_daemon(self, number: int) -> None:
+        """Drains the daemon of a worker and stops it, as SIGTERM does."""
+        await self.daemons[number].drain()
+        await self._daemon_stacks[number].aclose()
+
     async def restart_daemon(self, number: int) -> runtime.PlatformDaemon:
         """Stops the daemon of a worker without a drain; starts a new one.
 
--- a/tests/platform/test_deployment.py
+++ b/tests/platform/test_deployment.py
@@ -9,6 +9,7 @@
 from kumquatridge.calls import body as call_body
 from kumquatridge.platform import listeners
 from kumquatridge.standins import platform_store
+from kumquatridge.transport import errors
 from kumquatridge.transport import messages as http
 from tests.platform import deployment as deployments
 from tests.platform import late_reader
@@ -346,6 +347,46 @@
         await draining
 
 
+# Guards against requests that are taken late in the grace period, passed on,
+# and cut off at its end.
+async def test_request_taken_in_the_grace_period_is_answered() -> None:
+    shops = make_shops()
+    for shop in shops:
+        shop.behaviour = Behaviour(work_ms=700)
+    async with deployments.open_deployment(
+        *shops, routes=ROUTES, grace_ms=5600.0
+    ) as deployment:
+
+        async def send(number: int) -> None:
+            request = deployments.make_request(
+                "/buy/x", request_id=f"r{number}"
+            )
+            try:
+                answer = await deployment.send(request)
+            except errors.TransportError:
+                return
+            statuses[f"r{number}"] = answer.status
+
+        statuses: dict[str, int] = {}
+        async with asyncio.TaskGroup() as group:
+            stopping = group.create_task(deployment.stop_daemon(0))
+            number = 0
+            while not stopping.done():
+                number += 1
+                group.create_task(send(number))
+                await asyncio.sleep(0.05)
+        received = [
+            http.find_header(request.headers, "request-id")
+            for shop in shops
+            for request in shop.received
+        ]
+    assert [statuses.get(name or "") for name in received] == [
+        200 for _ in received
+    ]
+    assert len(received) > 20
+    assert 503 in statuses.values()
+
+
 # Guards against an answer that a planned stop cuts off, because it is still in
 # the daemon's write buffer when its caller begins to read.
 @pytest.mark.parametrize(
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Real daemons under disruptions that come in series and overlap."""
--- a/tests/transport/test_pool.py
+++ b/tests/transport/test_pool.py
@@ -133,6 +133,33 @@
             await exchange(connections, address)
 
 
+# Guards against a success with an empty or short body, from a server that
+# closed in the middle of its answer.
+@pytest.mark.parametrize(
+    ("answer", "cut_bytes"),
+    # Every prefix up to `cut_bytes` before the end is tried. The body of an
+    # unframed answer ends with the connection, so that only its head is cut.
+    [
+        pytest.param(OWN_ANSWER, 1, id="with a length"),
+        pytest.param(CHUNKED_ANSWER, 1, id="chunked"),
+        pytest.param(UNFRAMED_ANSWER, len(b"\nours"), id="unframed"),
+    ],
+)
+async def test_answer_that_ends_in_its_head_or_body_is_no_success(
+    answer: bytes, cut_bytes: int
+) -> None:
+    for length in range(len(answer) - cut_bytes + 1):
+        async with (
+            scripted.run_scripted(Read(), Send(answer[:length]), Close()) as (
+                _,
+                address,
+            ),
+            pool.ConnectionPool() as connections,
+        ):
+            with pytest.raises(errors.TransportError):
+                await exchange(connections, address)
+
+
 async def test_refused_connection_raises_connect_error() -> None:
     async with pool.ConnectionPool() as connections:
         with pytest.raises(errors.ConnectError):
