Repeat the measurement of control traffic exactly

Cause: the simulation is seeded, but SettingsPlane gave its relay and its reporter random generators without a seed, so that the pauses between their calls differed from run to run.

Change: SettingsPlane takes a seed, which the simulation draws from its own; a daemon gives none. The bound and the seed of the test stay.

--- a/kumquatridge/benchmarks/control_simulation.py
+++ b/kumquatridge/benchmarks/control_simulation.py
@@ -86,7 +86,10 @@
             rng.getrandbits(RANDOM_SEED_BITS),
         )
         self.plane = settings_plane.SettingsPlane(
-            settings, self.table, self._platform
+            settings,
+            self.table,
+            self._platform,
+            rng.getrandbits(RANDOM_SEED_BITS),
         )
         control.add_membership_topics(self.gossip, self.table)
         self.plane.add_topics(self.gossip, self._remote)
--- a/kumquatridge/daemon/settings_plane.py
+++ b/kumquatridge/daemon/settings_plane.py
@@ -43,6 +43,7 @@
 # Hashed with the name of an instance to select the relays of settings; see
 # `membership.relays`.
 RELAY_PURPOSE = "settings"
+RANDOM_SEED_BITS = 64
 
 
 class PlatformRole:
@@ -100,11 +101,12 @@
         settings: daemon_settings.DaemonSettings,
         members_table: member_table.MemberTable,
         platform: objects.ObjectApi | None = None,
+        seed: int | None = None,
     ) -> None:
         """Reads the settings tree from its file.
 
         `platform`, if given, is used instead of a client for the address in the
-        settings.
+        settings. `seed` makes the jitter of its calls repeatable.
 
         Raises:
           SettingsError: the file can't be read or holds no valid tree.
@@ -124,6 +126,7 @@
             settings.instance, self.store
         )
         self._role = PlatformRole(members_table)
+        self._random = random.Random(seed)
         self._stack = contextlib.AsyncExitStack()
         self._log_task: asyncio.Task[None] | None = None
         self.platform = platform
@@ -229,7 +232,7 @@
                 store=self.store,
                 role=self._role,
                 recorder=self._counts,
-                rng=random.Random(),
+                rng=random.Random(self._random.getrandbits(RANDOM_SEED_BITS)),
                 reach=platform_reach.ReachObserver(
                     self.instance_table.set_platform_reach
                 ),
@@ -245,6 +248,6 @@
                 table=self.instance_table,
                 role=self._role,
                 recorder=self._counts,
-                rng=random.Random(),
+                rng=random.Random(self._random.getrandbits(RANDOM_SEED_BITS)),
             )
         )
--- a/tests/benchmarks/test_traffic.py
+++ b/tests/benchmarks/test_traffic.py
@@ -37,3 +37,14 @@
     )
     assert report.rest.mean_bytes_per_s + change_bytes_per_s < MAX_BYTES_PER_S
     assert report.rest.seed_bytes_per_s + change_bytes_per_s < MAX_BYTES_PER_S
+
+
+# Guards against a verdict that differs between runs of the same code.
+@pytest.mark.looptime
+async def test_measurement_repeats() -> None:
+    reports = [
+        await traffic.measure(make_simulation(8), changes.SMALL, 1)
+        for _ in range(2)
+    ]
+    assert reports[0].rest == reports[1].rest
+    assert reports[0].change == reports[1].change
