Send answers before the server of kumquatridge.daemon ends

Change: the server waits until the write buffers of its connections are empty, for 3 s at most, after it has stopped to accept requests.

Seen to fail before: test_server_ends_after_its_answers_are_sent[100000] (52,388 bytes left); the two larger rows held, as their handlers were still writing.

--- a/kumquatridge/http/server.py
+++ b/kumquatridge/http/server.py
@@ -1,6 +1,7 @@
 """An HTTP server with one task for each connection."""
 
-from collections.abc import Awaitable, Callable
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable
 import types
 from typing import Self
 
@@ -13,6 +14,10 @@
 # Time to read and discard the rest of a request body after its answer.
 LINGER_S = 2.0
 MAX_HEADER_FIELD_BYTES = 16 * 1024
+# Time in which clients may read the rest of their answers before the server
+# ends, and the interval at which it checks whether they have.
+SEND_TIMEOUT_S = 3.0
+SEND_POLL_S = 0.05
 
 
 class HttpServer:
@@ -58,5 +63,28 @@
         error: BaseException | None,
         traceback: types.TracebackType | None,
     ) -> None:
-        """Stops listening and closes the remaining connections."""
+        """Stops listening; closes the connections once answers are sent."""
+        server = self._runner.server
+        transports = (
+            []
+            if server is None
+            else [handler.transport for handler in server.connections]
+        )
         await self._runner.cleanup()
+        await _wait_until_sent(transports)
+
+
+async def _wait_until_sent(
+    transports: Iterable[asyncio.Transport | None],
+) -> None:
+    """Waits until the write buffers are empty, for `SEND_TIMEOUT_S` at most.
+
+    The process may end right after this, and with it what is still buffered.
+    """
+    for _ in range(round(SEND_TIMEOUT_S / SEND_POLL_S)):
+        if not any(
+            transport is not None and transport.get_write_buffer_size() > 0
+            for transport in transports
+        ):
+            return
+        await asyncio.sleep(SEND_POLL_S)
