--- a/kumquatridge/platform/command.py
+++ b/kumquatridge/platform/command.py
@@ -33,7 +33,3 @@
     except errors.KumquatridgeError as error:
         click.echo(f"kumquatridged: {error}", err=True)
         sys.exit(1)
-
-
-if __name__ == "__main__":
-    main()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -31,6 +31,8 @@
 # time that is measured.
 CALM_S = promises.APPLY_S + 2.0
 START_TIMEOUT_S = 20.0
+# The platform starts a process again this long after it has ended.
+RESTART_S = 0.5
 # Pause of the operator before a change is sent to the store.
 RETRY_S = 0.1
 NOT_IDEMPOTENT = {"routeType": "non_idempotent"}
@@ -151,7 +153,10 @@
             await machine.wait_for_end()
             await machine.ensure_daemon()
         case disruptions.HangUp():
+            # Ends a process whose interpreter is just starting.
             machine.signal(signal.SIGHUP)
+            await asyncio.sleep(RESTART_S)
+            await machine.ensure_daemon()
         case disruptions.Pause(for_s=for_s):
             machine.signal(signal.SIGSTOP)
             await asyncio.sleep(for_s)
