--- a/kumquatridge/membership/watch_role.py
+++ b/kumquatridge/membership/watch_role.py
@@ -62,7 +62,7 @@
         return self._signs.get_age_ms()
 
     def set_watching(self, is_watching: bool) -> None:
-        """Says whether the watch of this daemon works, at each answer."""
+        """Says whether the watch of this daemon works; see `platform_signs`."""
         self._signs.set_watching(is_watching)
 
     def _update(self) -> None:
