End the acceptance of a stopping daemon on time

A report of other operators: in a planned stop, requests that came late in the grace period were taken, passed on, and cut off at its end.

Cause here: whether requests are accepted was looked up every 50 ms, so that the limit, half of the grace period, was passed by up to that much. What is taken then may last until after the drain.

Change: the limit is compared with the clock at each request.

Ruled out: requests taken in the first half (the rest of the period is meant for them); requests after the drain, which are refused since.

Seen to fail before: test_requests_are_accepted_in_the_first_half_of_the_grace_period[in the second half].

--- a/kumquatridge/platform/listeners.py
+++ b/kumquatridge/platform/listeners.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import contextlib
+import math
 import types
 from typing import Self
 
+from kumquatridge import clock
 from kumquatridge.settings import routes
 from kumquatridge.transport import frame_listener
 from kumquatridge.transport import http_listener
@@ -38,7 +40,13 @@
         self._listeners: list[server.Listener] = []
         self._caller_listeners: list[server.Listener] = []
         self.is_stopping = False
-        self.accepts_requests = True
+        # On the clock of this process.
+        self._accept_until_ms = math.inf
+
+    @property
+    def accepts_requests(self) -> bool:
+        """Returns whether requests of callers are accepted now."""
+        return clock.get_now_ms() < self._accept_until_ms
 
     async def __aenter__(self) -> Self:
         """Opens nothing yet: each `listen` call opens its listener."""
@@ -106,19 +114,17 @@
         self.is_stopping = True
         for opened_listener in self._listeners:
             opened_listener.is_draining = True
-        loop = asyncio.get_running_loop()
-        started_s = loop.time()
-        drain_until_s = started_s + (grace_ms - KILL_MARGIN_MS) / 1000.0
-        accept_until_s = started_s + grace_ms * ACCEPT_FRACTION / 1000.0
+        started_ms = clock.get_now_ms()
+        drain_until_ms = started_ms + grace_ms - KILL_MARGIN_MS
+        self._accept_until_ms = started_ms + grace_ms * ACCEPT_FRACTION
         await asyncio.sleep(CLOSE_IDLE_AFTER_MS / 1000.0)
-        while loop.time() < drain_until_s:
-            self.accepts_requests = loop.time() < accept_until_s
+        while clock.get_now_ms() < drain_until_ms:
             for caller_listener in self._caller_listeners:
                 caller_listener.close_idle()
             if self._is_idle():
                 break
             await asyncio.sleep(IDLE_POLL_S)
-        self.accepts_requests = False
+        self._accept_until_ms = -math.inf
 
     def _is_idle(self) -> bool:
         return all(
