--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -192,6 +192,7 @@
     path: str
     caller: str
     at_s: float
+    body: bytes
 
 
 async def read_head(
@@ -393,9 +394,9 @@
         try:
             while True:
                 first, headers = await read_head(reader)
-                await read_body(reader, headers)
+                body = await read_body(reader, headers)
                 method, path, _ = first.split(" ")
-                answer = await self._answer(reader, method, path, headers)
+                answer = await self._answer(reader, method, path, headers, body)
                 if answer is None:
                     return
                 writer.write(answer)
@@ -412,6 +413,7 @@
         method: str,
         path: str,
         headers: Mapping[str, str],
+        body: bytes,
     ) -> bytes | None:
         load = {"Server-Load": f"{self._running},0,{self._slots},100"}
         if path == "/healthz":
@@ -428,7 +430,7 @@
         caller = headers.get("caller-service", "")
         self._record.note(
             f"{request_id} {method} {path} runs at {self.worker}"
-            f" ({self.service}), Caller-Service {caller}"
+            f" ({self.service}), Caller-Service {caller}, {len(body)} bytes"
         )
         self.runs.append(
             Run(
@@ -438,6 +440,7 @@
                 path,
                 caller,
                 self._record.now_s(),
+                body,
             )
         )
         self._running += 1
