Accept only requests that end before a stopping daemon does

Cause: requests were accepted for half of the grace period and cut off 0.9 s before its end, with no relation to their deadlines. With a graceS below 2.5 s the daemon was killed while it waited to close idle connections.

Change: admission/drain decides. For 2.5 s, or half of a short grace period, all requests are accepted; after that those whose deadline ends before the drain, and child calls of requests in progress. Calls still in progress at the end of the drain, running or waiting, get 502 before the listeners close. The margin before SIGKILL is a quarter of a short grace period.

Weighed and left: to accept what usually ends in time, as a slower worker makes it wrong.

--- a/kumquatridge/platform/call_paths.py
+++ b/kumquatridge/platform/call_paths.py
@@ -77,7 +77,7 @@
             outbound_path,
             components.recorder,
             lambda: components.worker.service,
-            lambda: listeners.accepts_requests,
+            listeners.accepts,
         )
         self.peer_endpoint = peers.PeerEndpoint(
             inbound_path,
--- a/kumquatridge/platform/callers.py
+++ b/kumquatridge/platform/callers.py
@@ -20,6 +20,8 @@
 MS_PER_S = 1000.0
 # Labels streamed answers that did not end before the deadline.
 TRUNCATED_AT_DEADLINE = "deadline"
+# Labels streamed answers that did not end before the daemon stopped.
+TRUNCATED_AT_STOP = "stop"
 STATUS_NOT_RUN = 503
 STATUS_NO_ROUTE = 404
 STATUS_TOO_LARGE = 413
@@ -34,7 +36,8 @@
     """Serves callers on the same instance, including the local worker.
 
     `get_service` returns the service of the local worker, which is the caller
-    of all calls. `accepts_requests` turns False in the course of a drain.
+    of all calls. `accepts` decides whether a daemon that may be stopping
+    accepts a call.
     """
 
     def __init__(
@@ -43,14 +46,16 @@
         dispatcher: links.Dispatcher,
         recorder: request_log.RequestLog,
         get_service: Callable[[], str],
-        accepts_requests: Callable[[], bool],
+        accepts: Callable[[calls.Call], bool],
     ) -> None:
         self._builder = builder
         self._dispatcher = dispatcher
         self._recorder = recorder
         self._get_service = get_service
-        self._accepts_requests = accepts_requests
+        self._accepts = accepts
         self._random = random.Random()
+        # One for each call in progress; expires when the call is given up.
+        self._limits: set[asyncio.Timeout] = set()
 
     async def handle(
         self, request: http.Request, responder: http_listener.Responder
@@ -69,12 +74,24 @@
                     _make_refusal(refusal, routed_request.request_id, retry_ms)
                 )
 
+    def give_up_calls(self) -> None:
+        """Ends all calls in progress; answers them as having no known result.
+
+        Their callers get an answer before the process ends. A streamed answer
+        that has begun is cut off.
+        """
+        now_s = asyncio.get_running_loop().time()
+        for limit in self._limits:
+            limit.reschedule(now_s)
+
     def _make_call(
         self, routed_request: routed_call_builder.RoutedRequest
     ) -> calls.Call | refusals.Refusal:
-        if not self._accepts_requests():
-            return refusals.NotReady(routed_call_builder.NOT_READY_RETRY_MS)
-        return self._builder.make_call(routed_request)
+        match self._builder.make_call(routed_request):
+            case calls.Call() as call if not self._accepts(call):
+                return refusals.NotReady(routed_call_builder.NOT_READY_RETRY_MS)
+            case call_or_refusal:
+                return call_or_refusal
 
     async def _dispatch(
         self,
@@ -82,17 +99,56 @@
         remaining_ms: float | None,
         responder: http_listener.Responder,
     ) -> None:
-        async with self._dispatcher.dispatch(call) as outcome:
-            self._builder.record_outcome(call, outcome)
-            answer = self._make_answer(call, outcome, remaining_ms)
-            detail = _describe_outcome(outcome)
-            self._recorder.record_answer(call, answer.status, detail)
-            if not call_body.is_buffered(answer.body):
-                await self._send_stream(call, answer, remaining_ms, responder)
+        limit = asyncio.timeout(None)
+        self._limits.add(limit)
+        try:
+            async with limit:
+                answer = await self._exchange(call, remaining_ms, responder)
+        except TimeoutError:
+            if not limit.expired():
+                raise
+            if responder.is_answered:
+                self._recorder.record_truncated_answer(call, TRUNCATED_AT_STOP)
+                return
+            answer = self._answer_given_up(call, remaining_ms)
+        finally:
+            self._limits.discard(limit)
         # A buffered body is sent after the worker's slot has been released.
         if call_body.is_buffered(answer.body):
             await responder.send(answer)
 
+    async def _exchange(
+        self,
+        call: calls.Call,
+        remaining_ms: float | None,
+        responder: http_listener.Responder,
+    ) -> http.Answer:
+        """Dispatches a call; sends its answer if the body is streamed."""
+        async with self._dispatcher.dispatch(call) as outcome:
+            answer = self._record_outcome(call, outcome, remaining_ms)
+            if not call_body.is_buffered(answer.body):
+                await self._send_stream(call, answer, remaining_ms, responder)
+        return answer
+
+    def _answer_given_up(
+        self, call: calls.Call, remaining_ms: float | None
+    ) -> http.Answer:
+        outcome = outcomes.Unknown("given up at the end of the grace period")
+        return self._record_outcome(call, outcome, remaining_ms)
+
+    def _record_outcome(
+        self,
+        call: calls.Call,
+        outcome: outcomes.Outcome,
+        remaining_ms: float | None,
+    ) -> http.Answer:
+        """Records the outcome of a call and returns the answer for it."""
+        self._builder.record_outcome(call, outcome)
+        answer = self._make_answer(call, outcome, remaining_ms)
+        detail = _describe_outcome(outcome)
+        self._recorder.record_answer(call, answer.status, detail)
+        return answer
+
     async def _send_stream(
         self,
         call: calls.Call,
--- a/kumquatridge/platform/listeners.py
+++ b/kumquatridge/platform/listeners.py
@@ -1,52 +1,52 @@
 """The listeners of a daemon, and their drain before it stops."""
 
 import asyncio
+from collections.abc import Callable, Iterable
 import contextlib
-import math
 import types
 from typing import Self
 
 from kumquatridge import clock
+from kumquatridge.admission import drain as admission_drain
+from kumquatridge.calls import call as calls
 from kumquatridge.settings import routes
 from kumquatridge.transport import frame_listener
 from kumquatridge.transport import http_listener
 from kumquatridge.transport import server
 
-# Requests keep arriving for about 2 s after the readiness check starts to fail,
-# so idle connections of callers are kept open a little longer than that.
-CLOSE_IDLE_AFTER_MS = 2500.0
-# The drain ends this long before SIGKILL, so that a slow instance can still
-# close its listeners and connections. No caller relies on an answer in the last
-# second before SIGKILL.
-KILL_MARGIN_MS = 900.0
-# Fraction of the grace period in which new requests are accepted; the rest
-# must suffice to complete those in progress. Later requests are refused without
-# being run, so callers may safely repeat them.
-ACCEPT_FRACTION = 0.5
+MS_PER_S = 1000.0
 # Interval at which a drain checks whether all listeners are idle.
-IDLE_POLL_S = 0.05
+IDLE_POLL_MS = 50.0
+# The same after the drain, when only the last answers are being sent.
+FLUSH_POLL_MS = 10.0
 
 
 class DaemonListeners:
     """All listeners of a daemon, closed with the context of this object.
 
     `is_stopping` is True once a drain has started, and makes the readiness
-    check fail. `accepts_requests` is False in the later part of a drain, in
-    which new requests of callers are refused.
+    check fail.
     """
 
     def __init__(self) -> None:
         self._stack = contextlib.AsyncExitStack()
         self._listeners: list[server.Listener] = []
         self._caller_listeners: list[server.Listener] = []
-        self.is_stopping = False
-        # On the clock of this process.
-        self._accept_until_ms = math.inf
+        self._drain: admission_drain.Drain | None = None
+        self._has_drained = False
 
     @property
-    def accepts_requests(self) -> bool:
-        """Returns whether requests of callers are accepted now."""
-        return clock.get_now_ms() < self._accept_until_ms
+    def is_stopping(self) -> bool:
+        """Returns whether a drain has started."""
+        return self._drain is not None
+
+    def accepts(self, call: calls.Call) -> bool:
+        """Returns whether a call that a caller sends now is accepted."""
+        if self._drain is None:
+            return True
+        if self._has_drained:
+            return False
+        return self._drain.accepts(call.chain, clock.get_now_ms())
 
     async def __aenter__(self) -> Self:
         """Opens nothing yet: each `listen` call opens its listener."""
@@ -102,31 +102,49 @@
         for opened_listener in self._caller_listeners:
             opened_listener.set_limits(settings)
 
-    async def drain(self, grace_ms: float) -> None:
+    async def drain(
+        self, grace_ms: float, give_up_calls: Callable[[], None]
+    ) -> None:
         """Waits for requests in progress, until shortly before SIGKILL.
 
-        SIGKILL is expected `grace_ms` after the start of the drain.
+        SIGKILL is expected `grace_ms` after the start of the drain. Calls of
+        callers that are in progress at its end are answered then, by
+        `give_up_calls`.
 
         The listeners stay open: callers stop sending when they see the failing
         readiness check, and requests sent before that are still forwarded to
         other instances. Requests that arrive after the drain are refused.
         """
-        self.is_stopping = True
+        drain = admission_drain.Drain(clock.get_now_ms(), grace_ms)
+        self._drain = drain
         for opened_listener in self._listeners:
             opened_listener.is_draining = True
-        started_ms = clock.get_now_ms()
-        drain_until_ms = started_ms + grace_ms - KILL_MARGIN_MS
-        self._accept_until_ms = started_ms + grace_ms * ACCEPT_FRACTION
-        await asyncio.sleep(CLOSE_IDLE_AFTER_MS / 1000.0)
-        while clock.get_now_ms() < drain_until_ms:
-            for caller_listener in self._caller_listeners:
-                caller_listener.close_idle()
-            if self._is_idle():
-                break
-            await asyncio.sleep(IDLE_POLL_S)
-        self._accept_until_ms = -math.inf
-
-    def _is_idle(self) -> bool:
-        return all(
-            opened_listener.is_idle for opened_listener in self._listeners
-        )
+        await _sleep_until(drain.notice_until_ms)
+        while (
+            not _are_idle(self._listeners)
+            and clock.get_now_ms() < drain.ends_ms
+        ):
+            self._close_idle_callers()
+            await _sleep_until(
+                min(clock.get_now_ms() + IDLE_POLL_MS, drain.ends_ms)
+            )
+        self._has_drained = True
+        give_up_calls()
+        while (
+            not _are_idle(self._caller_listeners)
+            and clock.get_now_ms() < drain.flushed_ms
+        ):
+            self._close_idle_callers()
+            await _sleep_until(clock.get_now_ms() + FLUSH_POLL_MS)
+
+    def _close_idle_callers(self) -> None:
+        for caller_listener in self._caller_listeners:
+            caller_listener.close_idle()
+
+
+def _are_idle(listeners: Iterable[server.Listener]) -> bool:
+    return all(opened_listener.is_idle for opened_listener in listeners)
+
+
+async def _sleep_until(at_ms: float) -> None:
+    await asyncio.sleep(max(0.0, at_ms - clock.get_now_ms()) / MS_PER_S)
--- a/kumquatridge/platform/runtime.py
+++ b/kumquatridge/platform/runtime.py
@@ -155,7 +155,9 @@
         )
         self._supervisor.leave()
         self._components.controller.drain()
-        await self._listeners.drain(self._settings.grace_ms)
+        await self._listeners.drain(
+            self._settings.grace_ms, self._paths.caller_endpoint.give_up_calls
+        )
 
 
 async def run(source: settings_file.SettingsSource) -> None:
--- a/tests/platform/test_deployment.py
+++ b/tests/platform/test_deployment.py
@@ -5,9 +5,9 @@
 
 import pytest
 
+from kumquatridge.admission import drain
 from kumquatridge.admission import offers
 from kumquatridge.calls import body as call_body
-from kumquatridge.platform import listeners
 from kumquatridge.standins import platform_store
 from kumquatridge.transport import errors
 from kumquatridge.transport import messages as http
@@ -320,11 +320,12 @@
         await asyncio.gather(draining, caller_draining)
 
 
-async def test_draining_daemon_refuses_requests_after_accept_fraction() -> None:
-    """New requests are refused in the second half of the grace period.
+async def test_draining_daemon_refuses_requests_that_may_outlast_it() -> None:
+    """New requests are refused if they may outlast the drain.
 
-    They are accepted in its first half (`listeners.ACCEPT_FRACTION`, 0.5). The
-    late request is sent after 3 s of 5.6 s.
+    Callers have had `drain.NOTICE_MS` (2.5 s) to notice that the daemon stops.
+    The late request is sent after 3 s of 5.6 s; its deadline of 2 s is later
+    than the end of the drain after 4.7 s.
     """
     (shop,) = make_shops(1)
     shop.behaviour = deployments.Behaviour(work_ms=4000)
@@ -409,7 +410,7 @@
             await deployments.wait_until(lambda: bool(shop.received))
             draining = asyncio.create_task(deployment.daemons[0].drain())
             # Past the time at which idle connections are closed.
-            await asyncio.sleep(listeners.CLOSE_IDLE_AFTER_MS / 1000 + 0.3)
+            await asyncio.sleep(drain.NOTICE_MS / 1000 + 0.3)
             assert not draining.done()
             assert len(await late_reader.read_body(reader)) == body_bytes
         async with asyncio.timeout(1.0):
@@ -427,17 +428,24 @@
     assert count_received(shops) == 0
 
 
-async def test_drain_ends_before_the_kill_margin() -> None:
+@pytest.mark.parametrize(
+    ("grace_s", "margin_s"),
+    [(1.0, 0.25), (2.0, 0.5), (3.6, 0.9)],
+)
+async def test_drain_ends_before_the_kill_margin(
+    grace_s: float, margin_s: float
+) -> None:
     """A drain stops waiting for requests shortly before SIGKILL.
 
-    It ends `listeners.KILL_MARGIN_MS` (900 ms) before the grace period of 3.6 s
-    does; the test allows 100 ms more.
+    It ends `drain.KILL_MARGIN_MS` (900 ms) before the grace period of 3.6 s
+    does, and a quarter of a shorter one before its end; the test allows 100 ms
+    more.
     """
     (shop,) = make_shops(1)
     shop.behaviour = deployments.Behaviour(work_ms=5000)
     slow = deployments.make_route("/slow/", ("shop", 1), timeoutS=5.0)
     async with deployments.open_deployment(
-        shop, routes=(slow,), grace_ms=3600.0
+        shop, routes=(slow,), grace_ms=grace_s * 1000.0
     ) as deployment:
         request = deployments.make_request("/slow/x", deadline_ms=5000)
         sent = asyncio.create_task(deployment.send(request))
@@ -445,7 +453,7 @@
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         await deployment.daemons[0].drain()
-        assert loop.time() - started_s <= 3.6 - 0.8
+        assert loop.time() - started_s <= grace_s - margin_s + 0.1
         sent.cancel()
 
 
--- a/tests/platform/test_listeners.py
+++ b/tests/platform/test_listeners.py
@@ -7,9 +7,10 @@
 from kumquatridge.platform import listeners
 from kumquatridge.transport import http_listener
 from kumquatridge.transport import messages as http
+from tests import calls_factory
 from tests import processes
 
-# Its half lies between two checks of the drain, which are 50 ms apart.
+# The drain ends 0.9 s before the end of the grace period.
 GRACE_MS = 5950.0
 
 
@@ -32,23 +33,40 @@
 # of the grace period.
 @pytest.mark.looptime
 @pytest.mark.parametrize(
-    ("at_s", "accepts"),
+    ("at_s", "deadline_ms", "accepts"),
     [
-        pytest.param(0.0, True, id="at the start"),
-        pytest.param(2.96, True, id="in the first half"),
-        pytest.param(2.99, False, id="in the second half"),
-        pytest.param(5.2, False, id="after the drain"),
+        pytest.param(0.0, 60_000, True, id="at the start"),
+        pytest.param(2.49, 60_000, True, id="before callers notice"),
+        pytest.param(2.51, 60_000, False, id="after callers have noticed"),
+        pytest.param(2.51, 2500, True, id="ends before the drain"),
+        pytest.param(2.56, 2500, False, id="may end after the drain"),
+        pytest.param(2.96, 3000, False, id="in the first half"),
+        pytest.param(4.53, 500, True, id="late, ends before the drain"),
+        pytest.param(4.57, 500, False, id="late, may end after the drain"),
+        pytest.param(5.2, 1, False, id="after the drain"),
     ],
 )
-async def test_requests_are_accepted_in_the_first_half_of_the_grace_period(
-    at_s: float, accepts: bool
+async def test_requests_are_accepted_if_they_end_before_the_drain(
+    at_s: float, deadline_ms: int, accepts: bool
 ) -> None:
+    given_up_s: list[float] = []
+    loop = asyncio.get_running_loop()
+
+    def give_up_calls() -> None:
+        given_up_s.append(loop.time() - started_s)
+
+    def is_accepted() -> bool:
+        call = calls_factory.make_call(remaining_ms=deadline_ms)
+        return opened.accepts(call)
+
     async with listeners.DaemonListeners() as opened:
         busy = BusyListener(processes.get_free_address(), handle)
         opened._listeners.append(busy)
-        assert opened.accepts_requests
-        draining = asyncio.create_task(opened.drain(GRACE_MS))
+        assert is_accepted()
+        started_s = loop.time()
+        draining = asyncio.create_task(opened.drain(GRACE_MS, give_up_calls))
         await asyncio.sleep(at_s)
-        assert opened.accepts_requests is accepts
+        assert is_accepted() is accepts
         await draining
-        assert not opened.accepts_requests
+        assert not is_accepted()
+    assert given_up_s == [pytest.approx(5.05)]
