Limit the answers that are read whole

Other operators saw a machine run out of memory, and with it the requests of its other clients, since it kept bytes that came without end. Here this could happen with the store's answers, and with the updates of other daemons on the front end of kumquatridge.daemon.

Cause: both were read to their end, bounded only by a time-out: 2 s, and up to 30 s for a watch.

Change: messages.read_body reads up to a limit, 16 MiB, and then closes the connection; the call fails as an unreachable store does, and is followed by a read on a new connection. The limit is 16 times the largest object or page.

--- a/kumquatridge/http/service_link.py
+++ b/kumquatridge/http/service_link.py
@@ -15,6 +15,8 @@
 UPDATES_PATH = "/-/updates"
 # Bounds the whole exchange, from the connection to the end of the answer.
 TIMEOUT_S = 2.0
+# Longest answer that is read: the keys of a few hundred thousand calls.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(service_exchange.ServiceUpdate)
@@ -46,7 +48,7 @@
                 headers={headers.PEER_PROOF: auth_tag},
                 timeout=aiohttp.ClientTimeout(total=TIMEOUT_S),
             ) as response:
-                return decode(await response.read())
+                return decode(await _read(response))
         except (
             aiohttp.ClientError,
             TimeoutError,
@@ -55,6 +57,22 @@
             return None
 
 
+async def _read(response: aiohttp.ClientResponse) -> bytes:
+    """Reads the body of an answer.
+
+    Raises:
+      MalformedRequestError: it is longer than `MAX_ANSWER_BYTES`.
+    """
+    data = bytearray()
+    async for chunk in response.content.iter_any():
+        data += chunk
+        if len(data) > MAX_ANSWER_BYTES:
+            raise errors.MalformedRequestError(
+                f"an answer longer than {MAX_ANSWER_BYTES} bytes"
+            )
+    return bytes(data)
+
+
 def encode(update: service_exchange.ServiceUpdate) -> bytes:
     """Encodes an update as MessagePack."""
     return _encoder.encode(update)
--- a/kumquatridge/platform/client.py
+++ b/kumquatridge/platform/client.py
@@ -40,6 +40,9 @@
 # Pause after a watch that returned changes, so that frequent changes arrive in
 # batches.
 PAUSE_AFTER_CHANGE_S = 0.05
+# Longest answer that is read. A page of a listing has about 1 MB and an object
+# at most 1 MiB; a watch may return several versions of an object.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 _OK = 200
 _CREATED = 201
@@ -251,7 +254,8 @@
         `timeout_s` replaces `call_timeout_ms` of the settings; None keeps it.
 
         Raises:
-          PlatformUnreachableError: no complete answer within the time-out.
+          PlatformUnreachableError: no complete answer within the time-out, or
+            one longer than `MAX_ANSWER_BYTES`.
         """
         request = http.Request(
             method, target, self._headers, call_body.BufferedBody(data)
@@ -262,7 +266,8 @@
                 asyncio.timeout(timeout_s or self._timeout_s),
                 self._connections.send(self._address, request) as answer,
             ):
-                return answer.status, await _read_body(answer.body)
+                data = await http.read_body(answer.body, MAX_ANSWER_BYTES)
+                return answer.status, data
         except (TimeoutError, transport_errors.TransportError) as error:
             # The idle connections may have gone silent together with this one.
             self._connections.close_idle(self._address)
@@ -272,14 +277,6 @@
             ) from error
 
 
-async def _read_body(body: call_body.Body) -> bytes:
-    match body:
-        case call_body.BufferedBody(data):
-            return data
-        case call_body.StreamedBody(_, chunks):
-            return b"".join([chunk async for chunk in chunks])
-
-
 def split_key(key: str) -> tuple[str, str]:
     """Returns the kind and the percent-encoded name of a key."""
     kind, _, rest = key.partition("/")
--- a/kumquatridge/transport/messages.py
+++ b/kumquatridge/transport/messages.py
@@ -4,6 +4,7 @@
 
 from kumquatridge.calls import body as call_body
 from kumquatridge.calls import outcomes
+from kumquatridge.transport import errors
 
 _REASONS = {
     200: "OK",
@@ -66,6 +67,31 @@
     return None
 
 
+async def read_body(body: call_body.Body, max_bytes: int) -> bytes:
+    """Reads a body to its end.
+
+    Raises:
+      ProtocolError: it is longer than `max_bytes`; the rest was not read.
+      BrokenBodyError: the connection ended before the body.
+    """
+    match body:
+        case call_body.BufferedBody(data):
+            _check_length(len(data), max_bytes)
+            return data
+        case call_body.StreamedBody(length_bytes, chunks):
+            _check_length(length_bytes or 0, max_bytes)
+            read = bytearray()
+            async for chunk in chunks:
+                read += chunk
+                _check_length(len(read), max_bytes)
+            return bytes(read)
+
+
+def _check_length(length_bytes: int, max_bytes: int) -> None:
+    if length_bytes > max_bytes:
+        raise errors.ProtocolError(f"a body longer than {max_bytes} bytes")
+
+
 def encode_request_head(request: Request) -> bytes:
     """Returns the request line and headers.
 
--- a/tests/platform/test_client.py
+++ b/tests/platform/test_client.py
@@ -239,3 +239,43 @@
             await client.get("a/1")
         store.set_faults(platform_store.NO_FAULTS)
         assert await client.get("a/1") is None
+
+
+# Guards against an answer of the store without end that is read whole.
+@pytest.mark.parametrize(
+    "start",
+    [
+        pytest.param(b"Transfer-Encoding: chunked\r\n\r\n", id="chunks"),
+        pytest.param(b"\r\n", id="until the connection closes"),
+        pytest.param(b"Content-Length: 99999999999\r\n\r\n", id="a length"),
+    ],
+)
+@pytest.mark.parametrize(
+    "call",
+    [
+        pytest.param(lambda client: client.get("a/b"), id="read"),
+        pytest.param(lambda client: client.list_objects("a/"), id="list"),
+        pytest.param(
+            lambda client: client.wait_for_changes("a/", 1, 30.0), id="watch"
+        ),
+    ],
+)
+async def test_answer_without_end_is_not_read(
+    start: bytes,
+    call: Callable[[platform_client.PlatformClient], Awaitable[object]],
+) -> None:
+    chunk = b"10000\r\n" + b"x" * 0x10000 + b"\r\n"
+    # Twice as much as is read.
+    count = 2 * platform_client.MAX_ANSWER_BYTES // len(chunk)
+    steps: tuple[scripted.Step, ...] = (
+        scripted.Read(),
+        scripted.Send(b"HTTP/1.1 200 OK\r\n" + start),
+        *[scripted.Send(chunk)] * count,
+    )
+    async with scripted.run_scripted(*steps) as (_, address):
+        settings = platform_client.ClientSettings(address, None, 30_000)
+        async with platform_client.PlatformClient(settings) as client:
+            with pytest.raises(errors.PlatformError, match="a body longer"):
+                # Well before the time-out of the call.
+                async with asyncio.timeout(5.0):
+                    await call(client)
