Keep no more of a body than its reader takes

Cause: a body paused reading only once it had a reader, and kept its parts one by one, each with an overhead of 33 bytes or more; trailers counted neither as head nor as body. Header lines of answers were limited by their bytes (256 KiB), which is 65,536 lines.

Change: a body is one buffer and pauses reading above its limit, with or without a reader. Chunk extensions and trailers of a request may be as long as a head. An answer may have 1,000 header lines. A complete body resumes reading: a connection whose answer had arrived whole and was dropped could stay paused, and the next exchange on it would time out.

Ruled out: heads of requests, interim and skipped answers, which had limits (tests/transport/test_endless.py).

--- a/kumquatridge/transport/connection.py
+++ b/kumquatridge/transport/connection.py
@@ -27,6 +27,10 @@
 # sample deployments exceeds 16 KiB, and no skipped answer 64 KiB.
 MAX_OVERHEAD_BYTES = 256 * 1024
 
+# Limit on the header lines of an answer, trailers included. Each takes about
+# 200 bytes of memory, however short it is.
+MAX_HEADERS = 1000
+
 MAX_PORT = 65535
 
 # Decides by its headers whether an answer is the one to the request in
@@ -196,6 +200,8 @@
         """Collects a header."""
         answer = self._answer
         assert answer is not None
+        if len(answer.raw_headers) >= MAX_HEADERS:
+            raise errors.ProtocolError(f"more than {MAX_HEADERS} header lines")
         answer.raw_headers.append((name, value))
 
     def on_headers_complete(self) -> None:
--- a/kumquatridge/transport/http_listener.py
+++ b/kumquatridge/transport/http_listener.py
@@ -94,8 +94,11 @@
         # Raw bytes received before the head was complete. They include the
         # start of an incomplete header line, which the parser does not report.
         self.received_bytes = 0
-        # Bytes of the parsed request target and headers.
+        # Bytes of the parsed request target, headers and trailers.
         self.head_bytes = 0
+        # Bytes received since the last byte of the body, once the head is
+        # complete.
+        self.overhead_bytes = 0
         # Empty until the head is complete.
         self.method = ""
         self.keeps_alive = True
@@ -194,6 +197,9 @@
         """Parses bytes; everything after a malformed request is ignored."""
         if self._fault_status is not None or self._is_finished:
             return
+        if not self._accepts_overhead(len(data)):
+            self._fail(431)
+            return
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -203,6 +209,20 @@
         if incoming is not None and not incoming.method:
             self._check_head_size(incoming, len(data))
 
+    def _accepts_overhead(self, size_bytes: int) -> bool:
+        """Returns whether a body may be followed by further bytes.
+
+        Chunk extensions and trailers may be as long as a head. The parser keeps
+        the start of an incomplete line, which it does not report.
+        """
+        incoming = self._incoming
+        if incoming is None or not incoming.method:
+            return True
+        limit_bytes = self._listener.settings.max_header_bytes
+        is_accepted = incoming.overhead_bytes <= limit_bytes
+        incoming.overhead_bytes += size_bytes
+        return is_accepted
+
     def _check_head_size(
         self, incoming: _IncomingRequest, size_bytes: int
     ) -> None:
@@ -240,11 +260,20 @@
         incoming.head_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collects a header."""
-        self._raw_headers.append((name, value))
+        """Collects a header or a trailer."""
         incoming = self._incoming
         assert incoming is not None
         incoming.head_bytes += len(name) + len(value) + HEADER_OVERHEAD_BYTES
+        self._check_head_bytes(incoming)
+        self._raw_headers.append((name, value))
+
+    def _check_head_bytes(self, incoming: _IncomingRequest) -> None:
+        """Stops the parser if target, headers and trailers are too long."""
+        if incoming.head_bytes > self._listener.settings.max_header_bytes:
+            self._fail(431)
+            raise errors.TransportError(
+                "request head is larger than max_header_bytes"
+            )
 
     def on_headers_complete(self) -> None:
         """Checks the head; sends 100 Continue if the client expects it."""
@@ -252,11 +281,7 @@
         assert incoming is not None
         incoming.method = self._parser.get_method().decode("latin-1")
         incoming.keeps_alive = self._parser.should_keep_alive()
-        if incoming.head_bytes > self._listener.settings.max_header_bytes:
-            self._fail(431)
-            raise errors.TransportError(
-                "request head is larger than max_header_bytes"
-            )
+        self._check_head_bytes(incoming)
         incoming.headers = messages.decode_headers(self._raw_headers)
         fields = dict(incoming.headers)
         length = fields.get("content-length")
@@ -274,6 +299,7 @@
         """Adds a part of the body."""
         incoming = self._incoming
         assert incoming is not None
+        incoming.overhead_bytes = 0
         incoming.body.add(data)
         if incoming.body.is_ready:
             self._enqueue(incoming)
--- a/kumquatridge/transport/incoming_body.py
+++ b/kumquatridge/transport/incoming_body.py
@@ -30,14 +30,14 @@
 class IncomingBody:
     """Collects a body; a long one is passed on while it is received.
 
-    A body is long if it exceeds `MAX_BUFFERED_BYTES`.
+    A body is long if it exceeds `MAX_BUFFERED_BYTES`. Reading then pauses until
+    its reader asks for more, also while it has no reader yet.
     """
 
     def __init__(self, flow_control: FlowControl) -> None:
         self._flow_control = flow_control
-        self._chunks: list[bytes] = []
-        # Total size of `_chunks`.
-        self._size_bytes = 0
+        # In one buffer: a sender may divide its body into many tiny parts.
+        self._data = bytearray()
         self._is_streamed = False
         self._is_paused = False
         self._fault: errors.TransportError | None = None
@@ -48,19 +48,22 @@
     @property
     def is_ready(self) -> bool:
         """Returns whether the body can be passed on, buffered or streamed."""
-        return self.is_complete or self._size_bytes > MAX_BUFFERED_BYTES
+        return self.is_complete or len(self._data) > MAX_BUFFERED_BYTES
 
     def add(self, data: bytes) -> None:
         """Adds received bytes."""
-        self._chunks.append(data)
-        self._size_bytes += len(data)
-        if self._is_streamed and self._size_bytes > STREAM_WINDOW_BYTES:
+        self._data += data
+        limit_bytes = (
+            STREAM_WINDOW_BYTES if self._is_streamed else MAX_BUFFERED_BYTES
+        )
+        if len(self._data) > limit_bytes:
             self._pause()
         self._notify()
 
     def complete(self) -> None:
-        """Marks the body as complete."""
+        """Marks the body as complete; further messages may be received."""
         self.is_complete = True
+        self._resume()
         self._notify()
 
     def fail(self, fault: errors.TransportError) -> None:
@@ -72,9 +75,7 @@
     def make_body(self, length_bytes: int | None) -> call_body.Body:
         """Returns the body, streamed unless it is complete."""
         if self.is_complete:
-            data = b"".join(self._chunks)
-            self._chunks.clear()
-            return call_body.BufferedBody(data)
+            return call_body.BufferedBody(self._take())
         self._is_streamed = True
         self._pause()
         return call_body.StreamedBody(
@@ -83,12 +84,9 @@
 
     async def _iterate(self) -> AsyncIterator[bytes]:
         while True:
-            while self._chunks:
-                chunks, self._chunks = self._chunks, []
-                self._size_bytes = 0
-                yield b"".join(chunks)
+            while self._data:
+                yield self._take()
             if self.is_complete:
-                self._resume()
                 return
             if self._fault is not None:
                 raise self._fault
@@ -96,6 +94,12 @@
             self._resume()
             await self._changed.wait()
 
+    def _take(self) -> bytes:
+        """Removes the buffered bytes and returns them."""
+        data = bytes(self._data)
+        self._data.clear()
+        return data
+
     def _notify(self) -> None:
         if self._changed is not None:
             self._changed.set()
--- a/tests/transport/test_client_connection.py
+++ b/tests/transport/test_client_connection.py
@@ -1,7 +1,7 @@
 """Reuse of client connections."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
 import pytest
@@ -12,6 +12,7 @@
 from kumquatridge.transport import frame_connection
 from kumquatridge.transport import frames
 from kumquatridge.transport import messages
+from tests.transport import pausable
 
 Connection = connection.Connection | frame_connection.FrameConnection
 Send = Callable[[Any], Awaitable[None]]
@@ -68,3 +69,40 @@
     client.connection_lost(None)
     with pytest.raises(errors.ConnectError):
         await send(client)
+
+
+# Guards against a connection that stays paused after an answer was dropped that
+# had arrived whole: the next exchange on it would time out.
+async def test_connection_with_a_dropped_answer_receives_the_next_one() -> None:
+    transport = pausable.PausableTransport()
+    client = connection.Connection()
+    client.connection_made(transport)
+    request = messages.Request("GET", "/", (), call_body.EMPTY)
+    sending = asyncio.create_task(
+        client.send(request, connection.accept_any, 1.0)
+    )
+    await asyncio.sleep(0)
+    # Above `incoming_body.MAX_BUFFERED_BYTES`, so that the body is streamed.
+    first, rest = b"x" * 600_000, b"x" * 100_000
+    length_bytes = len(first) + len(rest)
+    client.data_received(
+        f"HTTP/1.1 200 OK\r\nContent-Length: {length_bytes}\r\n\r\n".encode()
+    )
+    client.data_received(first)
+    match (await sending).body:
+        case call_body.StreamedBody(_, chunks):
+            assert await anext(aiter(chunks)) == first
+            reading = asyncio.create_task(read_next(chunks))
+        case call_body.BufferedBody():
+            pytest.fail("expected a streamed body, got a buffered one")
+    await asyncio.sleep(0)
+    assert not transport.is_paused
+    # More than the window, and the end; the reader leaves before it reads them.
+    client.data_received(rest)
+    reading.cancel()
+    assert client.is_reusable
+    assert not transport.is_paused
+
+
+async def read_next(chunks: AsyncIterator[bytes]) -> bytes:
+    return await anext(aiter(chunks))
