Check the length of a message between daemons

Looked for beside the bytes without end: a daemon that sends more or less of a streamed body than it announced.

Cause: the reader of frames took the announced length over without comparing it. The caller gets it as Content-Length, so that bytes beyond it would be read as the start of the next answer, and a short body would leave it waiting.

Change: a longer, a shorter or an empty part ends the connection and breaks the body off.

Tests: the rows "body shorter than announced" and "body longer than announced" of test_invalid_answer_raises_matching_error failed on; "empty part" did not, as nothing followed it there.

--- a/kumquatridge/transport/frames.py
+++ b/kumquatridge/transport/frames.py
@@ -80,8 +80,11 @@
         self._deliver = deliver
         # The start of a frame that has not been received completely.
         self._unparsed = b""
-        # The body of a streamed message until its END frame.
+        # The body of a streamed message until its END frame, and its length if
+        # known; the bytes of it received so far.
         self._stream: incoming_body.IncomingBody | None = None
+        self._stream_length_bytes: int | None = None
+        self._stream_received_bytes = 0
 
     @property
     def is_at_boundary(self) -> bool:
@@ -133,11 +136,10 @@
                 )
             case FrameType.STREAMED | FrameType.LAST_STREAMED, None:
                 self._begin_streamed(frame_type, head, length_bytes)
-            case FrameType.PART, incoming_body.IncomingBody():
-                stream.add(body)
+            case FrameType.PART, incoming_body.IncomingBody() if body:
+                self._add_part(stream, body)
             case FrameType.END, incoming_body.IncomingBody():
-                self._stream = None
-                stream.complete()
+                self._end_streamed(stream)
             case _:
                 raise errors.ProtocolError(f"frame of kind {frame_type}")
 
@@ -148,9 +150,30 @@
         known_length_bytes = (
             None if length_bytes == UNKNOWN_LENGTH else length_bytes
         )
+        self._stream_length_bytes = known_length_bytes
+        self._stream_received_bytes = 0
         body = self._stream.make_body(known_length_bytes)
         self._deliver(Message(head, body, frame_type in _LAST_TYPES))
 
+    def _add_part(
+        self, stream: incoming_body.IncomingBody, body: bytes
+    ) -> None:
+        self._stream_received_bytes += len(body)
+        length_bytes = self._stream_length_bytes
+        if (
+            length_bytes is not None
+            and self._stream_received_bytes > length_bytes
+        ):
+            raise errors.ProtocolError(f"a body longer than {length_bytes} B")
+        stream.add(body)
+
+    def _end_streamed(self, stream: incoming_body.IncomingBody) -> None:
+        length_bytes = self._stream_length_bytes
+        if length_bytes not in (None, self._stream_received_bytes):
+            raise errors.ProtocolError(f"a body shorter than {length_bytes} B")
+        self._stream = None
+        stream.complete()
+
     def fail(self, fault: errors.BrokenBodyError) -> None:
         """Ends a partly received body with an error."""
         if self._stream is not None:
--- a/tests/transport/test_frames.py
+++ b/tests/transport/test_frames.py
@@ -141,6 +141,26 @@
             errors.BrokenBodyError,
             id="body truncated",
         ),
+        pytest.param(
+            (Read(), Send(STREAM_START + PARTS[: len(PARTS) // 2] + END)),
+            errors.BrokenBodyError,
+            id="body shorter than announced",
+        ),
+        pytest.param(
+            (Read(), Send(STREAM_START + PARTS), Pause(), Send(PARTS + END)),
+            errors.BrokenBodyError,
+            id="body longer than announced",
+        ),
+        pytest.param(
+            (
+                Read(),
+                Send(UNSIZED_STREAM_START),
+                Pause(),
+                Send(pack(frames.FrameType.PART)),
+            ),
+            errors.BrokenBodyError,
+            id="empty part",
+        ),
         pytest.param(
             (Read(), Send(b"HTTP/1.1 400 Bad Request\r\n\r\n")),
             errors.ProtocolError,
