Decline offers of another protocol

Cause: the parser takes a request with an offer for complete after its head, and raises HttpParserUpgrade. The request was queued without its body, and the exception was treated as a malformed request.

Change: after the exception a new parser is fed the head again, with its framing headers only, and then the rest of the bytes. A request is complete only once a parser has seen its body. CONNECT, which ran into the same second answer, is rejected once.

Ruled out: answers of workers with such headers, which the parser reads to their end, and the aiohttp front end of kumquatridge.daemon, which reads the bodies; one trial each.

Tests: the nine rows of test_offer_of_another_protocol_is_declined and the row "a tunnel" failed before.

--- a/kumquatridge/transport/http_listener.py
+++ b/kumquatridge/transport/http_listener.py
@@ -15,6 +15,8 @@
 from kumquatridge.transport import server
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# Asks for a tunnel, which ends HTTP on the connection.
+CONNECT = "CONNECT"
 # Requests that a client may send before the earlier ones are answered.
 MAX_PIPELINED = 16
 # Bytes of a header line beside name and value: ": " and CRLF.
@@ -118,6 +120,8 @@
         # The request that is being received.
         self._incoming: _IncomingRequest | None = None
         self._raw_headers: list[tuple[bytes, bytes]] = []
+        # Whether the parser is fed a head whose request is already known.
+        self._is_repeating_head = False
         # Requests whose handling has not begun.
         self._pending: collections.deque[_IncomingRequest] = collections.deque()
         # Status of the answer to a request that can't be accepted.
@@ -201,14 +205,45 @@
             self._fail(431)
             return
         try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._parse(data)
+        except httptools.HttpParserError:
             self._fail(400)
             return
         incoming = self._incoming
         if incoming is not None and not incoming.method:
             self._check_head_size(incoming, len(data))
 
+    def _parse(self, data: bytes) -> None:
+        """Parses bytes; declines each offer to change to another protocol.
+
+        The parser takes a request with such an offer for complete after its
+        head, and stops there.
+        """
+        while True:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as offer:
+                (parsed_bytes,) = offer.args
+                data = data[parsed_bytes:]
+                self._decline_offer()
+
+    def _decline_offer(self) -> None:
+        """Continues after the head of a request as if it had no offer.
+
+        A new parser is fed the head again, without the offer.
+        """
+        incoming = self._incoming
+        assert incoming is not None
+        self._parser = httptools.HttpRequestParser(self)
+        self._is_repeating_head = True
+        try:
+            self._parser.feed_data(
+                messages.encode_framing(incoming.method, incoming.headers)
+            )
+        finally:
+            self._is_repeating_head = False
+
     def _accepts_overhead(self, size_bytes: int) -> bool:
         """Returns whether a body may be followed by further bytes.
 
@@ -248,12 +283,16 @@
 
     def on_message_begin(self) -> None:
         """Starts a request; the time-out of its head runs from here."""
+        if self._is_repeating_head:
+            return
         self._incoming = _IncomingRequest(self.transport)
         self._raw_headers = []
         self._last_activity_ms = clock.get_now_ms()
 
     def on_url(self, url: bytes) -> None:
         """Adds a part of the request target."""
+        if self._is_repeating_head:
+            return
         incoming = self._incoming
         assert incoming is not None
         incoming.target += url
@@ -261,6 +300,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collects a header or a trailer."""
+        if self._is_repeating_head:
+            return
         incoming = self._incoming
         assert incoming is not None
         incoming.head_bytes += len(name) + len(value) + HEADER_OVERHEAD_BYTES
@@ -277,9 +318,13 @@
 
     def on_headers_complete(self) -> None:
         """Checks the head; sends 100 Continue if the client expects it."""
+        if self._is_repeating_head:
+            return
         incoming = self._incoming
         assert incoming is not None
         incoming.method = self._parser.get_method().decode("latin-1")
+        if incoming.method == CONNECT:
+            raise errors.TransportError("tunnels are not supported")
         incoming.keeps_alive = self._parser.should_keep_alive()
         self._check_head_bytes(incoming)
         incoming.headers = messages.decode_headers(self._raw_headers)
@@ -305,7 +350,9 @@
             self._enqueue(incoming)
 
     def on_message_complete(self) -> None:
-        """Completes the request."""
+        """Completes the request, unless its body is still to be parsed."""
+        if self._parser.should_upgrade():
+            return
         incoming = self._incoming
         assert incoming is not None
         incoming.body.complete()
--- a/kumquatridge/transport/messages.py
+++ b/kumquatridge/transport/messages.py
@@ -24,6 +24,9 @@
 }
 
 
+FRAMING_HEADERS = frozenset(("content-length", "transfer-encoding"))
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
     """A request; `target` is the path and query, exactly as sent.
@@ -108,6 +111,18 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
 
 
+def encode_framing(method: str, headers: outcomes.Headers) -> bytes:
+    """Returns a request head that only says how the body is delimited.
+
+    It has the framing headers of a received head.
+    """
+    lines = [f"{method} / HTTP/1.1"]
+    lines.extend(
+        f"{name}: {value}" for name, value in headers if name in FRAMING_HEADERS
+    )
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
 def encode_answer_head(answer: Answer, *, closes: bool) -> bytes:
     """Returns the status line and headers.
 
--- a/tests/transport/test_http_listener.py
+++ b/tests/transport/test_http_listener.py
@@ -18,6 +18,7 @@
     b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
     b"2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n"
 )
+OFFER = b"Upgrade: h2c\r\nConnection: Upgrade, HTTP2-Settings\r\n"
 # A second request, hidden by a contradictory length of the first.
 SMUGGLED = (
     b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
@@ -93,6 +94,47 @@
     assert [request.target for request in handler.received] == [target, target]
 
 
+# Guards against a request that runs without its body, and gets a second answer,
+# because it offers to go on in another protocol.
+@pytest.mark.parametrize(
+    "part_bytes",
+    [
+        pytest.param(1, id="byte by byte"),
+        pytest.param(50, id="in parts"),
+        pytest.param(10_000, id="at once"),
+    ],
+)
+@pytest.mark.parametrize(
+    ("sent", "body"),
+    [
+        pytest.param(GET, b"", id="no body"),
+        pytest.param(POST, b"body", id="content-length"),
+        pytest.param(CHUNKED, b"body", id="chunked"),
+    ],
+)
+async def test_offer_of_another_protocol_is_declined(
+    sent: bytes, body: bytes, part_bytes: int
+) -> None:
+    handler = Handler()
+    with_offer = sent.replace(b"Host: h\r\n", b"Host: h\r\n" + OFFER)
+    data = with_offer + with_offer + POST
+    async with run_listener(handler) as (_, reader, writer):
+        for start in range(0, len(data), part_bytes):
+            writer.write(data[start : start + part_bytes])
+            await asyncio.sleep(0)
+        for expected in (body, body, b"body"):
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 200 OK\r\n")
+            assert await reader.readexactly(len(expected)) == expected
+        # No further answer.
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.05):
+                await reader.read(1)
+    assert [request.body for request in handler.received] == [
+        call_body.BufferedBody(expected) for expected in (body, body, b"body")
+    ]
+
+
 async def test_pipelined_requests_are_answered_in_order() -> None:
     handler = Handler()
     async with run_listener(handler) as (_, reader, writer):
@@ -117,6 +159,9 @@
         pytest.param(
             POST.replace(b": 4", b": 99999999999"), b"413", id="body too large"
         ),
+        pytest.param(
+            b"CONNECT h:80 HTTP/1.1\r\nHost: h\r\n\r\n", b"400", id="a tunnel"
+        ),
     ],
 )
 async def test_invalid_request_is_rejected_with_status(
@@ -127,6 +172,7 @@
         writer.write(sent)
         answer = await reader.read()
     assert answer.split()[1] == status
+    assert answer.count(b"HTTP/1.1 ") == 1
     assert not handler.received
 
 
