Follow a worker whose start time goes back

Cause: the start time was the only sign of a newer process. Reports of the new process looked like late ones of an earlier process, though the health check had put it into use under the identity of that one.

Change: sequence numbers of all processes are remembered. A ready report with a new number replaces a serving process of the same name, and a health check confirms it. Any other report or departure of an unknown process that seems to be earlier leaves the worker in use but causes a health check at once, which a leaving worker fails.

Ruled out: to believe every such departure, since a late one of an earlier process would take the worker out of use (existing rows); to order by arrival alone, since a late report would then replace the present process.

--- a/kumquatridge/workers/own_worker.py
+++ b/kumquatridge/workers/own_worker.py
@@ -8,6 +8,11 @@
 come from a worker that has announced its shutdown to the previous process.
 Therefore no report puts a worker into use by itself: a health check has to
 confirm it, which a worker fails once it is leaving.
+
+Start times come from the clock of the instance, which may be set back. So a
+process with an earlier start time than the known one may be its successor, and
+not only an earlier process whose reports are late. Sequence numbers and health
+checks tell the two apart.
 """
 
 import dataclasses
@@ -85,6 +90,8 @@
 # use. Each has up to two entries, one for reports and one for health checks,
 # and an instance has only a handful of departed workers in its lifetime.
 MAX_DEPARTED_ENTRIES = 64
+# The same for the sequence numbers of earlier processes.
+MAX_SEQUENCE_ENTRIES = 64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -121,6 +128,11 @@
         # entry with start time 0 applies to health checks, which report no
         # start time.
         self._departed: dict[tuple[str, int], None] = {}
+        # The newest sequence number of processes other than the known one, by
+        # name and start time.
+        self._other_sequences: dict[tuple[str, int], int] = {}
+        # Whether a process other than the serving one may be the present one.
+        self.is_doubted = False
         self.state: WorkerState = Unknown()
 
     @property
@@ -142,6 +154,17 @@
         """
         return self._sequence
 
+    @property
+    def needs_check(self) -> bool:
+        """Returns whether a health check may change the state."""
+        match self.state:
+            case Unknown() | Reported() | Lost():
+                return True
+            case Serving():
+                return self.is_doubted
+            case Leaving():
+                return False
+
     def set_endpoint(self, service: str, address: str) -> None:
         """Sets service and address; a change resets the state to unknown."""
         if (service, address) != (self._service, self._address):
@@ -173,26 +196,31 @@
     def apply_report(self, report: WorkerReport) -> ReportResult:
         """Applies a report unless it is stale or mismatched.
 
-        A report of a process that was started later replaces the known one. A
+        A report of a process that was started later replaces the known one, and
+        so does one with an earlier start time if that process may be newer. A
         process that is not serving yet needs a health check to be put into use.
+        A report that is ignored may set `is_doubted`.
         """
         identity = report.identity
         if identity.address != self._address:
             return Mismatched(f"address {identity.address}")
         if identity.service != self._service:
             return Mismatched(f"service {identity.service}")
+        if report.sequence <= self._get_sequence(identity):
+            return Stale()
         known_identity = self.get_identity()
         if (
             known_identity is not None
             and known_identity.started_ms > identity.started_ms
+            and not self._may_be_newer(report)
         ):
+            self._record_other_sequence(identity, report.sequence)
             return Stale()
-        is_same_process = (
+        if (
             known_identity is not None
-            and known_identity.started_ms == identity.started_ms
-        )
-        if is_same_process and report.sequence <= self._sequence:
-            return Stale()
+            and known_identity.started_ms != identity.started_ms
+        ):
+            self._record_other_sequence(known_identity, self._sequence)
         self._sequence = report.sequence
         if report.is_leaving or self._has_departed(identity):
             self._mark_leaving(identity)
@@ -209,7 +237,7 @@
         say. Otherwise returns False, but remembers the departure, so that
         neither a health check nor a late report puts that worker into use. The
         departure of an earlier process of the same name does not affect the
-        present one.
+        present one; if that process is not known, it sets `is_doubted`.
         """
         known_identity = self.get_identity()
         if known_identity is None or known_identity.worker != worker:
@@ -217,6 +245,8 @@
             self._record_departed((worker, 0))
             return False
         if 0 < started_ms < known_identity.started_ms:
+            if (worker, started_ms) not in self._other_sequences:
+                self._doubt()
             self._record_departed((worker, started_ms))
             return False
         self._record_departed((worker, started_ms))
@@ -227,12 +257,19 @@
         """Applies a successful health check; returns whether the state changed.
 
         `worker` and `slots` are what the worker at the address answered. Has no
-        effect unless the known worker is reported, lost or unknown. If the
-        answer has the name of the reported or lost worker, that worker becomes
-        serving. Any other worker becomes serving only if `slots` is positive
-        and that worker has not announced its shutdown.
+        effect unless the known worker is reported, lost, unknown or doubted. If
+        the answer has the name of the reported or lost worker, that worker
+        becomes serving. Any other worker becomes serving only if `slots` is
+        positive and that worker has not announced its shutdown.
         """
         match self.state:
+            case Serving(identity) if self.is_doubted:
+                self.is_doubted = False
+                if identity.worker == worker:
+                    return False
+                self.state = Lost(identity)
+                self.apply_health_check(worker, slots)
+                return True
             case Serving() | Leaving():
                 return False
             case Reported(identity) | Lost(identity) if (
@@ -250,6 +287,19 @@
         )
         return True
 
+    def apply_failed_health_check(self) -> bool:
+        """Applies a failed health check; returns whether the state changed.
+
+        A doubted worker needs another one to be put into use again.
+        """
+        match self.state:
+            case Serving(identity) if self.is_doubted:
+                self.is_doubted = False
+                self.state = Reported(identity)
+                return True
+            case _:
+                return False
+
     def mark_lost(self, worker: str) -> bool:
         """Marks a serving worker as lost; returns whether it was serving."""
         match self.state:
@@ -259,6 +309,52 @@
             case _:
                 return False
 
+    def _may_be_newer(self, report: WorkerReport) -> bool:
+        """Returns whether a process with an earlier start time may be newer.
+
+        That is so if its reports go on, while no report of the known process
+        follows. A worker that is leaving stays so, and one that is serving is
+        only replaced by a ready one of its name; else a health check decides.
+        """
+        identity = report.identity
+        if self._has_departed(identity):
+            return False
+        match self.state:
+            case Serving(known_identity):
+                if (
+                    known_identity.worker == identity.worker
+                    and not report.is_leaving
+                ):
+                    return True
+                self._doubt()
+                return False
+            case Reported() | Lost():
+                return True
+            case Unknown() | Leaving():
+                return False
+
+    def _doubt(self) -> None:
+        self.is_doubted = self.get_serving() is not None
+
+    def _get_sequence(self, identity: WorkerIdentity) -> int:
+        """Returns the newest sequence number of a process, -1 if unknown."""
+        known_identity = self.get_identity()
+        if (
+            known_identity is not None
+            and known_identity.started_ms == identity.started_ms
+        ):
+            return self._sequence
+        key = (identity.worker, identity.started_ms)
+        return self._other_sequences.get(key, -1)
+
+    def _record_other_sequence(
+        self, identity: WorkerIdentity, sequence: int
+    ) -> None:
+        key = (identity.worker, identity.started_ms)
+        self._other_sequences[key] = sequence
+        while len(self._other_sequences) > MAX_SEQUENCE_ENTRIES:
+            del self._other_sequences[next(iter(self._other_sequences))]
+
     def _is_serving(self, identity: WorkerIdentity) -> bool:
         """Returns whether this process is in use.
 
--- a/kumquatridge/workers/supervisor.py
+++ b/kumquatridge/workers/supervisor.py
@@ -56,10 +56,10 @@
     departures that were malformed or did not apply to the worker. The
     supervisor does not start or stop the worker process.
 
-    While its context is open, a worker that is unknown, lost or only reported
-    is checked at intervals until it is in use. A restarted daemon therefore
-    does not have to wait for the next report of its worker, and a report is
-    followed by a check at once.
+    While its context is open, a worker that is unknown, lost, doubted or only
+    reported is checked at intervals until it is in use. A restarted daemon
+    therefore does not have to wait for the next report of its worker, and a
+    report is followed by a check at once.
     """
 
     def __init__(
@@ -84,7 +84,6 @@
         match self.worker.apply_report(report):
             case own_worker.Applied():
                 self._publish(previous_state, "report")
-                self._check_requested.set()
             case own_worker.Stale():
                 self.ignore(
                     report.identity.worker,
@@ -92,6 +91,7 @@
                 )
             case own_worker.Mismatched(reason):
                 self.ignore(report.identity.worker, reason)
+        self._request_check()
 
     def handle_departure(self, worker: str, started_ms: int = 0) -> None:
         """Marks a worker that announced its shutdown as leaving.
@@ -103,6 +103,12 @@
             self._publish(previous_state, "departure")
         else:
             self.ignore(worker, "departure of an unknown worker")
+            self._request_check()
+
+    def _request_check(self) -> None:
+        """Checks the worker at once, unless it is in use beyond doubt."""
+        if self.worker.needs_check:
+            self._check_requested.set()
 
     def handle_loss(self, worker: str, reason: str) -> None:
         """Marks a worker as lost if it is serving; `reason` is logged."""
@@ -132,15 +138,8 @@
     async def _run(self) -> None:
         while True:
             self._check_requested.clear()
-            match self.worker.state:
-                case (
-                    own_worker.Unknown()
-                    | own_worker.Reported()
-                    | own_worker.Lost()
-                ):
-                    await self._check()
-                case own_worker.Serving() | own_worker.Leaving():
-                    pass
+            if self.worker.needs_check:
+                await self._check()
             await self._wait_for_next_check()
 
     async def _wait_for_next_check(self) -> None:
@@ -156,8 +155,10 @@
                 previous_state = worker.state
                 if worker.apply_health_check(name, slots):
                     self._publish(previous_state, "health check")
-            case Unhealthy():
-                pass
+            case Unhealthy(reason):
+                previous_state = worker.state
+                if worker.apply_failed_health_check():
+                    self._publish(previous_state, reason)
 
     def _publish(
         self, previous_state: own_worker.WorkerState, reason: str
--- a/tests/workers/test_own_worker.py
+++ b/tests/workers/test_own_worker.py
@@ -12,6 +12,9 @@
 WORKER_A = own_worker.WorkerIdentity("a", 100, ADDRESS, "shop", 8)
 RESTARTED_WORKER_A = dataclasses.replace(WORKER_A, started_ms=200)
 WORKER_B = dataclasses.replace(WORKER_A, worker="b", started_ms=300)
+# Started after A, when the clock had been set back.
+SET_BACK_WORKER_A = dataclasses.replace(WORKER_A, started_ms=50)
+SET_BACK_WORKER_B = dataclasses.replace(WORKER_B, started_ms=50)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -42,6 +45,11 @@
     slots: int = 8
 
 
+@dataclasses.dataclass(frozen=True)
+class HealthCheckFailed:
+    """A health check fails; a leaving worker's does."""
+
+
 @dataclasses.dataclass(frozen=True)
 class WorkerLost:
     """A worker's address refuses connections, or another worker answers."""
@@ -49,7 +57,13 @@
     worker: str
 
 
-Step = ReportReceived | DepartureReceived | HealthCheckPassed | WorkerLost
+Step = (
+    ReportReceived
+    | DepartureReceived
+    | HealthCheckPassed
+    | HealthCheckFailed
+    | WorkerLost
+)
 
 
 IN_USE_A = (ReportReceived(WORKER_A, 1), HealthCheckPassed("a"))
@@ -66,6 +80,8 @@
             worker.apply_departure(worker_name, started_ms)
         case HealthCheckPassed(worker_name, slots):
             worker.apply_health_check(worker_name, slots)
+        case HealthCheckFailed():
+            worker.apply_failed_health_check()
         case WorkerLost(worker_name):
             worker.mark_lost(worker_name)
 
@@ -252,6 +268,141 @@
             None,
             id="repeated report after the loss",
         ),
+        # Guards against a report of leaving that is acknowledged and ignored,
+        # because the clock was set back before the process was started.
+        pytest.param(
+            (
+                *IN_USE_A,
+                WorkerLost("a"),
+                HealthCheckPassed("a"),
+                ReportReceived(SET_BACK_WORKER_A, 1),
+                HealthCheckPassed("a"),
+                ReportReceived(SET_BACK_WORKER_A, 2, True),
+            ),
+            None,
+            id="leaving after a restart with the clock set back",
+        ),
+        pytest.param(
+            (
+                *IN_USE_A,
+                ReportReceived(SET_BACK_WORKER_A, 1),
+                HealthCheckPassed("a"),
+                ReportReceived(SET_BACK_WORKER_A, 2, True),
+            ),
+            None,
+            id="the same, the restart unnoticed",
+        ),
+        pytest.param(
+            (
+                *IN_USE_A,
+                ReportReceived(SET_BACK_WORKER_A, 1),
+                HealthCheckPassed("a"),
+                DepartureReceived("a", 50),
+            ),
+            None,
+            id="departed after a restart with the clock set back",
+        ),
+        pytest.param(
+            (
+                *IN_USE_A,
+                ReportReceived(SET_BACK_WORKER_A, 1, True),
+                HealthCheckFailed(),
+            ),
+            None,
+            id="leaving in the first report, clock set back",
+        ),
+        pytest.param(
+            (*IN_USE_A, DepartureReceived("a", 50), HealthCheckFailed()),
+            None,
+            id="departed before any report, clock set back",
+        ),
+        pytest.param(
+            (
+                *IN_USE_A,
+                ReportReceived(SET_BACK_WORKER_B, 1),
+                HealthCheckPassed("b"),
+                ReportReceived(SET_BACK_WORKER_B, 2, True),
+            ),
+            None,
+            id="leaving under another name, clock set back",
+        ),
+        pytest.param(
+            (
+                *IN_USE_A,
+                ReportReceived(SET_BACK_WORKER_A, 1),
+                HealthCheckPassed("a"),
+            ),
+            "a",
+            id="restarted with the clock set back",
+        ),
+        pytest.param(
+            (
+                *IN_USE_A,
+                WorkerLost("a"),
+                ReportReceived(SET_BACK_WORKER_B, 1),
+                HealthCheckPassed("b"),
+            ),
+            "b",
+            id="replaced with the clock set back",
+        ),
+        pytest.param(
+            (
+                *IN_USE_A,
+                ReportReceived(SET_BACK_WORKER_A, 9, True),
+                HealthCheckPassed("a"),
+            ),
+            "a",
+            id="late leaving of an unknown process, still healthy",
+        ),
+        pytest.param(
+            (
+                *IN_USE_A,
+                ReportReceived(RESTARTED_WORKER_A, 1),
+                HealthCheckPassed("a"),
+                ReportReceived(WORKER_A, 1, True),
+                HealthCheckFailed(),
+            ),
+            "a",
+            id="copy of a report of an earlier process",
+        ),
+        pytest.param(
+            (
+                *IN_USE_A,
+                ReportReceived(RESTARTED_WORKER_A, 1),
+                HealthCheckPassed("a"),
+                DepartureReceived("a", 100),
+                HealthCheckFailed(),
+            ),
+            "a",
+            id="late departure of a known earlier process",
+        ),
+        pytest.param(
+            (
+                *IN_USE_A,
+                ReportReceived(SET_BACK_WORKER_A, 1),
+                HealthCheckPassed("a"),
+                ReportReceived(WORKER_A, 2),
+                HealthCheckPassed("a"),
+                ReportReceived(WORKER_A, 3, True),
+            ),
+            None,
+            id="leaving after a late report of an earlier process",
+        ),
+        pytest.param(
+            (
+                *IN_USE_A,
+                ReportReceived(WORKER_A, 2, True),
+                ReportReceived(SET_BACK_WORKER_A, 9),
+                HealthCheckPassed("a"),
+            ),
+            None,
+            id="late report of an earlier process while leaving",
+        ),
+        pytest.param(
+            (*IN_USE_A, HealthCheckFailed()),
+            "a",
+            id="failed health check of a worker beyond doubt",
+        ),
         pytest.param(
             (
                 ReportReceived(
