Read long control messages

Cause: a body above 512 KiB is streamed, and HttpControlLink took a streamed answer for a refusal, so that the table could not be pulled. ControlEndpoint rejected streamed requests in the same way.

Change: both read up to 4 MiB.

Ruled out: to compress entries, which changes the wire format and leaves the limit; to let daemons read the store when a pull fails, which each of them would do.

--- a/kumquatridge/membership/topic_table.py
+++ b/kumquatridge/membership/topic_table.py
@@ -150,7 +150,7 @@
         answer = await link.ask(
             address,
             messages.EntriesRequest(topic.number, keys),
-            self._settings.answer_timeout_ms,
+            self._settings.entries_timeout_ms,
         )
         match answer:
             case messages.EntriesAnswer(entries):
--- a/kumquatridge/peers/http_link.py
+++ b/kumquatridge/peers/http_link.py
@@ -17,6 +17,9 @@
 TARGET = "/"
 STATUS_OK = 200
 STATUS_MALFORMED = 400
+# Longest message that is read. The longest are the entries of a topic, of which
+# a route table is the largest: the platform stores tables of up to 1 MiB.
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 
 
 class HttpControlLink:
@@ -47,7 +50,7 @@
                 asyncio.timeout(timeout_ms / 1000.0),
                 self._connections.send(address, http_request) as answer,
             ):
-                return self._decode(address, answer)
+                return await self._read(address, answer)
         except (TimeoutError, transport_errors.TransportError) as error:
             # The idle connections may have gone silent together with this one.
             self.disconnect(address)
@@ -60,19 +63,21 @@
         """Closes the idle connections to an address."""
         self._connections.close_idle(address)
 
-    def _decode(
+    async def _read(
         self, address: str, answer: http_messages.Answer
     ) -> membership_messages.Answer:
-        match answer:
-            case http_messages.Answer(
-                status=200, body=call_body.BufferedBody(data)
-            ):
-                self._recorder.record_control_bytes("received", len(data))
-            case _:
-                raise membership_errors.PeerRefusedError(
-                    f"{address}: control message answered with status "
-                    f"{answer.status}, expected {STATUS_OK}"
-                )
+        try:
+            data = await http_messages.read_body(answer.body, MAX_MESSAGE_BYTES)
+        except transport_errors.ProtocolError as error:
+            raise membership_errors.PeerRefusedError(
+                f"{address}: answer to a control message: {error}"
+            ) from error
+        self._recorder.record_control_bytes("received", len(data))
+        if answer.status != STATUS_OK:
+            raise membership_errors.PeerRefusedError(
+                f"{address}: control message answered with status "
+                f"{answer.status}, expected {STATUS_OK}"
+            )
         try:
             return messages.decode_answer(data)
         except errors.MalformedMessageError as error:
@@ -90,12 +95,15 @@
     async def handle(
         self, request: http_messages.Request, responder: http_listener.Responder
     ) -> None:
-        """Answers one request; a streamed or malformed body gets status 400."""
-        match request.body:
-            case call_body.BufferedBody(data):
-                answer = await self._answer(data)
-            case call_body.StreamedBody():
-                answer = _make_answer(STATUS_MALFORMED, b"")
+        """Answers one request; one too long or malformed gets status 400."""
+        try:
+            data = await http_messages.read_body(
+                request.body, MAX_MESSAGE_BYTES
+            )
+        except transport_errors.ProtocolError as error:
+            answer = _make_answer(STATUS_MALFORMED, str(error).encode())
+        else:
+            answer = await self._answer(data)
         await responder.send(answer)
 
     async def _answer(self, data: bytes) -> http_messages.Answer:
