--- a/kumquatridge/membership/platform_signs.py
+++ b/kumquatridge/membership/platform_signs.py
@@ -23,7 +23,7 @@
 from kumquatridge.telemetry import events
 
 # Time for which a doubt is passed on, and deputies watch. By then each working
-# watch was answered again (`settings.route_watch.RouteWatchSettings.window_ms`).
+# watch was answered again (`window_ms` of `settings.route_watch`).
 DOUBT_MS = 5000.0
 # Doubts that are remembered, so that none is raised twice.
 MAX_DOUBTS = 64
