Leave new connections open while a daemon stops

Cause: after 2.5 s a stopping daemon closes idle connections every 50 ms. A connection counts as idle until its first bytes are read; under load a new one was closed while its request was in transit.

Change: the drain closes connections that have been idle for 250 ms or more.

Ruled out: the deadline rule of the drain, since the request had not been read.

Tests: test_request_on_a_new_connection_is_answered fails with 0 ms, the behaviour before; test_only_connections_idle_for_long_enough_are_closed is new.

--- a/kumquatridge/platform/listeners.py
+++ b/kumquatridge/platform/listeners.py
@@ -19,6 +19,9 @@
 IDLE_POLL_MS = 50.0
 # The same after the drain, when only the last answers are being sent.
 FLUSH_POLL_MS = 10.0
+# Callers send a request at once on a new connection; until it arrives, the
+# connection looks idle.
+MIN_IDLE_MS = 250.0
 
 
 class DaemonListeners:
@@ -139,7 +142,7 @@
 
     def _close_idle_callers(self) -> None:
         for caller_listener in self._caller_listeners:
-            caller_listener.close_idle()
+            caller_listener.close_idle(MIN_IDLE_MS)
 
 
 def _are_idle(listeners: Iterable[server.Listener]) -> bool:
--- a/kumquatridge/transport/server.py
+++ b/kumquatridge/transport/server.py
@@ -85,11 +85,14 @@
     def _fail_body(self, fault: errors.BrokenBodyError) -> None:
         """Ends a partly received body, if any, with an error."""
 
+    def get_idle_ms(self, now_ms: float) -> float:
+        """Returns the time since the connection was opened or last used."""
+        return now_ms - self._last_activity_ms
+
     def check_timeouts(self, now_ms: float) -> None:
         """Closes a connection that was idle for longer than the limit."""
-        idle_time_ms = now_ms - self._last_activity_ms
         limit_ms = self._listener.settings.idle_ms + CHECK_MARGIN_MS
-        if self.is_idle and idle_time_ms > limit_ms:
+        if self.is_idle and self.get_idle_ms(now_ms) > limit_ms:
             self.finish()
 
     def finish(self) -> None:
@@ -192,10 +195,15 @@
         """Changes the limits for everything received from now on."""
         self.settings = settings
 
-    def close_idle(self) -> None:
-        """Closes the connections without a request or unsent bytes."""
+    def close_idle(self, idle_ms: float = 0.0) -> None:
+        """Closes the connections without a request or unsent bytes.
+
+        Those that have been idle for less than `idle_ms` stay open: on a new
+        one, the first request may still be in transit.
+        """
+        now_ms = clock.get_now_ms()
         for connection in tuple(self.connections):
-            if connection.is_idle:
+            if connection.is_idle and connection.get_idle_ms(now_ms) >= idle_ms:
                 connection.finish()
 
     async def _run(self) -> None:
--- a/tests/platform/test_stop.py
+++ b/tests/platform/test_stop.py
@@ -5,7 +5,10 @@
 
 import pytest
 
+from kumquatridge.admission import drain
+from kumquatridge.platform import listeners
 from kumquatridge.transport import errors
+from kumquatridge.transport import messages as http
 from tests.platform import deployment as deployments
 
 SLOW = deployments.make_route(
@@ -128,3 +131,29 @@
         statuses = await asyncio.gather(*sent)
     assert set(statuses) <= {502, 503}
     assert 502 in statuses
+
+
+# Guards against a new connection that a stopping daemon closes as idle, just
+# before the request on it arrives.
+async def test_request_on_a_new_connection_is_answered() -> None:
+    shops = make_shops(2, BUSY_WORK_S)
+    async with deployments.open_deployment(
+        *shops, routes=(SLOW,), grace_ms=6000.0
+    ) as deployment:
+        busy = asyncio.create_task(send(deployment, "busy", 6.0))
+        await deployments.wait_until(lambda: any(s.running for s in shops))
+        for shop in shops:
+            set_work(shop, 0.1)
+        stopping = asyncio.create_task(deployment.stop_daemon(0))
+        # Past the time at which idle connections are closed.
+        await asyncio.sleep(drain.NOTICE_MS / 1000 + 0.1)
+        host, port = deployment.settings[0].caller_address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        # More than the interval at which they are closed.
+        await asyncio.sleep(3 * listeners.IDLE_POLL_MS / 1000)
+        request = deployments.make_request("/slow/x", deadline_ms=1000)
+        writer.write(http.encode_request_head(request))
+        assert (await reader.readline()).startswith(b"HTTP/1.1 200")
+        writer.close()
+        await stopping
+        await busy
--- a/tests/transport/test_http_listener.py
+++ b/tests/transport/test_http_listener.py
@@ -231,6 +231,25 @@
             pytest.fail("expected a streamed body, got a buffered one")
 
 
+@pytest.mark.parametrize(
+    ("idle_ms", "is_closed"),
+    [
+        pytest.param(0.0, True, id="any"),
+        pytest.param(30.0, True, id="idle for longer"),
+        pytest.param(5000.0, False, id="new"),
+    ],
+)
+async def test_only_connections_idle_for_long_enough_are_closed(
+    idle_ms: float, is_closed: bool
+) -> None:
+    async with run_listener(Handler()) as (listener, _, _):
+        # Time in which the listener accepts the connection.
+        await asyncio.sleep(0.1)
+        (connection,) = listener.connections
+        listener.close_idle(idle_ms)
+        assert connection.transport.is_closing() is is_closed
+
+
 async def test_connection_with_unread_request_is_not_closed_as_idle() -> None:
     handler = Handler()
     async with run_listener(handler) as (listener, reader, writer):
