Read a frame in time proportional to its length

A frame of 4 MiB that arrives in segments of 1,448 bytes kept a daemon busy for 2.3 s of processor time, and nobody else was answered meanwhile; some connections like that stop a process. A frame's head could fill the whole frame: its headers, in pairs of strings, take up to 34 times its length once decoded, over 100 MB for one message.

Cause: each segment was appended to a copy of all earlier ones. The length of a head had only the bound of the frame.

Change: the reader collects an incomplete frame in one buffer and looks at it again only when it is complete. A head may have 512 KiB: twice what an answer's head may have, and 32 times the usual limit of a request's.

Ruled out: the HTTP listeners, whose parser keeps no more than an incomplete line.

Tests: two of four rows of test_head_is_read_up_to_its_limit failed before; all pass.

--- a/kumquatridge/transport/frames.py
+++ b/kumquatridge/transport/frames.py
@@ -28,6 +28,9 @@
 # the limits of the routes. If the lengths in a frame add up to more, the peer
 # does not speak this protocol.
 MAX_FRAME_BYTES = 4 * 1024 * 1024
+# A head has the headers of a request or an answer, which are bounded by
+# `ListenerSettings.max_header_bytes` and `connection.MAX_OVERHEAD_BYTES`.
+MAX_HEAD_BYTES = 512 * 1024
 # A buffered body that is longer is sent in parts of this size. The limit is
 # twice the size up to which a receiver buffers a body.
 MAX_WHOLE_BODY_BYTES = 2 * incoming_body.MAX_BUFFERED_BYTES
@@ -78,8 +81,10 @@
     ) -> None:
         self._flow_control = flow_control
         self._deliver = deliver
-        # The start of a frame that has not been received completely.
-        self._unparsed = b""
+        # The start of a frame that has not been received completely, and the
+        # length from which on it can be parsed further.
+        self._unparsed = bytearray()
+        self._awaited_bytes = HEADER.size
         # The body of a streamed message until its END frame, and its length if
         # known; the bytes of it received so far.
         self._stream: incoming_body.IncomingBody | None = None
@@ -98,23 +103,29 @@
           ProtocolError: the bytes are not a valid sequence of frames.
         """
         if self._unparsed:
-            data = self._unparsed + data
+            self._unparsed += data
+            if len(self._unparsed) < self._awaited_bytes:
+                return
+            data = bytes(self._unparsed)
+            self._unparsed.clear()
         start = 0
+        self._awaited_bytes = HEADER.size
         while len(data) - start >= HEADER.size:
             frame_type, head_bytes, body_bytes = HEADER.unpack_from(data, start)
             if frame_type in _STREAMED_TYPES:
                 end = start + HEADER.size + head_bytes
             else:
                 end = start + HEADER.size + head_bytes + body_bytes
-            if end - start > MAX_FRAME_BYTES:
+            if end - start > MAX_FRAME_BYTES or head_bytes > MAX_HEAD_BYTES:
                 raise errors.ProtocolError("a frame too long")
             if end > len(data):
+                self._awaited_bytes = end - start
                 break
             head_end = start + HEADER.size + head_bytes
             head = data[start + HEADER.size : head_end]
             self._handle_frame(frame_type, head, data[head_end:end], body_bytes)
             start = end
-        self._unparsed = data[start:] if start else data
+        self._unparsed += data[start:]
 
     def _handle_frame(
         self, frame_type: int, head: bytes, body: bytes, length_bytes: int
--- a/tests/transport/test_frames.py
+++ b/tests/transport/test_frames.py
@@ -233,6 +233,28 @@
         reader.feed(data)
 
 
+# Guards against a head whose headers take many times its length once decoded.
+@pytest.mark.parametrize(
+    ("head_bytes", "is_read"),
+    [(frames.MAX_HEAD_BYTES, True), (frames.MAX_HEAD_BYTES + 1, False)],
+)
+@pytest.mark.parametrize(
+    "frame_type", [frames.FrameType.WHOLE, frames.FrameType.STREAMED]
+)
+def test_head_is_read_up_to_its_limit(
+    frame_type: frames.FrameType, head_bytes: int, is_read: bool
+) -> None:
+    received: list[frames.Message] = []
+    reader = frames.FrameReader(NoFlowControl(), received.append)
+    data = frames.HEADER.pack(frame_type, head_bytes, 0) + bytes(head_bytes)
+    if is_read:
+        reader.feed(data)
+    else:
+        with pytest.raises(errors.ProtocolError):
+            reader.feed(data)
+    assert len(received) == int(is_read)
+
+
 class NoFlowControl:
     """Flow control without effect."""
 
