Keep no long ids of requests after them

Each id of a request may be as long as a head. A daemon kept them where it needs only a short text or none: 64 on each pooled connection to a worker (960 KB of ids of 15,000 characters on one), one for each of the last 4,096 refusals and retries (61 MB), and in log records, of which 5,000 may wait while the reader of the log stops.

Cause: these stores are bounded by their number of entries, not by what one holds.

Change: a connection remembers hashes of the keys of its exchanges; two with the same hash only mean another connection. The times of the last gate reports are kept for 4,096 daemons, as the name of a daemon comes from its message.

Ruled out: fingerprints, which are digests; the registry of calls in progress, whose ids end with their calls and are counted with their connections.

--- a/kumquatridge/platform/peers.py
+++ b/kumquatridge/platform/peers.py
@@ -29,6 +29,9 @@
 # overloaded service. Every other daemon reports all gates that it knows, so one
 # report to each peer in a fifth of a gate's lifetime suffices.
 GATE_REPORT_INTERVAL_MS = 200.0
+# Senders whose last report is remembered: more than there are daemons. Without
+# the time of the last one a gate is reported once more.
+MAX_SENDERS = 4096
 # Time after which long calls in progress are likely to have ended.
 MEMORY_RETRY_MS = 500
 
@@ -204,5 +207,7 @@
             and now_ms - reported_ms < GATE_REPORT_INTERVAL_MS
         ):
             return ()
+        if len(self._gates_reported_ms) >= MAX_SENDERS:
+            self._gates_reported_ms.clear()
         self._gates_reported_ms[sender] = now_ms
         return self._get_gates(now_ms)
--- a/kumquatridge/telemetry/decisions.py
+++ b/kumquatridge/telemetry/decisions.py
@@ -6,6 +6,7 @@
 
 from kumquatridge.calls import call as calls
 from kumquatridge.calls import refusals
+from kumquatridge.telemetry import texts
 
 # Default capacity of the log.
 MAX_DECISIONS = 4096
@@ -60,7 +61,7 @@
         self._decisions.append(
             RefusalDecision(
                 _get_wall_ms(),
-                call.chain.root_id,
+                texts.shorten(call.chain.root_id),
                 call.service,
                 call.policy.route,
                 call.chain.importance.name.lower(),
@@ -74,7 +75,7 @@
         self._decisions.append(
             RetryDecision(
                 _get_wall_ms(),
-                call.chain.root_id,
+                texts.shorten(call.chain.root_id),
                 call.service,
                 call.policy.route,
                 reason,
@@ -87,10 +88,11 @@
         A root call is one that no other call caused. The decisions about the
         calls that it caused are included.
         """
+        kept_id = texts.shorten(root_id)
         return tuple(
             decision
             for decision in self._decisions
-            if decision.root_id == root_id
+            if decision.root_id == kept_id
         )
 
     def get_latest(self, count: int) -> tuple[Decision, ...]:
--- a/kumquatridge/telemetry/events.py
+++ b/kumquatridge/telemetry/events.py
@@ -9,6 +9,8 @@
 
 import eliot
 
+from kumquatridge.telemetry import texts
+
 
 class Event(Protocol):
     """A frozen data class with a unique event number."""
@@ -524,9 +526,12 @@
 
 
 def log(event: Event) -> None:
-    """Writes an event to the log, with its number as the message type."""
+    """Writes an event to the log, with its number as the message type.
+
+    Very long texts are cut off.
+    """
     fields = {
-        field.name: getattr(event, field.name)
+        field.name: texts.shorten_value(getattr(event, field.name))
         for field in dataclasses.fields(event)  # type: ignore[arg-type]
     }
     eliot.log_message(
--- a/kumquatridge/transport/client_connection.py
+++ b/kumquatridge/transport/client_connection.py
@@ -42,8 +42,9 @@
         # Cleared while the write buffer of the transport is full.
         self._writable = asyncio.Event()
         self._writable.set()
-        # The newest exchanges, oldest first; see `has_carried`.
-        self._keys: dict[str, None] = {}
+        # Hashes of the keys of the newest exchanges, oldest first; see
+        # `has_carried`. The keys themselves come from clients and may be long.
+        self._key_hashes: dict[int, None] = {}
         self.idle_since_ms = 0.0
 
     @property
@@ -105,14 +106,17 @@
         self._limiter.update(self, self._held_bytes)
 
     def has_carried(self, key: str) -> bool:
-        """Returns whether an exchange with this key used the connection."""
-        return key in self._keys
+        """Returns whether an exchange with this key used the connection.
+
+        Two keys with the same hash, which are rare, are taken for one.
+        """
+        return hash(key) in self._key_hashes
 
     def record_key(self, key: str) -> None:
         """Remembers that an exchange with this key uses the connection."""
-        self._keys[key] = None
-        if len(self._keys) > MAX_KEYS:
-            del self._keys[next(iter(self._keys))]
+        self._key_hashes[hash(key)] = None
+        if len(self._key_hashes) > MAX_KEYS:
+            del self._key_hashes[next(iter(self._key_hashes))]
 
     def _check_open(self) -> None:
         """Checks that bytes can be written.
--- a/tests/transport/test_client_connection.py
+++ b/tests/transport/test_client_connection.py
@@ -2,11 +2,13 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
+import sys
 from typing import Any
 
 import pytest
 
 from kumquatridge.calls import body as call_body
+from kumquatridge.transport import client_connection
 from kumquatridge.transport import connection
 from kumquatridge.transport import errors
 from kumquatridge.transport import frame_connection
@@ -77,6 +79,37 @@
 
 # Guards against a connection that stays paused after an answer was dropped that
 # had arrived whole: the next exchange on it would time out.
+def measure_objects(client: Connection) -> int:
+    """Returns the bytes of what a connection and its containers refer to."""
+    objects = {id(value): value for value in vars(client).values()}
+    for value in tuple(objects.values()):
+        if isinstance(value, dict):
+            objects |= {id(key): key for key in value}
+    return sum(
+        sys.getsizeof(value)
+        for value in objects.values()
+        if isinstance(value, str | int)
+    )
+
+
+# Guards against ids of requests, which may be as long as a head, that a pooled
+# connection keeps for its whole life.
+@pytest.mark.parametrize(("make_connection", "send"), PROTOCOLS)
+async def test_keys_are_remembered_but_not_kept(
+    make_connection: Callable[[], Connection], send: Send
+) -> None:
+    del send
+    client = make_connection()
+    keys = [f"{number}.{'k' * 15_000}" for number in range(100)]
+    for key in keys:
+        client.record_key(key)
+    assert measure_objects(client) <= 100 * client_connection.MAX_KEYS
+    first_kept = len(keys) - client_connection.MAX_KEYS
+    assert [client.has_carried(key) for key in keys] == [
+        number >= first_kept for number in range(len(keys))
+    ]
+
+
 async def test_connection_with_a_dropped_answer_receives_the_next_one() -> None:
     transport = pausable.PausableTransport()
     client = connection.Connection()
