Don't take a part of an answer for all of it

A worker answered a long upload at once with a 200 that had no length, sent a part of its body and was gone while the upload was still being written. On the platform this happened if the connection was ended first and reset afterwards, as the kernel does for a process that stops; in kumquatridge.daemon with every reset.

Cause: a body without a length ended with its connection, whether or not the worker could have the whole request. aiohttp takes a reset for such an end, too.

Change: such an answer is broken if the kernel has not taken the whole request. The protocol of kumquatridge.daemon's client reports a reset to the reader of a body, and an upload that was not sent whole breaks the answer.

Ruled out: resets on the platform. uvloop and asyncio report them as errors, also when they arrive with the last bytes; 12 rows that held before.

Tests: 4 of 18 rows of tests/transport/test_reset.py and 10 of 12 of tests/http/test_faulty_answers.py failed before with the part as the whole body; all pass.

--- a/kumquatridge/http/client.py
+++ b/kumquatridge/http/client.py
@@ -4,9 +4,12 @@
 from collections.abc import AsyncIterator
 import contextlib
 import dataclasses
+import functools
 import socket
+from typing import cast
 
 import aiohttp
+from aiohttp import client_proto
 import multidict
 import yarl
 
@@ -22,6 +25,37 @@
 TCP_USER_TIMEOUT_MS = 5000
 
 
+class _Protocol(client_proto.ResponseHandler):
+    """A connection that tells a reset in the middle of an answer.
+
+    aiohttp takes a body without a length for complete however its connection
+    ends.
+    """
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Ends an incomplete body with an error if the connection was reset."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(
+                aiohttp.ClientPayloadError(f"connection lost: {exc}")
+            )
+        super().connection_lost(exc)
+
+
+class _Upload:
+    """The chunks of a request's body; `is_sent` after the last one."""
+
+    def __init__(self, chunks: AsyncIterator[bytes]) -> None:
+        self._chunks = chunks
+        self.is_sent = False
+
+    async def iterate(self) -> AsyncIterator[bytes]:
+        """Yields the chunks."""
+        async for chunk in self._chunks:
+            yield chunk
+        self.is_sent = True
+
+
 def make_session() -> aiohttp.ClientSession:
     """Returns a session that sends each request at most once.
 
@@ -29,14 +63,19 @@
     server closed a reused connection. This is turned off: only the retry
     policy decides whether a call is sent again.
     """
+    connector = aiohttp.TCPConnector(
+        # No limit on the number of connections.
+        limit=0,
+        keepalive_timeout=KEEPALIVE_S,
+        use_dns_cache=False,
+        socket_factory=_make_socket,
+    )
+    connector._factory = cast(
+        functools.partial[client_proto.ResponseHandler],
+        functools.partial(_Protocol, loop=asyncio.get_running_loop()),
+    )
     session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
-            # No limit on the number of connections.
-            limit=0,
-            keepalive_timeout=KEEPALIVE_S,
-            use_dns_cache=False,
-            socket_factory=_make_socket,
-        ),
+        connector=connector,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=None),
@@ -87,6 +126,7 @@
     the name that the refusal gives if no connection could be opened.
     """
     response: aiohttp.ClientResponse | None = None
+    upload = _make_upload(call.body)
     try:
         async with asyncio.timeout(call.chain.get_remaining_ms() / 1000.0):
             response = await session.request(
@@ -95,10 +135,14 @@
                 headers=multidict.CIMultiDict(
                     (*headers, *_make_length_header(call.body))
                 ),
-                data=bodies.make_payload(call.body),
+                data=(
+                    bodies.make_payload(call.body)
+                    if upload is None
+                    else upload.iterate()
+                ),
                 allow_redirects=False,
             )
-            body = await _read_answer_body(response)
+            body = await _read_answer_body(response, upload)
     except aiohttp.ClientConnectorError:
         result: SendResult = outcomes.NotRun(refusals.Unreachable(receiver))
     except TimeoutError:
@@ -118,8 +162,17 @@
             _release_response(response)
 
 
+def _make_upload(body: call_body.Body) -> _Upload | None:
+    """Returns the upload of a streamed body, None for a short one."""
+    match body:
+        case call_body.BufferedBody():
+            return None
+        case call_body.StreamedBody(_, chunks):
+            return _Upload(chunks)
+
+
 async def _read_answer_body(
-    response: aiohttp.ClientResponse,
+    response: aiohttp.ClientResponse, upload: _Upload | None
 ) -> call_body.Body:
     length_bytes = response.content_length
     if (
@@ -127,7 +180,28 @@
         and length_bytes <= bodies.MAX_BUFFERED_BODY_BYTES
     ):
         return call_body.BufferedBody(await response.read())
-    return call_body.StreamedBody(length_bytes, response.content.iter_any())
+    chunks = response.content.iter_any()
+    is_chunked = header_names.TRANSFER_ENCODING in response.headers
+    if upload is None or is_chunked or length_bytes is not None:
+        return call_body.StreamedBody(length_bytes, chunks)
+    return call_body.StreamedBody(None, _iterate_to_close(chunks, upload))
+
+
+async def _iterate_to_close(
+    chunks: AsyncIterator[bytes], upload: _Upload
+) -> AsyncIterator[bytes]:
+    """Yields a body that ends with its connection.
+
+    A worker that ends the connection before it has the whole request may have
+    been stopped in the middle of its answer.
+
+    Raises:
+      ClientPayloadError: the connection ended before the request was sent.
+    """
+    async for chunk in chunks:
+        yield chunk
+    if not upload.is_sent:
+        raise aiohttp.ClientPayloadError("ended before the request was sent")
 
 
 def _make_length_header(body: call_body.Body) -> outcomes.Headers:
--- a/kumquatridge/http/headers.py
+++ b/kumquatridge/http/headers.py
@@ -46,6 +46,7 @@
 IDEMPOTENCY_KEY = "idempotency-key"
 RETRY_AFTER = "retry-after"
 CONTENT_LENGTH = "content-length"
+TRANSFER_ENCODING = "transfer-encoding"
 
 OUTCOME_COMPLETED = "completed"
 OUTCOME_NOT_RUN = "not-run"
--- a/kumquatridge/transport/client_connection.py
+++ b/kumquatridge/transport/client_connection.py
@@ -67,6 +67,14 @@
         No answer is due, and the server keeps the connection open.
         """
 
+    @property
+    def _is_sending(self) -> bool:
+        """Returns whether the kernel has not taken all of the request yet."""
+        if self._send_task is not None and not self._send_task.done():
+            return True
+        transport = self._transport
+        return transport is not None and transport.get_write_buffer_size() > 0
+
     @property
     @abc.abstractmethod
     def _received_bytes(self) -> int:
--- a/kumquatridge/transport/connection.py
+++ b/kumquatridge/transport/connection.py
@@ -188,13 +188,18 @@
         self.fail(errors.ProtocolError(str(error)))
 
     def eof_received(self) -> bool:
-        """Completes an answer delimited by the close of the connection."""
+        """Completes an answer delimited by the close of the connection.
+
+        A server that ends the connection before it has the whole request may
+        have been stopped in the middle of its answer.
+        """
         answer = self._answer
         if (
             answer is not None
             and answer.is_head_complete
             and answer.ends_with_connection
             and not answer.body.is_complete
+            and not self._is_sending
         ):
             self._keeps_alive = False
             self._complete_answer(answer)
--- a/tests/transport/scripted.py
+++ b/tests/transport/scripted.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 import contextlib
 import dataclasses
+import os
 import socket
 import struct
 
@@ -36,6 +37,18 @@
     """Closes the connection with a RST."""
 
 
+@dataclasses.dataclass(frozen=True)
+class EndAnswer:
+    """Sends a FIN, and nothing more, but keeps the connection."""
+
+
+@dataclasses.dataclass(frozen=True)
+class SendAndReset:
+    """Writes bytes and resets, which arrives together with them."""
+
+    data: bytes
+
+
 @dataclasses.dataclass(frozen=True)
 class Pause:
     """Waits, so that the bytes before and after it arrive separately."""
@@ -43,7 +56,7 @@
     ms: float = 30.0
 
 
-Step = Send | Read | Close | Reset | Pause
+Step = Send | Read | Close | Reset | EndAnswer | SendAndReset | Pause
 
 
 class ScriptedServer:
@@ -84,15 +97,28 @@
             case Close():
                 writer.close()
             case Reset():
-                raw = writer.get_extra_info("socket")
-                raw.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-                )
+                _reset_on_close(writer).close()
                 writer.close()
+            case EndAnswer():
+                writer.write_eof()
+            case SendAndReset(data):
+                duplicate = _reset_on_close(writer)
+                with duplicate:
+                    # The transport closes its own descriptor first.
+                    writer.transport.abort()
+                    await asyncio.sleep(0)
+                    duplicate.send(data)
             case Pause(ms):
                 await asyncio.sleep(ms / 1000.0)
 
 
+def _reset_on_close(writer: asyncio.StreamWriter) -> socket.socket:
+    """Makes the last close of a connection a reset; returns a duplicate."""
+    raw = writer.get_extra_info("socket")
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    return socket.socket(fileno=os.dup(raw.fileno()))
+
+
 @contextlib.asynccontextmanager
 async def run_scripted(
     *steps: Step,
