Take an answer with an impossible status for none

In kumquatridge.daemon its client got it as an answer. On the platform the daemon took it for an interim answer and held the client until its deadline; 600 to 999 were passed on.

Cause: nothing checked that a status is one that HTTP has, 100 to 599.

Ruled out: statuses of fewer or more digits, which both parsers reject.

--- a/kumquatridge/http/client.py
+++ b/kumquatridge/http/client.py
@@ -23,6 +23,9 @@
 # Idle connections are closed after this time.
 KEEPALIVE_S = 30.0
 TCP_USER_TIMEOUT_MS = 5000
+# The final statuses that HTTP has (RFC 9110, section 15). A worker in trouble
+# may send others.
+STATUSES = range(200, 600)
 
 
 class _Protocol(client_proto.ResponseHandler):
@@ -154,7 +157,7 @@
             "connection lost after the call was sent", worker_lost=True
         )
     else:
-        result = Answer(response, body)
+        result = _make_result(response, body)
     try:
         yield result
     finally:
@@ -162,6 +165,15 @@
             _release_response(response)
 
 
+def _make_result(
+    response: aiohttp.ClientResponse, body: call_body.Body
+) -> SendResult:
+    """Returns the answer, unless its status is none that HTTP has."""
+    if response.status not in STATUSES:
+        return outcomes.Unknown(f"the answer has status {response.status}")
+    return Answer(response, body)
+
+
 def _make_upload(body: call_body.Body) -> _Upload | None:
     """Returns the upload of a streamed body, None for a short one."""
     match body:
--- a/kumquatridge/transport/connection.py
+++ b/kumquatridge/transport/connection.py
@@ -19,6 +19,9 @@
 
 # Answers with lower statuses are interim; the answer proper follows them.
 FIRST_FINAL_STATUS = 200
+# The statuses that HTTP has (RFC 9110, section 15). A server in trouble may
+# send others.
+STATUSES = range(100, 600)
 BODILESS_STATUSES = frozenset((204, 304))
 # Limit on the answers to other requests that are skipped before the expected
 # one; a server that sends more gets its connection closed.
@@ -230,6 +233,8 @@
         answer = self._answer
         assert answer is not None
         answer.status = self._parser.get_status_code()
+        if answer.status not in STATUSES:
+            raise errors.ProtocolError(f"status {answer.status}")
         headers = messages.decode_headers(answer.raw_headers)
         answer.raw_headers = []
         answer.headers = headers
--- a/tests/http/test_faulty_answers.py
+++ b/tests/http/test_faulty_answers.py
@@ -34,6 +34,13 @@
                 return outcome
 
 
+@pytest.mark.parametrize("status", ["000", "099", "600", "999"])
+async def test_impossible_status_is_no_answer(status: str) -> None:
+    answer = f"HTTP/1.1 {status} X\r\nContent-Length: 2\r\n\r\nok".encode()
+    result = await send(call_body.EMPTY, scripted.Send(answer))
+    assert isinstance(result, outcomes.Unknown)
+
+
 @pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
 @pytest.mark.parametrize("body", ["upload", "no body"])
 @pytest.mark.parametrize(
