Report what a connection holds only if it is much

A call through two daemons took 4 to 14% more processor time with the bound on all connections: each of its messages was reported, at 0.7 to 2.7 us.

Cause: a report was made for each message, also for one of some hundred bytes that is complete and waits for nothing, and once more when it had ended.

Change: messages of up to 1 KiB that are complete, with up to 32 header lines, are not reported, nor that a connection holds less. What is examined before anything is closed is exact, as before; between examinations the sum misses up to 26 KB for each connection with a short request in progress. Small requests don't ask for memory.

Ruled out: a counter of received bytes instead of sums, which would have to take 36 bytes for each byte of a head, and would cause an examination for every few MB.

--- a/kumquatridge/admission/connection_limits.py
+++ b/kumquatridge/admission/connection_limits.py
@@ -7,9 +7,9 @@
 requests are short, or still moving, are served.
 """
 
-from collections.abc import Iterator, Mapping
-import contextlib
+from collections.abc import Mapping
 import dataclasses
+import types
 from typing import Protocol
 
 from kumquatridge import clock
@@ -79,9 +79,10 @@
 class ConnectionLimiter:
     """Counts the connections of a process and what they hold.
 
-    Connections report changes of what they hold with `update`, but not that the
-    kernel has taken bytes from their buffers. When the sum exceeds the bound,
-    all connections are examined, and closed only if it still does.
+    Connections report with `update` when they hold more, but not when they hold
+    less: the kernel takes bytes from their buffers, and requests end. When the
+    sum exceeds the bound, all connections are examined, and closed only if it
+    still does.
     """
 
     def __init__(self, limits: ConnectionLimits | None = None) -> None:
@@ -139,24 +140,23 @@
         if self._total_bytes > self._examined_above_bytes:
             self._free_memory()
 
-    @contextlib.contextmanager
-    def reserve(self, held_bytes: int) -> Iterator[bool]:
-        """Yields whether a request that holds so much may be run now.
+    def reserve(self, held_bytes: int) -> "Reservation":
+        """Returns a context that tells whether a request may be run now.
 
-        A small one always may. Others may hold a share of the memory together.
+        Requests may hold a share of the memory together, each while its context
+        is open. Those of up to `SMALL_REQUEST_BYTES` need not ask.
         """
-        if held_bytes <= SMALL_REQUEST_BYTES:
-            yield True
-            return
+        return Reservation(self, held_bytes)
+
+    def _try_reserve(self, held_bytes: int) -> bool:
         limit_bytes = self._limits.max_bytes * IN_PROGRESS_RATIO
         if self._in_progress_bytes + held_bytes > limit_bytes:
-            yield False
-            return
+            return False
         self._in_progress_bytes += held_bytes
-        try:
-            yield True
-        finally:
-            self._in_progress_bytes -= held_bytes
+        return True
+
+    def _release(self, held_bytes: int) -> None:
+        self._in_progress_bytes -= held_bytes
 
     def _make_room(self) -> None:
         """Closes connections that wait for their client."""
@@ -207,6 +207,30 @@
         )
 
 
+class Reservation:
+    """Memory of a request in progress; see `ConnectionLimiter.reserve`."""
+
+    def __init__(self, limiter: ConnectionLimiter, held_bytes: int) -> None:
+        self._limiter = limiter
+        self._held_bytes = held_bytes
+        self._is_counted = False
+
+    def __enter__(self) -> bool:
+        """Returns whether the request may be run."""
+        self._is_counted = self._limiter._try_reserve(self._held_bytes)
+        return self._is_counted
+
+    def __exit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        """Frees the memory for other requests."""
+        if self._is_counted:
+            self._limiter._release(self._held_bytes)
+
+
 def choose_for_memory(
     usages: Mapping[LimitedConnection, Usage], max_bytes: int, now_ms: float
 ) -> list[LimitedConnection]:
--- a/kumquatridge/platform/peers.py
+++ b/kumquatridge/platform/peers.py
@@ -167,6 +167,9 @@
     ) -> None:
         """Runs a call, or refuses it if there is no memory for it."""
         held_bytes = responder.request_bytes
+        if held_bytes <= connection_limits.SMALL_REQUEST_BYTES:
+            await self._serve(received, responder)
+            return
         with self._limiter.reserve(held_bytes) as is_reserved:
             if is_reserved:
                 await self._serve(received, responder)
--- a/kumquatridge/transport/connection.py
+++ b/kumquatridge/transport/connection.py
@@ -120,7 +120,6 @@
         headers = incoming.headers
         length = messages.find_header(headers, "content-length")
         body = incoming.body.make_body(int(length) if length else None)
-        self._report_usage()
         return messages.Answer(incoming.status, headers, body)
 
     def _send(self, request: messages.Request) -> None:
--- a/kumquatridge/transport/frame_listener.py
+++ b/kumquatridge/transport/frame_listener.py
@@ -9,6 +9,7 @@
 from kumquatridge.transport import errors
 from kumquatridge.transport import frames
 from kumquatridge.transport import server
+from kumquatridge.transport import write_buffer
 
 # Logged as `target`, where events of the HTTP listener have the request target.
 LOG_TARGET = "call of a daemon"
@@ -147,8 +148,11 @@
             events.log(events.RequestFailed(LOG_TARGET, str(error)))
             self._fail_body(errors.BrokenBodyError(str(error)))
             self.transport.abort()
-        self._progress.record(len(data))
-        self._report_usage()
+        if len(data) > write_buffer.SHORT_BYTES or not (
+            self._reader.is_at_boundary
+        ):
+            self._progress.record(len(data))
+            self._report_usage()
 
 
 class FrameListener(server.Listener):
--- a/kumquatridge/transport/http_listener.py
+++ b/kumquatridge/transport/http_listener.py
@@ -14,6 +14,7 @@
 from kumquatridge.transport import incoming_body
 from kumquatridge.transport import messages
 from kumquatridge.transport import server
+from kumquatridge.transport import write_buffer
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Asks for a tunnel, which ends HTTP on the connection.
@@ -24,6 +25,8 @@
 HEADER_OVERHEAD_BYTES = 3
 # Memory of a request in progress, without its headers and body.
 REQUEST_BYTES = 16 * 1024
+# Header lines that a short request may have.
+SHORT_HEADER_COUNT = 32
 # Memory of a header line beside its bytes, which are kept as text.
 HEADER_LINE_BYTES = 250
 
@@ -179,6 +182,8 @@
     @property
     def _waiting_bytes(self) -> int:
         incoming = self._incoming
+        if incoming is None and not self._pending:
+            return 0
         waiting_bytes = sum(request.held_bytes for request in self._pending)
         if incoming is not None and not incoming.is_queued:
             waiting_bytes += incoming.held_bytes
@@ -262,8 +267,18 @@
         incoming = self._incoming
         if incoming is not None and not incoming.method:
             self._check_head_size(incoming, len(data))
-        self._progress.record(len(data))
-        self._report_usage()
+        if not self._is_short_request(len(data)):
+            self._progress.record(len(data))
+            self._report_usage()
+
+    def _is_short_request(self, size_bytes: int) -> bool:
+        """Returns whether the bytes just received are one short request."""
+        return (
+            size_bytes <= write_buffer.SHORT_BYTES
+            and self._incoming is None
+            and len(self._pending) == 1
+            and self._pending[0].header_count <= SHORT_HEADER_COUNT
+        )
 
     def _parse(self, data: bytes) -> None:
         """Parses bytes; declines each offer to change to another protocol.
--- a/kumquatridge/transport/server.py
+++ b/kumquatridge/transport/server.py
@@ -142,9 +142,11 @@
 
         Nothing is sent if the connection was closed, also for lack of memory.
         """
-        self._listener.limiter.update(self, self._held_bytes + len(data))
-        if not self.transport.is_closing():
-            self._output.write(data)
+        if not self._output.takes_at_once(data):
+            self._listener.limiter.update(self, self._held_bytes + len(data))
+            if self.transport.is_closing():
+                return
+        self._output.write(data)
 
     def get_usage(self) -> connection_limits.Usage:
         """Returns what the connection holds; see `connection_limits`."""
@@ -195,7 +197,6 @@
         self._has_served = True
         self._last_activity_ms = clock.get_now_ms()
         self._progress.complete()
-        self._report_usage()
 
     # Callbacks of asyncio.Protocol.
 
--- a/kumquatridge/transport/write_buffer.py
+++ b/kumquatridge/transport/write_buffer.py
@@ -2,6 +2,10 @@
 
 import asyncio
 
+# A connection reports no shorter message that it receives or sends whole. Most
+# messages are shorter, and a report takes as long as the parsing of one.
+SHORT_BYTES = 1024
+
 
 class WriteBuffer:
     """Writes to a transport and tells how much memory waits to be sent.
@@ -21,6 +25,13 @@
         unsent_bytes = self._transport.get_write_buffer_size()
         return unsent_bytes + self._longest_bytes if unsent_bytes else 0
 
+    def takes_at_once(self, data: bytes) -> bool:
+        """Returns whether bytes are few and nothing else waits to be sent."""
+        return (
+            len(data) <= SHORT_BYTES
+            and not self._transport.get_write_buffer_size()
+        )
+
     def write(self, data: bytes) -> None:
         """Writes bytes; never blocks."""
         if not self._transport.get_write_buffer_size():
