Bound header lines and trailers at the operators' API

One client of the operators' API of kumquatridge.daemon could end the process, and with it the requests of all callers: header lines, or trailers behind a chunked body, without end. 60 MB of them took 1,174 MB.

Cause: the default HTTP implementation of uvicorn keeps them without a limit.

Change: its other implementation, h11, is used, with 16 KiB for a head or trailers.

Ruled out: the callers' and daemons' addresses, where aiohttp ends such a request (four rows that held before).

Tests: two of six rows of test_header_lines_without_end_are_not_kept, and two of nine of test_memory_of_the_daemon_stays_within_its_bound (operators: 147 and 163 MB, bound 128) failed before and pass.

--- a/kumquatridge/operators/server.py
+++ b/kumquatridge/operators/server.py
@@ -14,6 +14,8 @@
 
 # How long requests in progress may take when the server stops.
 STOP_TIMEOUT_S = 1
+# Longest head of a request, and trailers after its body.
+MAX_HEAD_BYTES = 16 * 1024
 
 
 class _EmbeddedServer(uvicorn.Server):
@@ -46,6 +48,10 @@
                 lifespan="off",
                 access_log=False,
                 log_level="warning",
+                # The other implementation keeps heads and trailers of any
+                # length.
+                http="h11",
+                h11_max_incomplete_event_size=MAX_HEAD_BYTES,
                 timeout_graceful_shutdown=STOP_TIMEOUT_S,
             )
         )
--- a/tests/crowds/machines.py
+++ b/tests/crowds/machines.py
@@ -46,6 +46,13 @@
     descriptors: int
 
 
+def get_peak_bytes(pid: int) -> int:
+    """Returns the most memory that a process had resident so far."""
+    status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    (peak,) = (line for line in status.splitlines() if line.startswith("VmHWM"))
+    return int(peak.split()[1]) * KIB_BYTES
+
+
 # How a worker handles a request for a target.
 BehaviourChoice = Callable[[str], deployments.Behaviour]
 
@@ -100,11 +107,7 @@
     def measure(self, number: int) -> Usage:
         """Returns the memory and descriptors of a daemon."""
         process = psutil.Process(self.processes[number].pid)
-        status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
-        (peak,) = (
-            line for line in status.splitlines() if line.startswith("VmHWM")
-        )
-        return Usage(int(peak.split()[1]) * KIB_BYTES, process.num_fds())
+        return Usage(get_peak_bytes(process.pid), process.num_fds())
 
     async def report_regularly(self) -> None:
         """Reports both workers as ready, again and again."""
