Read limits of a machine that are no whole numbers

memoryMb and maxFds come from the platform's settings file, where other figures may be whole numbers or fractions. A pooled connection in use by short calls also counted as still since it was opened, and could be closed before idle ones.

Cause: both came with the bound on all connections: integers only, and short answers are no recorded progress since.

Change: fractions are read; an idle connection counts as moved when it became idle.

Tests: four rows in tests/platform/test_decoding.py.

--- a/kumquatridge/platform/settings_file.py
+++ b/kumquatridge/platform/settings_file.py
@@ -24,8 +24,8 @@
 
 class _MachineLimits(msgspec.Struct, rename="camel"):
     # Of a process; one that needs more memory is killed.
-    memory_mb: int = 300
-    max_fds: int = 4100
+    memory_mb: float = 300
+    max_fds: float = 4100
 
 
 class _LocalNode(msgspec.Struct, rename="camel"):
@@ -188,8 +188,8 @@
         retry_floor=bounds.retry_slack,
         retry_window_ms=bounds.retry_window_s * MS_PER_S,
         config_apply_ms=bounds.config_apply_s * MS_PER_S,
-        memory_bytes=node.limits.memory_mb * BYTES_PER_MB,
-        max_descriptors=node.limits.max_fds,
+        memory_bytes=int(node.limits.memory_mb * BYTES_PER_MB),
+        max_descriptors=int(node.limits.max_fds),
     )
 
 
--- a/kumquatridge/transport/client_connection.py
+++ b/kumquatridge/transport/client_connection.py
@@ -84,7 +84,7 @@
         """Returns what the connection holds; see `connection_limits`."""
         return connection_limits.Usage(
             self._held_bytes,
-            self._progress.moved_ms,
+            max(self._progress.moved_ms, self.idle_since_ms),
             is_working=self._answer_future is not None
             or not self._is_ready_for_next,
             has_served=True,
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -100,10 +100,36 @@
     assert (settings.retry_ratio, settings.retry_floor) == (0.2, 49)
 
 
+@pytest.mark.parametrize(
+    ("limits", "memory_mb", "max_descriptors"),
+    [
+        pytest.param("", 300, 4100, id="defaults"),
+        pytest.param(
+            "memoryMb = 200\nmaxFds = 8192\ndiskMb = 0", 200, 8192, id="whole"
+        ),
+        pytest.param(
+            "memoryMb = 551.5\nmaxFds = 4100.0", 551.5, 4100, id="fractions"
+        ),
+    ],
+)
+def test_limits_of_the_machine_are_decoded(
+    tmp_path: pathlib.Path, limits: str, memory_mb: float, max_descriptors: int
+) -> None:
+    text = f"{SETTINGS}[localNode.limits]\n{limits}\n" if limits else SETTINGS
+    settings = settings_file.read_settings(write_settings(tmp_path, text), 99)
+    assert settings.memory_bytes == memory_mb * 1024 * 1024
+    assert settings.max_descriptors == max_descriptors
+
+
 @pytest.mark.parametrize(
     ("text", "expected_text"),
     [
         pytest.param("[", "settings.toml", id="invalid TOML"),
+        pytest.param(
+            f"{SETTINGS}[localNode.limits]\nmaxFds = true",
+            "localNode.limits.maxFds",
+            id="limit of another type",
+        ),
         pytest.param(
             SETTINGS.replace('zone = "north"', "zone = 3"),
             "localNode.zone",
