Read the routes again when the store comes back from an older copy

In a drill the store may come back from a copy some seconds old. Revisions go back and are given out again. A watch from a revision of before found none of the changes that had got a revision up to it, and the daemon missed them until the next change: an old configuration stayed in force.

Cause: revisions were compared across the return; the header Store-Era was not read.

Change: the client remembers the era of the revision from which each kind is watched. An answer to a watch, or a further page of a listing, from another era is a lost history, upon which the table is read again. The stand-in of the store can come back from a copy, sends the era, and answers 410 to a watch from a revision that it doesn't have.

Not covered: contacts that the store has lost, until their daemons write them again; two readers of one kind in one process, of which none exists on the platform.

--- a/kumquatridge/platform/client.py
+++ b/kumquatridge/platform/client.py
@@ -28,6 +28,8 @@
 OBJECTS_PATH = "/api/objects/"
 # Query of a read that may return data that is seconds old.
 ALLOW_STALE = {"allowStale": "1"}
+# Tells in all answers of the store how often it came back from an older copy.
+ERA_HEADER = "store-era"
 # Sent as the name of a key such as "kind/", whose own name is empty: the API
 # has no empty names.
 EMPTY_NAME = "~"
@@ -64,6 +66,19 @@
     call_timeout_ms: int = 2_000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _StoreAnswer:
+    """Status and body of an answer, and the era of the store that gave it.
+
+    The era rises when the store comes back from an older copy, after which it
+    gives versions out again. None if the store has no eras.
+    """
+
+    status: int
+    data: bytes
+    era: str | None
+
+
 class PlatformClient:
     """Calls the platform's object API while its context is open.
 
@@ -84,6 +99,8 @@
             self._headers = (*self._headers, authorization)
         self._connections = pool.ConnectionPool()
         self.call_count = 0
+        # The era of the version from which a kind was last read, by kind.
+        self._eras: dict[str, str | None] = {}
         # Entries that could not be read, by kind.
         self.skipped_counts: collections.Counter[str] = collections.Counter()
 
@@ -108,11 +125,12 @@
         target = _make_target(key)
         if allow_stale:
             target = f"{target}?{parse.urlencode(ALLOW_STALE)}"
-        status, data = await self._call("GET", target)
-        if status == _NOT_FOUND:
+        answer = await self._call("GET", target)
+        if answer.status == _NOT_FOUND:
             return None
-        _check_status(status)
-        return _read_object(key, _decode(messages.object_decoder, data))
+        _check_status(answer.status)
+        stored = _decode(messages.object_decoder, answer.data)
+        return _read_object(key, stored)
 
     async def put(
         self, key: str, value: bytes, expected_version: int
@@ -146,9 +164,12 @@
             target = OBJECTS_PATH + kind
             if query:
                 target = f"{target}?{parse.urlencode(query)}"
-            status, data = await self._call("GET", target)
-            _check_status(status)
-            page = _decode(messages.listing_decoder, data)
+            answer = await self._call("GET", target)
+            _check_status(answer.status)
+            if "after" in query:
+                self._check_era(kind, answer)
+            self._eras[kind] = answer.era
+            page = _decode(messages.listing_decoder, answer.data)
             page_objects = self._read_each(kind, page.items, _read_item)
             listed.extend(page_objects)
             if not page.more or not page_objects:
@@ -181,14 +202,15 @@
         wait_s = min(window_s, MAX_WAIT_S)
         wait_ms = max(0, round(wait_s * 1000))
         target = f"{OBJECTS_PATH}{kind}?watch={since_version}&waitMs={wait_ms}"
-        status, data = await self._call("GET", target, wait_s + WATCH_GRACE_S)
-        if status == _GONE:
+        answer = await self._call("GET", target, wait_s + WATCH_GRACE_S)
+        if answer.status == _GONE:
             raise errors.PlatformHistoryLostError(
                 f"watch of {prefix!r}: the platform no longer has the changes"
                 f" since version {since_version}"
             )
-        _check_status(status)
-        body = _decode(messages.watch_decoder, data)
+        _check_status(answer.status)
+        self._check_era(kind, answer)
+        body = _decode(messages.watch_decoder, answer.data)
         changed_objects = self._read_each(kind, body.events, _read_event)
         return objects.Changes(
             tuple(
@@ -212,6 +234,21 @@
                 await asyncio.sleep(PAUSE_AFTER_CHANGE_S)
             version = changes.version
 
+    def _check_era(self, kind: str, answer: _StoreAnswer) -> None:
+        """Checks that versions of a kind read before can be compared.
+
+        Raises:
+          PlatformHistoryLostError: the store has come back from an older copy
+            since then.
+        """
+        era = self._eras.get(kind)
+        if era is not None and answer.era != era:
+            del self._eras[kind]
+            raise errors.PlatformHistoryLostError(
+                f"{kind}: the store came back from an older copy, with era"
+                f" {answer.era} after {era}"
+            )
+
     def _read_each(
         self,
         kind: str,
@@ -237,8 +274,8 @@
         self, method: str, target: str, data: bytes
     ) -> objects.WriteReply:
         try:
-            status, answer_data = await self._call(method, target, data=data)
-            return _read_reply(status, answer_data)
+            answer = await self._call(method, target, data=data)
+            return _read_reply(answer.status, answer.data)
         except errors.PlatformError as error:
             return objects.AnswerLost(str(error))
 
@@ -248,8 +285,8 @@
         target: str,
         timeout_s: float | None = None,
         data: bytes = b"",
-    ) -> tuple[int, bytes]:
-        """Returns status and body of the answer.
+    ) -> _StoreAnswer:
+        """Sends a call and returns its answer.
 
         `timeout_s` replaces `call_timeout_ms` of the settings; None keeps it.
 
@@ -267,7 +304,8 @@
                 self._connections.send(self._address, request) as answer,
             ):
                 data = await http.read_body(answer.body, MAX_ANSWER_BYTES)
-                return answer.status, data
+                era = http.find_header(answer.headers, ERA_HEADER)
+                return _StoreAnswer(answer.status, data, era)
         except (TimeoutError, transport_errors.TransportError) as error:
             # The idle connections may have gone silent together with this one.
             self._connections.close_idle(self._address)
--- a/kumquatridge/standins/platform.py
+++ b/kumquatridge/standins/platform.py
@@ -71,7 +71,10 @@
             answer = _make_answer(410, b"")
         except (ValueError, KeyError, msgspec.MsgspecError) as error:
             answer = _make_error(400, f"malformed request: {error!r}")
-        await responder.send(answer)
+        era = ("Store-Era", str(self._store.era))
+        await responder.send(
+            dataclasses.replace(answer, headers=(*answer.headers, era))
+        )
 
     async def _route(self, request: http.Request) -> http.Answer:
         path, _, query = request.target.partition("?")
--- a/kumquatridge/standins/platform_store.py
+++ b/kumquatridge/standins/platform_store.py
@@ -67,6 +67,8 @@
         # The history up to this version counts as discarded: a watch that
         # starts from an earlier version fails.
         self._history_start = 0
+        # Rises each time the store comes back from an older copy.
+        self.era = 1
         self.meter = Meter()
 
     @property
@@ -98,6 +100,21 @@
         self._history_start = len(self._history)
         self._wake_watches()
 
+    def return_from_copy(self, version: int) -> None:
+        """Comes back with the objects as they were at a version.
+
+        Later changes are lost, and their versions are given out again.
+        """
+        del self._history[version:]
+        newest = {change.key: change for change in self._history}
+        self._objects = {
+            key: change
+            for key, change in newest.items()
+            if change.value is not None
+        }
+        self.era += 1
+        self._wake_watches()
+
     async def wait_for_changes(
         self, prefix: str, since_version: int, window_s: float
     ) -> objects.Changes:
@@ -175,7 +192,8 @@
         """Counts a watch and yields the changes after a version for `window_s`.
 
         Raises:
-          PlatformHistoryLostError: the history after the version is discarded.
+          PlatformHistoryLostError: the history after the version is discarded,
+            or the store does not have the version.
           PlatformUnreachableError: the platform is down.
         """
         await self._inject_faults()
@@ -185,7 +203,9 @@
         with self._count_watch():
             while True:
                 changed = self._changed
-                if seen_version < self._history_start:
+                if not (
+                    self._history_start <= seen_version <= len(self._history)
+                ):
                     raise errors.PlatformHistoryLostError(str(seen_version))
                 for change in self._find_changes(prefix, seen_version):
                     seen_version = change.version
