Give requests and the memory of objects modules of their own

The HTTP listener had grown by what a request holds, and four modules had constants for the memory of the same objects.

Cause: both came with the bound on all connections.

Change: transport/incoming_request has the request while it is received and answered, transport/memory the memory of a connection, a request and a header line; the time after which a long request may come back is a constant of admission/connection_limits. No behaviour changes.

Ruled out: a base class for the bytes held by both kinds of connections, which have different parts.

Measured: tests/transport and the tests of the platform's listeners, peers and memory pass.

--- a/kumquatridge/admission/connection_limits.py
+++ b/kumquatridge/admission/connection_limits.py
@@ -25,6 +25,8 @@
 # Share of the memory for requests in progress. The rest is left for requests
 # that are still arriving and for answers.
 IN_PROGRESS_RATIO = 1 / 2
+# Time after which long requests in progress are likely to have ended.
+RETRY_AFTER_MS = 500
 # Requests that hold no more are not refused for lack of memory.
 SMALL_REQUEST_BYTES = 32 * 1024
 # Connections of callers leave this fraction to those that their calls need.
--- a/kumquatridge/platform/callers.py
+++ b/kumquatridge/platform/callers.py
@@ -19,8 +19,6 @@
 from kumquatridge.transport import messages as http
 
 MS_PER_S = 1000.0
-# Time after which long requests in progress are likely to have ended.
-MEMORY_RETRY_MS = 500
 # Labels streamed answers that did not end before the deadline.
 TRUNCATED_AT_DEADLINE = "deadline"
 # Labels streamed answers that did not end before the daemon stopped.
@@ -95,7 +93,9 @@
             if is_reserved:
                 await self._dispatch(call, remaining_ms, responder)
                 return
-        refusal = refusals.MemoryFull(held_bytes, MEMORY_RETRY_MS)
+        refusal = refusals.MemoryFull(
+            held_bytes, connection_limits.RETRY_AFTER_MS
+        )
         outcome = outcomes.NotRun(refusal)
         await responder.send(self._record_outcome(call, outcome, remaining_ms))
 
--- a/kumquatridge/platform/peers.py
+++ b/kumquatridge/platform/peers.py
@@ -32,8 +32,6 @@
 # Senders whose last report is remembered: more than there are daemons. Without
 # the time of the last one a gate is reported once more.
 MAX_SENDERS = 4096
-# Time after which long calls in progress are likely to have ended.
-MEMORY_RETRY_MS = 500
 
 
 class PlatformPeerLink:
@@ -174,7 +172,9 @@
             if is_reserved:
                 await self._serve(received, responder)
                 return
-        refusal = refusals.MemoryFull(held_bytes, MEMORY_RETRY_MS)
+        refusal = refusals.MemoryFull(
+            held_bytes, connection_limits.RETRY_AFTER_MS
+        )
         head = self._encode(outcomes.NotRun(refusal), received.sender)
         await responder.send(head, call_body.EMPTY)
 
--- a/kumquatridge/transport/client_connection.py
+++ b/kumquatridge/transport/client_connection.py
@@ -6,6 +6,7 @@
 
 from kumquatridge.admission import connection_limits
 from kumquatridge.transport import errors
+from kumquatridge.transport import memory
 from kumquatridge.transport import progress
 from kumquatridge.transport import write_buffer
 
@@ -15,8 +16,6 @@
 # latest with the next answer on its connection; further keys are kept for
 # servers that delay it longer.
 MAX_KEYS = 64
-# Memory of a connection, without what it receives and sends.
-CONNECTION_BYTES = 8 * 1024
 
 
 class ClientConnection(asyncio.Protocol, abc.ABC, Generic[AnswerT]):
@@ -97,7 +96,7 @@
     @property
     def _held_bytes(self) -> int:
         unsent_bytes = 0 if self._output is None else self._output.held_bytes
-        return CONNECTION_BYTES + self._received_bytes + unsent_bytes
+        return memory.CONNECTION_BYTES + self._received_bytes + unsent_bytes
 
     def _write(self, data: bytes) -> None:
         """Sends bytes; `_writable` is cleared while too many wait."""
--- a/kumquatridge/transport/connection.py
+++ b/kumquatridge/transport/connection.py
@@ -15,6 +15,7 @@
 from kumquatridge.transport import client_connection
 from kumquatridge.transport import errors
 from kumquatridge.transport import incoming_body
+from kumquatridge.transport import memory
 from kumquatridge.transport import messages
 
 # Answers with lower statuses are interim; the answer proper follows them.
@@ -34,8 +35,6 @@
 # Limit on the header lines of an answer, trailers included. Each takes about
 # 200 bytes of memory, however short it is.
 MAX_HEADERS = 1000
-# Memory of a header line, as bytes and as text, beside its characters.
-HEADER_LINE_BYTES = 250
 
 MAX_PORT = 65535
 
@@ -151,7 +150,7 @@
         if answer is None:
             return 0
         return (
-            answer.header_count * HEADER_LINE_BYTES
+            answer.header_count * memory.HEADER_LINE_BYTES
             + self._overhead_bytes
             + answer.body.held_bytes
         )
--- a/kumquatridge/transport/http_listener.py
+++ b/kumquatridge/transport/http_listener.py
@@ -8,10 +8,9 @@
 from kumquatridge import clock
 from kumquatridge.admission import connection_limits
 from kumquatridge.calls import body as call_body
-from kumquatridge.calls import outcomes
 from kumquatridge.telemetry import events
 from kumquatridge.transport import errors
-from kumquatridge.transport import incoming_body
+from kumquatridge.transport import incoming_request
 from kumquatridge.transport import messages
 from kumquatridge.transport import server
 from kumquatridge.transport import write_buffer
@@ -23,12 +22,8 @@
 MAX_PIPELINED = 16
 # Bytes of a header line beside name and value, at least: ":" and CRLF.
 HEADER_OVERHEAD_BYTES = 3
-# Memory of a request in progress, without its headers and body.
-REQUEST_BYTES = 16 * 1024
 # Header lines that a short request may have.
 SHORT_HEADER_COUNT = 32
-# Memory of a header line beside its bytes, which are kept as text.
-HEADER_LINE_BYTES = 250
 
 
 class Responder:
@@ -98,57 +93,6 @@
 Handler = Callable[[messages.Request, Responder], Awaitable[None]]
 
 
-class _IncomingRequest:
-    """A request that is being received."""
-
-    def __init__(
-        self, flow_control: incoming_body.FlowControl, max_buffered_bytes: int
-    ) -> None:
-        self.target = b""
-        self.headers: outcomes.Headers = ()
-        # Raw bytes received before the head was complete. They include the
-        # start of an incomplete header line, which the parser does not report.
-        self.received_bytes = 0
-        # Bytes of the parsed request target, headers and trailers.
-        self.head_bytes = 0
-        self.header_count = 0
-        # Bytes received since the last byte of the body, once the head is
-        # complete.
-        self.overhead_bytes = 0
-        # Empty until the head is complete.
-        self.method = ""
-        self.keeps_alive = True
-        self.length_bytes: int | None = None
-        self.body = incoming_body.IncomingBody(flow_control, max_buffered_bytes)
-        # Whether the request was passed to the task of the connection.
-        self.is_queued = False
-        # Length of a complete body that its handler has.
-        self.passed_on_bytes = 0
-
-    def make_request(self) -> messages.Request:
-        """Returns the request, once its body is complete or long."""
-        body = self.body.make_body(self.length_bytes)
-        match body:
-            case call_body.BufferedBody(data):
-                self.passed_on_bytes = len(data)
-            case call_body.StreamedBody():
-                pass
-        target = self.target.decode("latin-1")
-        return messages.Request(self.method, target, self.headers, body)
-
-    @property
-    def held_bytes(self) -> int:
-        """Returns the memory of the request."""
-        return (
-            REQUEST_BYTES
-            + self.header_count * HEADER_LINE_BYTES
-            + max(self.head_bytes, self.received_bytes)
-            + self.overhead_bytes
-            + self.body.held_bytes
-            + self.passed_on_bytes
-        )
-
-
 class _ServerConnection(server.ServerConnection):
     """A connection from an HTTP client."""
 
@@ -157,14 +101,16 @@
         self._handler = handler
         self._parser = httptools.HttpRequestParser(self)
         # The request that is being received.
-        self._incoming: _IncomingRequest | None = None
+        self._incoming: incoming_request.IncomingRequest | None = None
         self._raw_headers: list[tuple[bytes, bytes]] = []
         # Whether the parser is fed a head whose request is already known.
         self._is_repeating_head = False
         # Requests whose handling has not begun.
-        self._pending: collections.deque[_IncomingRequest] = collections.deque()
+        self._pending: collections.deque[incoming_request.IncomingRequest] = (
+            collections.deque()
+        )
         # The request in progress.
-        self._answering: _IncomingRequest | None = None
+        self._answering: incoming_request.IncomingRequest | None = None
         # Status of the answer to a request that can't be accepted.
         self._fault_status: int | None = None
         self._is_finished = False
@@ -228,7 +174,7 @@
         self._answering = None
         super()._record_answered()
 
-    async def _answer(self, incoming: _IncomingRequest) -> None:
+    async def _answer(self, incoming: incoming_request.IncomingRequest) -> None:
         self._answering = incoming
         request = incoming.make_request()
         keeps_alive = incoming.keeps_alive and incoming.body.is_complete
@@ -326,7 +272,7 @@
         return is_accepted
 
     def _check_head_size(
-        self, incoming: _IncomingRequest, size_bytes: int
+        self, incoming: incoming_request.IncomingRequest, size_bytes: int
     ) -> None:
         """Rejects a head that exceeds the limit before it is complete."""
         incoming.received_bytes += size_bytes
@@ -361,7 +307,7 @@
         """Starts a request; the time-out of its head runs from here."""
         if self._is_repeating_head:
             return
-        self._incoming = _IncomingRequest(
+        self._incoming = incoming_request.IncomingRequest(
             self.transport, self._listener.settings.max_buffered_bytes
         )
         self._raw_headers = []
@@ -388,7 +334,9 @@
             incoming.header_count += 1
             self._raw_headers.append((name, value))
 
-    def _check_head_bytes(self, incoming: _IncomingRequest) -> None:
+    def _check_head_bytes(
+        self, incoming: incoming_request.IncomingRequest
+    ) -> None:
         """Stops the parser if target, headers and trailers are too long."""
         if incoming.head_bytes > self._listener.settings.max_header_bytes:
             self._fail(431)
@@ -445,7 +393,7 @@
                 f"more than {MAX_PIPELINED} pipelined requests are waiting"
             )
 
-    def _enqueue(self, incoming: _IncomingRequest) -> None:
+    def _enqueue(self, incoming: incoming_request.IncomingRequest) -> None:
         """Passes a request to the task, once its body is complete or long."""
         if not incoming.is_queued:
             incoming.is_queued = True
--- a/kumquatridge/transport/incoming_body.py
+++ b/kumquatridge/transport/incoming_body.py
@@ -6,6 +6,7 @@
 
 from kumquatridge.calls import body as call_body
 from kumquatridge.transport import errors
+from kumquatridge.transport import memory
 
 # A body up to this size is buffered completely before it is passed on, so that
 # a truncated one is noticed before anything was forwarded. No body in the
@@ -13,8 +14,6 @@
 MAX_BUFFERED_BYTES = 512 * 1024
 # Bytes of a streamed body that are buffered before reading is paused.
 STREAM_WINDOW_BYTES = 64 * 1024
-# Received bytes that the kernel keeps for a connection while reading is paused.
-PAUSED_BYTES = 64 * 1024
 
 
 class FlowControl(Protocol):
@@ -60,7 +59,7 @@
     @property
     def held_bytes(self) -> int:
         """Returns the bytes that are kept here and by the kernel."""
-        kernel_bytes = PAUSED_BYTES if self._is_paused else 0
+        kernel_bytes = memory.PAUSED_BYTES if self._is_paused else 0
         return self._data.__alloc__() + kernel_bytes
 
     @property
--- a/kumquatridge/transport/server.py
+++ b/kumquatridge/transport/server.py
@@ -12,6 +12,7 @@
 from kumquatridge.admission import connection_limits
 from kumquatridge.transport import errors
 from kumquatridge.transport import incoming_body
+from kumquatridge.transport import memory
 from kumquatridge.transport import progress
 from kumquatridge.transport import write_buffer
 
@@ -22,8 +23,6 @@
 CHECK_MARGIN_MS = 1000.0
 # Connections that the kernel keeps until they are accepted.
 BACKLOG = 1024
-# Memory of a connection and its task, without what it receives and sends.
-CONNECTION_BYTES = 8 * 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -175,7 +174,7 @@
     @property
     def _held_bytes(self) -> int:
         return (
-            CONNECTION_BYTES
+            memory.CONNECTION_BYTES
             + self.answering_bytes
             + self._waiting_bytes
             + self._output.held_bytes
--- a/tests/transport/test_usage.py
+++ b/tests/transport/test_usage.py
@@ -11,6 +11,7 @@
 from kumquatridge.transport import frame_listener
 from kumquatridge.transport import frames
 from kumquatridge.transport import http_listener
+from kumquatridge.transport import memory
 from kumquatridge.transport import messages
 from kumquatridge.transport import server
 from tests import processes
@@ -153,7 +154,7 @@
         # Only what the handler has is freed later, when its task ends.
         served.evict()
         if not is_in_progress:
-            assert served.get_usage().held_bytes == server.CONNECTION_BYTES
+            assert served.get_usage().held_bytes == memory.CONNECTION_BYTES
         served.connection_lost(None)
         assert listener.limiter.total_bytes == 0
 
