Shorten the path of short messages through the counts

Cause: a short message still passed through several small functions that found that there is nothing to report: its write asked twice for the length of the buffer, its end read the clock once more, and each call ran in one more coroutine.

Change: a short write is one function; a request that begins or is answered counts as progress by the time that is recorded anyway; only long requests take the path that asks for memory.

--- a/kumquatridge/platform/callers.py
+++ b/kumquatridge/platform/callers.py
@@ -68,9 +68,12 @@
         routed_request = self._parse_request(request)
         match self._make_call(routed_request):
             case calls.Call() as call:
-                await self._dispatch_within_memory(
-                    call, routed_request.remaining_ms, responder
+                dispatch = (
+                    self._dispatch
+                    if responder.is_request_small
+                    else self._dispatch_within_memory
                 )
+                await dispatch(call, routed_request.remaining_ms, responder)
             case refusal:
                 self._recorder.record_rejection(refusal)
                 retry_ms = refusals.get_retry_after_ms(refusal)
@@ -86,9 +89,6 @@
     ) -> None:
         """Dispatches a call, or refuses it if there is no memory for it."""
         held_bytes = responder.request_bytes
-        if held_bytes <= connection_limits.SMALL_REQUEST_BYTES:
-            await self._dispatch(call, remaining_ms, responder)
-            return
         with self._limiter.reserve(held_bytes) as is_reserved:
             if is_reserved:
                 await self._dispatch(call, remaining_ms, responder)
--- a/kumquatridge/platform/peers.py
+++ b/kumquatridge/platform/peers.py
@@ -150,7 +150,10 @@
         )
         match decoded:
             case result.Success(received):
-                await self._serve_within_memory(received, responder)
+                if responder.is_request_small:
+                    await self._serve(received, responder)
+                else:
+                    await self._serve_within_memory(received, responder)
             case result.Failure(fault):
                 refused = outcomes.NotRun(refusals.InvalidRequest(fault))
                 # The time (0.0) only serves to encode the age of gates, of
@@ -165,9 +168,6 @@
     ) -> None:
         """Runs a call, or refuses it if there is no memory for it."""
         held_bytes = responder.request_bytes
-        if held_bytes <= connection_limits.SMALL_REQUEST_BYTES:
-            await self._serve(received, responder)
-            return
         with self._limiter.reserve(held_bytes) as is_reserved:
             if is_reserved:
                 await self._serve(received, responder)
--- a/kumquatridge/transport/client_connection.py
+++ b/kumquatridge/transport/client_connection.py
@@ -101,19 +101,15 @@
     def _write(self, data: bytes) -> None:
         """Sends bytes; `_writable` is cleared while too many wait."""
         assert self._output is not None
-        if not self._output.takes_at_once(data):
-            self._limiter.update(self, self._held_bytes + len(data))
-            if self._fault is not None:
-                return
-        self._output.write(data)
+        if self._output.write_short(data):
+            return
+        self._limiter.update(self, self._held_bytes + len(data))
+        if self._fault is None:
+            self._output.write(data)
 
     def _record_received(self, received_bytes: int) -> None:
-        """Records received bytes, unless they are a short answer."""
-        if received_bytes > write_buffer.SHORT_BYTES or not (
-            self._is_ready_for_next
-        ):
-            self._progress.record(received_bytes)
-            self._report_usage()
+        self._progress.record(received_bytes)
+        self._report_usage()
 
     def _report_usage(self) -> None:
         """Reports what the connection holds; may close it."""
--- a/kumquatridge/transport/connection.py
+++ b/kumquatridge/transport/connection.py
@@ -17,6 +17,7 @@
 from kumquatridge.transport import incoming_body
 from kumquatridge.transport import memory
 from kumquatridge.transport import messages
+from kumquatridge.transport import write_buffer
 
 # Answers with lower statuses are interim; the answer proper follows them.
 FIRST_FINAL_STATUS = 200
@@ -178,7 +179,13 @@
             UnicodeDecodeError,
         ) as error:
             self._handle_parse_error(error)
-        self._record_received(len(data))
+        answer = self._answer
+        if (
+            len(data) > write_buffer.SHORT_BYTES
+            or answer is None
+            or not answer.body.is_complete
+        ):
+            self._record_received(len(data))
 
     def _handle_parse_error(self, error: Exception) -> None:
         """Fails the exchange, unless its answer is already complete."""
--- a/kumquatridge/transport/frame_connection.py
+++ b/kumquatridge/transport/frame_connection.py
@@ -9,6 +9,7 @@
 from kumquatridge.transport import client_connection
 from kumquatridge.transport import errors
 from kumquatridge.transport import frames
+from kumquatridge.transport import write_buffer
 
 
 class FrameConnection(client_connection.ClientConnection[frames.Message]):
@@ -90,4 +91,7 @@
             self._reader.feed(data)
         except errors.TransportError as error:
             self.fail(error)
-        self._record_received(len(data))
+        if len(data) > write_buffer.SHORT_BYTES or not (
+            self._reader.is_at_boundary
+        ):
+            self._record_received(len(data))
--- a/kumquatridge/transport/frame_listener.py
+++ b/kumquatridge/transport/frame_listener.py
@@ -26,6 +26,11 @@
         """Returns the memory of the message, with its head and body."""
         return self._connection.answering_bytes
 
+    @property
+    def is_request_small(self) -> bool:
+        """Returns whether the message needn't ask for memory."""
+        return self.request_bytes <= connection_limits.SMALL_REQUEST_BYTES
+
     async def send(self, head: bytes, body: call_body.Body) -> None:
         """Sends an answer; returns once a streamed body is written to its end.
 
@@ -129,7 +134,6 @@
             )
         self._message = message
         self._message_bytes = frames.get_held_bytes(message)
-        self._progress.complete()
         self._input_arrived.set()
 
     # Callbacks of asyncio.Protocol.
--- a/kumquatridge/transport/http_listener.py
+++ b/kumquatridge/transport/http_listener.py
@@ -47,6 +47,11 @@
         """Returns the memory of the request, with its headers and body."""
         return self._connection.answering_bytes
 
+    @property
+    def is_request_small(self) -> bool:
+        """Returns whether the request needn't ask for memory."""
+        return self.request_bytes <= connection_limits.SMALL_REQUEST_BYTES
+
     async def send(self, answer: messages.Answer) -> None:
         """Sends an answer; returns once a streamed body is written to its end.
 
@@ -161,6 +166,7 @@
             self.is_answering = True
             incoming = self._pending.popleft()
             await self._answer(incoming)
+            self._answering = None
             self._record_answered()
             if self._is_finished:
                 return
@@ -170,10 +176,6 @@
                 return
             await self.writable.wait()
 
-    def _record_answered(self) -> None:
-        self._answering = None
-        super()._record_answered()
-
     async def _answer(self, incoming: incoming_request.IncomingRequest) -> None:
         self._answering = incoming
         request = incoming.make_request()
@@ -387,7 +389,6 @@
         incoming.body.complete()
         self._enqueue(incoming)
         self._incoming = None
-        self._progress.complete()
         if len(self._pending) > MAX_PIPELINED:
             raise errors.TransportError(
                 f"more than {MAX_PIPELINED} pipelined requests are waiting"
--- a/kumquatridge/transport/progress.py
+++ b/kumquatridge/transport/progress.py
@@ -18,9 +18,5 @@
         """Records bytes received or sent."""
         self._pending_bytes += moved_bytes
         if self._pending_bytes >= STEP_BYTES:
-            self.complete()
-
-    def complete(self) -> None:
-        """Records that a message ended, however short it was."""
-        self._pending_bytes = 0
-        self.moved_ms = clock.get_now_ms()
+            self._pending_bytes = 0
+            self.moved_ms = clock.get_now_ms()
--- a/kumquatridge/transport/server.py
+++ b/kumquatridge/transport/server.py
@@ -141,11 +141,11 @@
 
         Nothing is sent if the connection was closed, also for lack of memory.
         """
-        if not self._output.takes_at_once(data):
-            self._listener.limiter.update(self, self._held_bytes + len(data))
-            if self.transport.is_closing():
-                return
-        self._output.write(data)
+        if self._output.write_short(data):
+            return
+        self._listener.limiter.update(self, self._held_bytes + len(data))
+        if not self.transport.is_closing():
+            self._output.write(data)
 
     def get_usage(self) -> connection_limits.Usage:
         """Returns what the connection holds; see `connection_limits`."""
@@ -157,7 +157,7 @@
         )
         return connection_limits.Usage(
             self._held_bytes,
-            self._progress.moved_ms,
+            max(self._progress.moved_ms, self._last_activity_ms),
             is_working=self.is_answering and not is_client_awaited,
             has_served=self._has_served,
         )
@@ -195,7 +195,6 @@
         self.is_answering = False
         self._has_served = True
         self._last_activity_ms = clock.get_now_ms()
-        self._progress.complete()
 
     # Callbacks of asyncio.Protocol.
 
--- a/kumquatridge/transport/write_buffer.py
+++ b/kumquatridge/transport/write_buffer.py
@@ -25,12 +25,16 @@
         unsent_bytes = self._transport.get_write_buffer_size()
         return unsent_bytes + self._longest_bytes if unsent_bytes else 0
 
-    def takes_at_once(self, data: bytes) -> bool:
-        """Returns whether bytes are few and nothing else waits to be sent."""
-        return (
-            len(data) <= SHORT_BYTES
-            and not self._transport.get_write_buffer_size()
-        )
+    def write_short(self, data: bytes) -> bool:
+        """Writes bytes if they are few and nothing else waits to be sent.
+
+        Returns whether it did.
+        """
+        if len(data) > SHORT_BYTES or self._transport.get_write_buffer_size():
+            return False
+        self._longest_bytes = len(data)
+        self._transport.write(data)
+        return True
 
     def write(self, data: bytes) -> None:
         """Writes bytes; never blocks."""
