--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -373,6 +373,8 @@
         self.work_s = 0.02
         self.runs: list[Run] = []
         self.is_leaving = False
+        # Whether the record has each run.
+        self.is_recorded = True
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.handle: Callable[[Message], Awaitable[bytes | None]] = self.work
@@ -402,10 +404,11 @@
             self.runs.append(
                 Run(self.name, self.service, request, self._record.now_s)
             )
-            self._record.add(
-                f"{self.name} ({self.service}) runs {request_id}"
-                f" {request.start}"
-            )
+            if self.is_recorded:
+                self._record.add(
+                    f"{self.name} ({self.service}) runs {request_id}"
+                    f" {request.start}"
+                )
             return await self.handle(request)
 
     async def work(self, request: Message) -> bytes | None:
