--- a/review/14/case.py
+++ b/review/14/case.py
@@ -63,11 +63,14 @@
 
 
 async def send_poison(rig: rig_3.Rig) -> None:
-    """Sends the request again and again, each time to another machine."""
+    """Sends the request again and again, at the machines of one service.
+
+    So its caller, by which workers know it, stays the same.
+    """
     ends_s = rig.record.now_s + POISON_S
     number = 0
     while rig.record.now_s < ends_s:
-        daemon = rig.daemons[number % len(rig.daemons)]
+        daemon = rig.daemons[number % WORKERS_EACH]
         await rig.call(daemon, POISON, method="GET")
         number += 1
         await asyncio.sleep(POISON_INTERVAL_S)
